Lay out the workspace with the shared types and messages

Cause: nothing exists yet, and the parts that follow are written side by side, so the types and messages they share must stand first.

--- /dev/null
+++ b/crates/agent/src/lib.rs
@@ -0,0 +1,8 @@
+//! The process beside a target.
+//!
+//! One traffic thread owns every flow of the target. One control thread listens to the target's
+//! announcements, sends heartbeats and learns of peers and services. [`link`] is all that passes
+//! between the two.
+
+pub mod link;
+pub mod settings;
--- /dev/null
+++ b/crates/agent/src/link.rs
@@ -0,0 +1,59 @@
+//! What passes between the control thread and the traffic thread.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use citronhollow_core::config::Revision;
+use citronhollow_core::members::{TargetRecord, TargetState};
+
+/// From the control thread to the traffic thread.
+#[derive(Clone, Debug)]
+pub enum TrafficCommand {
+    /// Where the target listens, and how many requests it can work on at once.
+    Target {
+        /// TCP address on this VM.
+        address: SocketAddr,
+        /// Requests it can work on at once.
+        slots: u16,
+    },
+    /// The state that the record announces from now on.
+    State(TargetState),
+    /// Every target that may hold a flow of this target's services, this one included.
+    Peers(Vec<TargetRecord>),
+    /// The services, pools and rules that concern this target's group.
+    Services(Revision),
+}
+
+/// From the traffic thread to the control thread.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ControlCommand {
+    /// An operator asked this agent to drain its target, or to stop doing so.
+    Drain {
+        /// Whether the target drains.
+        on: bool,
+        /// Who gets the heartbeat that answers.
+        reply_to: SocketAddr,
+    },
+    /// The target refuses connections, or takes them again.
+    TargetReachable(bool),
+}
+
+/// Figures that the traffic thread keeps up to date.
+#[derive(Debug, Default)]
+pub struct TrafficFigures {
+    open: AtomicU32,
+}
+
+impl TrafficFigures {
+    /// Flows held.
+    #[must_use]
+    pub fn open(&self) -> u32 {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    /// Records the flows held.
+    pub fn set_open(&self, open: usize) {
+        let open = u32::try_from(open).unwrap_or(u32::MAX);
+        self.open.store(open, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/agent/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of `citronhollow-agent`.
+
+fn main() {}
--- /dev/null
+++ b/crates/balancer/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of `citronhollow`.
+
+fn main() {}
--- /dev/null
+++ b/crates/balancer/src/traffic.rs
@@ -0,0 +1,1 @@
+//! Threads that forward callers' packets to agents.
--- /dev/null
+++ b/crates/peer/src/addr.rs
@@ -0,0 +1,47 @@
+//! Socket addresses as bytes in messages: the IP number, then the port.
+
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
+
+use thiserror::Error;
+
+const V4_LEN: usize = 4 + 2;
+const V6_LEN: usize = 16 + 2;
+
+/// A byte string that is no socket address.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+#[error("{0} bytes are no socket address, expected 6 or 18")]
+pub struct AddrError(usize);
+
+/// Encodes an address.
+#[must_use]
+pub fn addr_to_bytes(addr: SocketAddr) -> Vec<u8> {
+    let mut buf = Vec::with_capacity(V6_LEN);
+    match addr.ip() {
+        IpAddr::V4(ip) => buf.extend_from_slice(&ip.octets()),
+        IpAddr::V6(ip) => buf.extend_from_slice(&ip.octets()),
+    }
+    buf.extend_from_slice(&addr.port().to_be_bytes());
+    buf
+}
+
+/// Decodes an address.
+///
+/// # Errors
+///
+/// [`AddrError`] if the length fits neither version of IP.
+pub fn addr_from_bytes(bytes: &[u8]) -> Result<SocketAddr, AddrError> {
+    let error = AddrError(bytes.len());
+    let (ip, port) = bytes.split_last_chunk::<2>().ok_or(error)?;
+    let ip = match bytes.len() {
+        V4_LEN => {
+            let octets: [u8; 4] = ip.try_into().map_err(|_| error)?;
+            IpAddr::from(Ipv4Addr::from(octets))
+        }
+        V6_LEN => {
+            let octets: [u8; 16] = ip.try_into().map_err(|_| error)?;
+            IpAddr::from(Ipv6Addr::from(octets))
+        }
+        _ => return Err(error),
+    };
+    Ok(SocketAddr::new(ip, u16::from_be_bytes(*port)))
+}
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,17 @@
+//! Messages between the processes of the load balancer.
+//!
+//! One envelope carries every message, over UDP for packets and heartbeats and over TCP where a
+//! message may be large. Each frame ends in a keyed tag, so that nobody without a key can make a
+//! process act; two keys are valid at once, so that keys change without an interruption. What a
+//! frame says is never trusted beyond that: a decoded message is checked field by field when it
+//! becomes a domain type, and a frame that fails is counted and dropped.
+
+mod addr;
+mod codec;
+mod key;
+pub mod message;
+
+pub use addr::{AddrError, addr_from_bytes, addr_to_bytes};
+pub use codec::{Codec, CodecError, MAX_DATAGRAM, MAX_STREAM_FRAME, StreamCodec};
+pub use key::{Key, KeyError, Keyring};
+pub use message::{Body, Envelope};
--- /dev/null
+++ b/crates/peer/src/message/control.rs
@@ -0,0 +1,177 @@
+//! Messages about members and revisions.
+
+use prost::Message;
+
+/// A target's record.
+#[derive(Clone, PartialEq, Message)]
+pub struct Target {
+    /// Identity of the target.
+    #[prost(fixed64, tag = "1")]
+    pub id: u64,
+    /// The label that pools select by.
+    #[prost(fixed64, tag = "2")]
+    pub group: u64,
+    /// Failure domain.
+    #[prost(fixed64, tag = "3")]
+    pub domain: u64,
+    /// UDP address at which the agent takes packets.
+    #[prost(bytes = "vec", tag = "4")]
+    pub agent: Vec<u8>,
+    /// Requests it can work on at once.
+    #[prost(uint32, tag = "5")]
+    pub slots: u32,
+    /// State: 0 starting, 1 ready, 2 draining, 3 dead.
+    #[prost(uint32, tag = "6")]
+    pub state: u32,
+    /// Grows with every start.
+    #[prost(uint64, tag = "7")]
+    pub incarnation: u64,
+    /// Grows with every change within an incarnation.
+    #[prost(uint64, tag = "8")]
+    pub sequence: u64,
+}
+
+/// A balancer's record.
+#[derive(Clone, PartialEq, Message)]
+pub struct Balancer {
+    /// Identity of the balancer.
+    #[prost(fixed64, tag = "1")]
+    pub id: u64,
+    /// Failure domain.
+    #[prost(fixed64, tag = "2")]
+    pub domain: u64,
+    /// Address of the control socket, UDP and TCP.
+    #[prost(bytes = "vec", tag = "3")]
+    pub control: Vec<u8>,
+    /// Whether it is leaving or gone.
+    #[prost(bool, tag = "4")]
+    pub leaving: bool,
+    /// Grows with every start.
+    #[prost(uint64, tag = "5")]
+    pub incarnation: u64,
+    /// Grows with every change within an incarnation.
+    #[prost(uint64, tag = "6")]
+    pub sequence: u64,
+}
+
+/// An agent's sign of life.
+#[derive(Clone, PartialEq, Message)]
+pub struct Heartbeat {
+    /// The sender's record.
+    #[prost(message, optional, tag = "1")]
+    pub target: Option<Target>,
+    /// Highest revision the sender knows.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// Flows the sender holds.
+    #[prost(uint32, tag = "3")]
+    pub open: u32,
+}
+
+/// What an agent may have missed.
+#[derive(Clone, PartialEq, Message)]
+pub struct HeartbeatReply {
+    /// Highest revision the balancer knows.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    /// Digest of the peers of the agent's group.
+    #[prost(fixed64, tag = "2")]
+    pub peers_digest: u64,
+    /// A few balancers, for the agent's list.
+    #[prost(message, repeated, tag = "3")]
+    pub balancers: Vec<Balancer>,
+}
+
+/// News, pushed to a few balancers, which push what is new to them.
+#[derive(Clone, PartialEq, Message)]
+pub struct Rumour {
+    /// The sender's record.
+    #[prost(message, optional, tag = "1")]
+    pub sender: Option<Balancer>,
+    /// Targets that changed.
+    #[prost(message, repeated, tag = "2")]
+    pub targets: Vec<Target>,
+    /// Balancers that changed.
+    #[prost(message, repeated, tag = "3")]
+    pub balancers: Vec<Balancer>,
+    /// A revision that came into force, as JSON, if it fits; empty if not.
+    #[prost(bytes = "vec", tag = "4")]
+    pub revision_json: Vec<u8>,
+    /// Highest revision the sender knows.
+    #[prost(uint64, tag = "5")]
+    pub revision: u64,
+}
+
+/// Summary of what the sender knows.
+#[derive(Clone, PartialEq, Message)]
+pub struct Digest {
+    /// The sender's record.
+    #[prost(message, optional, tag = "1")]
+    pub sender: Option<Balancer>,
+    /// Highest revision.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// Digest of the members, one for each slice of the identities.
+    #[prost(fixed64, repeated, tag = "3")]
+    pub members: Vec<u64>,
+    /// Whether the receiver is to answer with its own digest.
+    #[prost(bool, tag = "4")]
+    pub wants_answer: bool,
+}
+
+/// Asks for the members of some slices.
+#[derive(Clone, PartialEq, Message)]
+pub struct MembersRequest {
+    /// Slices, empty for all.
+    #[prost(uint32, repeated, tag = "1")]
+    pub slices: Vec<u32>,
+}
+
+/// Members.
+#[derive(Clone, PartialEq, Message)]
+pub struct MembersReply {
+    /// Targets.
+    #[prost(message, repeated, tag = "1")]
+    pub targets: Vec<Target>,
+    /// Balancers.
+    #[prost(message, repeated, tag = "2")]
+    pub balancers: Vec<Balancer>,
+}
+
+/// Asks for a revision that is newer than the one known.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct RevisionRequest {
+    /// Number of the revision known, zero for none.
+    #[prost(uint64, tag = "1")]
+    pub known: u64,
+}
+
+/// A whole revision.
+#[derive(Clone, PartialEq, Message)]
+pub struct RevisionReply {
+    /// The revision as JSON, empty if there is none newer.
+    #[prost(bytes = "vec", tag = "1")]
+    pub json: Vec<u8>,
+}
+
+/// Asks for what the agents of a group must know.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct PoolRequest {
+    /// The group.
+    #[prost(fixed64, tag = "1")]
+    pub group: u64,
+}
+
+/// What the agents of a group must know.
+#[derive(Clone, PartialEq, Message)]
+pub struct PoolReply {
+    /// Every target that may hold a flow of the group's services.
+    #[prost(message, repeated, tag = "1")]
+    pub peers: Vec<Target>,
+    /// Revision that holds only the group's services, pools and rules, as JSON.
+    #[prost(bytes = "vec", tag = "2")]
+    pub revision_json: Vec<u8>,
+    /// Digest of `peers`, to compare with [`HeartbeatReply`].
+    #[prost(fixed64, tag = "3")]
+    pub peers_digest: u64,
+}
