Parse callers' packets, terminate their TCP and connect to the target

The agent needs a TCP endpoint per flow without a socket of the VM's own. Not proved yet: tests follow with the traffic thread.

--- /dev/null
+++ b/crates/caller/src/packet.rs
@@ -0,0 +1,212 @@
+//! Callers' IP packets as the decisions see them.
+//!
+//! Only whole TCP segments between unicast addresses are let through. A fragment has no ports to
+//! choose by, and a length that disagrees with the datagram means that something on the way cut
+//! or padded it, so both are refused here and never reach a decision.
+
+use std::net::{IpAddr, SocketAddr};
+
+use citronhollow_core::flow::{FlowId, Segment};
+use etherparse::err::ip::SliceError;
+use etherparse::{IpNumber, IpSlice, PacketBuilder, TcpOptionElement, TcpSlice};
+use thiserror::Error;
+
+/// Largest packet towards a caller, in bytes, so that envelope, UDP and IP headers fit around it
+/// in an Ethernet frame.
+pub const MTU: usize = 1_320;
+
+/// Hop limit of the packets that are built here.
+const HOP_LIMIT: u8 = 64;
+
+/// A packet that no decision is made about.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum PacketError {
+    /// Shorter than its headers say.
+    #[error("the packet is truncated")]
+    Truncated,
+    /// Longer than its headers say, or a length that cannot be right.
+    #[error("the packet's lengths disagree")]
+    Length,
+    /// Neither IPv4 nor IPv6, or a malformed header.
+    #[error("the IP header is malformed")]
+    Ip,
+    /// A fragment.
+    #[error("the packet is a fragment")]
+    Fragment,
+    /// Not TCP.
+    #[error("IP protocol {0} is not TCP")]
+    Protocol(u8),
+    /// A malformed TCP header.
+    #[error("the TCP header is malformed")]
+    Tcp,
+    /// An end that is not a unicast address with a port.
+    #[error("an address is not unicast")]
+    Address,
+    /// A checksum that does not belong to the packet.
+    #[error("a checksum is wrong")]
+    Checksum,
+}
+
+/// A caller's packet.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Parsed {
+    /// The flow it belongs to.
+    pub flow: FlowId,
+    /// What its TCP header says.
+    pub segment: Segment,
+}
+
+/// Reads a packet and leaves its checksums alone.
+///
+/// # Errors
+///
+/// [`PacketError`] if it is not one whole TCP segment between unicast addresses.
+pub fn parse(packet: &[u8]) -> Result<Parsed, PacketError> {
+    let ip = parse_ip(packet)?;
+    let tcp = parse_tcp(&ip)?;
+    describe(&ip, &tcp)
+}
+
+/// Reads a packet and verifies its checksums.
+///
+/// # Errors
+///
+/// [`PacketError`] if it is not one whole, intact TCP segment between unicast addresses.
+pub fn parse_verified(packet: &[u8]) -> Result<Parsed, PacketError> {
+    let ip = parse_ip(packet)?;
+    let tcp = parse_tcp(&ip)?;
+    if !is_intact(&ip, &tcp) {
+        return Err(PacketError::Checksum);
+    }
+    describe(&ip, &tcp)
+}
+
+/// Builds the reset that answers a segment, none if the segment is a reset itself.
+#[must_use]
+pub fn reset(parsed: &Parsed) -> Option<Vec<u8>> {
+    let Parsed { flow, segment } = parsed;
+    if segment.rst {
+        return None;
+    }
+    let builder = match (flow.service.ip(), flow.caller.ip()) {
+        (IpAddr::V4(from), IpAddr::V4(to)) => {
+            PacketBuilder::ipv4(from.octets(), to.octets(), HOP_LIMIT)
+        }
+        (IpAddr::V6(from), IpAddr::V6(to)) => {
+            PacketBuilder::ipv6(from.octets(), to.octets(), HOP_LIMIT)
+        }
+        _ => return None,
+    };
+    // A reset must lie where the caller expects the next byte: at the acknowledgement number if
+    // there is one, else it acknowledges all that the segment takes up.
+    let seq = if segment.ack { segment.ack_seq } else { 0 };
+    let builder = builder
+        .tcp(flow.service.port(), flow.caller.port(), seq, 0)
+        .rst();
+    let builder = if segment.ack {
+        builder
+    } else {
+        builder.ack(next_seq(segment))
+    };
+    let mut buf = Vec::with_capacity(builder.size(0));
+    builder.write(&mut buf, &[]).ok()?;
+    Some(buf)
+}
+
+/// Sequence number that follows the segment.
+fn next_seq(segment: &Segment) -> u32 {
+    segment
+        .seq
+        .wrapping_add(segment.payload)
+        .wrapping_add(u32::from(segment.syn))
+        .wrapping_add(u32::from(segment.fin))
+}
+
+fn parse_ip(packet: &[u8]) -> Result<IpSlice<'_>, PacketError> {
+    let ip = IpSlice::from_slice(packet).map_err(|err| match err {
+        SliceError::Len(_) => PacketError::Truncated,
+        SliceError::IpHeaders(_) => PacketError::Ip,
+    })?;
+    let len = match &ip {
+        IpSlice::Ipv4(v4) => usize::from(v4.header().total_len()),
+        IpSlice::Ipv6(v6) => {
+            usize::from(v6.header().payload_length()) + etherparse::Ipv6Header::LEN
+        }
+    };
+    if len != packet.len() {
+        return Err(PacketError::Length);
+    }
+    if ip.is_fragmenting_payload() {
+        return Err(PacketError::Fragment);
+    }
+    Ok(ip)
+}
+
+fn parse_tcp<'a>(ip: &IpSlice<'a>) -> Result<TcpSlice<'a>, PacketError> {
+    let payload = ip.payload();
+    if payload.ip_number != IpNumber::TCP {
+        return Err(PacketError::Protocol(payload.ip_number.0));
+    }
+    TcpSlice::from_slice(payload.payload).map_err(|_| PacketError::Tcp)
+}
+
+fn is_intact(ip: &IpSlice<'_>, tcp: &TcpSlice<'_>) -> bool {
+    let (expected, is_header_intact) = match ip {
+        IpSlice::Ipv4(v4) => {
+            let header = v4.header();
+            let expected = tcp.calc_checksum_ipv4(header.source(), header.destination());
+            let is_header_intact =
+                header.to_header().calc_header_checksum() == header.header_checksum();
+            (expected, is_header_intact)
+        }
+        IpSlice::Ipv6(v6) => {
+            let header = v6.header();
+            let expected = tcp.calc_checksum_ipv6(header.source(), header.destination());
+            (expected, true)
+        }
+    };
+    is_header_intact && expected.is_ok_and(|sum| sum == tcp.checksum())
+}
+
+fn describe(ip: &IpSlice<'_>, tcp: &TcpSlice<'_>) -> Result<Parsed, PacketError> {
+    let flow = FlowId {
+        caller: SocketAddr::new(ip.source_addr(), tcp.source_port()),
+        service: SocketAddr::new(ip.destination_addr(), tcp.destination_port()),
+    };
+    if !is_unicast(flow.caller) || !is_unicast(flow.service) {
+        return Err(PacketError::Address);
+    }
+    let payload = u32::try_from(tcp.payload().len()).map_err(|_| PacketError::Length)?;
+    let segment = Segment {
+        syn: tcp.syn(),
+        ack: tcp.ack(),
+        rst: tcp.rst(),
+        fin: tcp.fin(),
+        seq: tcp.sequence_number(),
+        ack_seq: tcp.acknowledgment_number(),
+        payload,
+        echo: echo(tcp),
+    };
+    Ok(Parsed { flow, segment })
+}
+
+/// The echoed timestamp value, zero if there is none.
+fn echo(tcp: &TcpSlice<'_>) -> u32 {
+    if !tcp.ack() {
+        return 0;
+    }
+    tcp.options_iterator()
+        .find_map(|option| match option {
+            Ok(TcpOptionElement::Timestamp(_, echo)) => Some(echo),
+            _ => None,
+        })
+        .unwrap_or(0)
+}
+
+fn is_unicast(addr: SocketAddr) -> bool {
+    let is_unicast = match addr.ip() {
+        IpAddr::V4(ip) => !ip.is_unspecified() && !ip.is_multicast() && !ip.is_broadcast(),
+        IpAddr::V6(ip) => !ip.is_unspecified() && !ip.is_multicast(),
+    };
+    is_unicast && addr.port() != 0
+}
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! The agent's link to its target.
+
+pub mod splice;
