--- /dev/null
+++ b/crates/core/src/flows/limits.rs
@@ -0,0 +1,78 @@
+//! Bounds of the agent's tables and times.
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Millis;
+
+/// Bounds of one agent. Every table has one, so that no caller can exhaust the memory.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct FlowLimits {
+    /// Flows held, half-open ones included.
+    pub flows: usize,
+    /// Half-open flows. The oldest goes when a new one comes.
+    pub half_open: usize,
+    /// Time that a handshake may take.
+    pub half_open_life: Millis,
+    /// Flows handed to peers that are remembered. The one idle for longest goes first.
+    pub redirects: usize,
+    /// Ended flows that are remembered. The oldest goes first.
+    pub ended: usize,
+    /// Time that an ended flow is remembered.
+    pub ended_life: Millis,
+    /// Searches at once.
+    pub searches: usize,
+    /// Packets kept for all searches.
+    pub search_packets: usize,
+    /// Packets kept for one search.
+    pub search_packets_per_flow: usize,
+    /// Time before a peer that did not answer is asked again. Doubles every time.
+    pub ask_again: Millis,
+    /// Times that a peer is asked in one search.
+    pub ask_rounds: u32,
+    /// Questions sent a second. A second's worth may be sent at once.
+    pub questions_per_s: u32,
+    /// Time without a change of the peers before their answers may reset a flow.
+    pub peers_settle: Millis,
+    /// Age of the list of peers above which their answers reset no flow.
+    pub peers_max_age: Millis,
+    /// Time that a peer missing from the list may still hold flows.
+    pub peer_absence: Millis,
+    /// Opening packets that wait for room.
+    pub queue: usize,
+    /// Time that an opening packet waits for room.
+    pub queue_wait: Millis,
+    /// Callers whose rate of new flows is remembered.
+    pub callers: usize,
+    /// Time in which a target that became ready reaches its full slots.
+    pub ramp: Millis,
+    /// Age above which a load report counts as stale.
+    pub load_max_age: Millis,
+}
+
+impl Default for FlowLimits {
+    fn default() -> Self {
+        Self {
+            flows: 65_536,
+            half_open: 4_096,
+            half_open_life: Millis::from_secs(10),
+            redirects: 65_536,
+            ended: 16_384,
+            ended_life: Millis::from_secs(10),
+            searches: 1_024,
+            search_packets: 2_048,
+            search_packets_per_flow: 4,
+            ask_again: Millis(50),
+            ask_rounds: 4,
+            questions_per_s: 400,
+            peers_settle: Millis::from_secs(2),
+            peers_max_age: Millis::from_secs(30),
+            peer_absence: Millis::from_secs(60),
+            queue: 256,
+            queue_wait: Millis(200),
+            callers: 16_384,
+            ramp: Millis::from_secs(30),
+            load_max_age: Millis::from_secs(3),
+        }
+    }
+}
