Forward packets on a balancer, and stand in for fabric, callers and targets

Cause: the whole path needs its balancer end and something on both outer sides that shows what became of a flow.

Change: traffic threads that read the routes without a lock, seal each packet with its chain and trace identity and send it to the chosen agent; a reset only where a new flow finds no target, silence for packets of flows that another balancer may know better. Stand-ins: a fabric that sprays, loses and doubles packets, callers made of packets, targets that record what they ran, and a fleet of processes. The quickstart example drives them; it does not run yet, because the binaries are empty.

Ruled out: batched socket calls. At the design size a balancer sees some ten thousand packets a second, far below what single calls carry.

The quickstart has not been run.

--- a/crates/balancer/src/traffic.rs
+++ b/crates/balancer/src/traffic.rs
@@ -1,1 +1,163 @@
 //! Threads that forward callers' packets to agents.
+//!
+//! Each thread has its own socket on the fabric's address and its own forwarder, and reads the
+//! current [`Routes`] without a lock. Nothing here waits for the control thread, so a platform
+//! that is down or a control thread that is busy never delays a packet.
+
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use citronhollow_core::routes::Routes;
+use citronhollow_peer::Keyring;
+use socket2::{Domain, Protocol, Socket, Type};
+
+use crate::settings::Settings;
+
+mod figures;
+mod forwarder;
+
+pub use figures::{Figure, TrafficFigures};
+pub use forwarder::{Forwarder, Verdict};
+
+/// Largest packet that the fabric delivers, in bytes.
+const MAX_PACKET: usize = 65_535;
+
+/// How long a thread waits for a packet before it looks whether it is to stop.
+const STOP_CHECK: Duration = Duration::from_millis(100);
+
+/// Receive buffer asked of the kernel, in bytes.
+const RECEIVE_BUFFER: usize = 4 * 1_024 * 1_024;
+
+/// The running threads.
+#[derive(Debug)]
+pub struct TrafficHandle {
+    threads: Vec<JoinHandle<()>>,
+    stop: Arc<AtomicBool>,
+    figures: Arc<TrafficFigures>,
+    local_addr: SocketAddr,
+}
+
+impl TrafficHandle {
+    /// What the threads count.
+    #[must_use]
+    pub fn figures(&self) -> Arc<TrafficFigures> {
+        Arc::clone(&self.figures)
+    }
+
+    /// The address that takes the fabric's packets.
+    #[must_use]
+    pub const fn local_addr(&self) -> SocketAddr {
+        self.local_addr
+    }
+
+    /// Stops the threads and waits for them.
+    pub fn stop(self) {
+        self.stop.store(true, Ordering::Relaxed);
+        for thread in self.threads {
+            if thread.join().is_err() {
+                log::error!("traffic: a thread had panicked");
+            }
+        }
+    }
+}
+
+/// Starts the threads.
+///
+/// # Errors
+///
+/// The error of the socket or the thread that could not be made.
+pub fn spawn(
+    settings: &Settings,
+    keys: &Keyring,
+    routes: &Arc<ArcSwap<Routes>>,
+) -> io::Result<TrafficHandle> {
+    let figures = Arc::new(TrafficFigures::default());
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut threads = Vec::new();
+    let mut local_addr = settings.fabric_listen;
+    for number in 0..settings.traffic_threads.max(1) {
+        let socket = bind(local_addr)?;
+        local_addr = socket.local_addr()?;
+        let worker = Worker {
+            socket,
+            forwarder: Forwarder::new(keys.clone(), settings.trace_one_in),
+            routes: Arc::clone(routes),
+            figures: Arc::clone(&figures),
+            stop: Arc::clone(&stop),
+        };
+        let thread = std::thread::Builder::new()
+            .name(format!("traffic-{number}"))
+            .spawn(move || worker.run())?;
+        threads.push(thread);
+    }
+    Ok(TrafficHandle {
+        threads,
+        stop,
+        figures,
+        local_addr,
+    })
+}
+
+/// Binds a socket of a traffic thread.
+///
+/// Every thread binds the same address, and the kernel spreads the packets over them.
+///
+/// # Errors
+///
+/// The error of the socket.
+pub fn bind(addr: SocketAddr) -> io::Result<UdpSocket> {
+    let socket = Socket::new(Domain::for_address(addr), Type::DGRAM, Some(Protocol::UDP))?;
+    socket.set_reuse_port(true)?;
+    socket.set_recv_buffer_size(RECEIVE_BUFFER)?;
+    socket.set_read_timeout(Some(STOP_CHECK))?;
+    socket.bind(&addr.into())?;
+    Ok(socket.into())
+}
+
+struct Worker {
+    socket: UdpSocket,
+    forwarder: Forwarder,
+    routes: Arc<ArcSwap<Routes>>,
+    figures: Arc<TrafficFigures>,
+    stop: Arc<AtomicBool>,
+}
+
+impl Worker {
+    fn run(mut self) {
+        let mut packet = vec![0; MAX_PACKET];
+        while !self.stop.load(Ordering::Relaxed) {
+            match self.socket.recv_from(&mut packet) {
+                Ok((len, fabric)) => self.handle(&packet[..len], fabric),
+                Err(err) if is_idle(&err) => {}
+                Err(err) => log::warn!("traffic: receiving failed: {err}"),
+            }
+        }
+    }
+
+    fn handle(&mut self, packet: &[u8], fabric: SocketAddr) {
+        let routes = self.routes.load();
+        let verdict = self.forwarder.forward(&routes, packet);
+        self.figures.add(verdict.figure());
+        let sent = match verdict {
+            Verdict::Forward { frame, to, .. } => self.socket.send_to(frame, to),
+            Verdict::Answer { packet } => self.socket.send_to(&packet, fabric),
+            Verdict::Drop(_) => return,
+        };
+        if sent.is_err() {
+            // The caller's TCP sends again; a full buffer needs no other cure.
+            self.figures.add(Figure::SendFailed);
+        }
+    }
+}
+
+fn is_idle(err: &io::Error) -> bool {
+    matches!(
+        err.kind(),
+        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut | io::ErrorKind::Interrupted
+    )
+}
--- /dev/null
+++ b/crates/balancer/src/traffic/forwarder.rs
@@ -0,0 +1,147 @@
+//! What becomes of one packet, without a socket.
+
+use std::net::SocketAddr;
+
+use bytes::{Bytes, BytesMut};
+use citronhollow_caller::packet::{self, Parsed};
+use citronhollow_core::error::ErrorKind;
+use citronhollow_core::flow::FlowId;
+use citronhollow_core::routes::{Choice, Routes, chain_ids};
+use citronhollow_peer::message::{Body, Envelope, Forward, Relay};
+use citronhollow_peer::{Codec, Keyring, MAX_DATAGRAM};
+
+use super::Figure;
+
+/// What to do with a packet.
+#[derive(Debug)]
+pub enum Verdict<'a> {
+    /// Send the frame to an agent.
+    Forward {
+        /// The sealed envelope.
+        frame: &'a [u8],
+        /// The agent's address.
+        to: SocketAddr,
+        /// Whether the caller's hint named the agent.
+        hinted: bool,
+    },
+    /// Send the packet back to the fabric.
+    Answer {
+        /// An IP packet for the caller.
+        packet: Vec<u8>,
+    },
+    /// Only count it.
+    Drop(Figure),
+}
+
+impl Verdict<'_> {
+    /// What is counted.
+    #[must_use]
+    pub const fn figure(&self) -> Figure {
+        match self {
+            Self::Forward { hinted: true, .. } => Figure::ByHint,
+            Self::Forward { hinted: false, .. } => Figure::ByTable,
+            Self::Answer { .. } => Figure::RefusedNoTarget,
+            Self::Drop(figure) => *figure,
+        }
+    }
+}
+
+/// Turns packets into frames. Its buffers are kept from packet to packet.
+#[derive(Debug)]
+pub struct Forwarder {
+    codec: Codec,
+    trace_one_in: u64,
+    frame: BytesMut,
+    packet: BytesMut,
+}
+
+impl Forwarder {
+    /// A forwarder that seals with `keys` and traces one flow in `trace_one_in`, zero for none.
+    #[must_use]
+    pub fn new(keys: Keyring, trace_one_in: u32) -> Self {
+        Self {
+            codec: Codec::new(keys),
+            trace_one_in: u64::from(trace_one_in),
+            frame: BytesMut::with_capacity(MAX_DATAGRAM),
+            packet: BytesMut::with_capacity(MAX_DATAGRAM),
+        }
+    }
+
+    /// Decides about a packet.
+    pub fn forward(&mut self, routes: &Routes, packet: &[u8]) -> Verdict<'_> {
+        let Ok(parsed) = packet::parse(packet) else {
+            return Verdict::Drop(Figure::Malformed);
+        };
+        match routes.choose(&parsed.flow, &parsed.segment) {
+            Ok(choice) => self.seal(routes, &choice, &parsed.flow, packet),
+            Err(ErrorKind::UnknownService) => Verdict::Drop(Figure::UnknownService),
+            Err(_) if parsed.segment.opens() => refuse(&parsed),
+            // The flow may live on at an agent that this balancer has not heard of.
+            Err(_) => Verdict::Drop(Figure::NoTarget),
+        }
+    }
+
+    fn seal(
+        &mut self,
+        routes: &Routes,
+        choice: &Choice,
+        flow: &FlowId,
+        packet: &[u8],
+    ) -> Verdict<'_> {
+        let trace = self.trace_of(flow);
+        let target = routes.target(choice.target);
+        if trace != 0 {
+            let _span =
+                tracing::info_span!("balancer", trace, service = %routes.service(choice.service))
+                    .entered();
+            tracing::info!(target = %target.id, hinted = choice.hinted, "packet forwarded");
+        }
+        let forward = Forward {
+            packet: self.copy(packet),
+            revision: routes.revision(),
+            chain: chain_ids(routes, choice).map(|id| id.0).collect(),
+            hops: 0,
+            trace,
+            relay: Relay::Balancer as i32,
+            sender: 0,
+        };
+        let envelope = Envelope::from(Body::Forward(forward));
+        self.frame.clear();
+        self.codec.seal(&envelope, &mut self.frame);
+        if self.frame.len() > MAX_DATAGRAM {
+            return Verdict::Drop(Figure::TooLong);
+        }
+        Verdict::Forward {
+            frame: &self.frame,
+            to: target.agent,
+            hinted: choice.hinted,
+        }
+    }
+
+    /// The buffer is reclaimed once the envelope is dropped, so the copy allocates only at first.
+    fn copy(&mut self, packet: &[u8]) -> Bytes {
+        self.packet.clear();
+        self.packet.reserve(packet.len());
+        self.packet.extend_from_slice(packet);
+        self.packet.split().freeze()
+    }
+
+    /// The trace identity comes from the flow, so that every balancer samples the same flows.
+    fn trace_of(&self, flow: &FlowId) -> u64 {
+        if self.trace_one_in == 0 {
+            return 0;
+        }
+        let hash = flow.hash();
+        if hash.is_multiple_of(self.trace_one_in) {
+            hash
+        } else {
+            0
+        }
+    }
+}
+
+fn refuse(parsed: &Parsed) -> Verdict<'static> {
+    packet::reset(parsed).map_or(Verdict::Drop(Figure::Malformed), |packet| Verdict::Answer {
+        packet,
+    })
+}
--- a/crates/target/src/splice.rs
+++ b/crates/target/src/splice.rs
@@ -90,7 +90,7 @@
         };
         // Registration fails only when the runtime is going away, and then nothing is ready.
         if self.stream.ready(interest).await.is_err() {
-            std::future::pending().await;
+            std::future::pending::<()>().await;
         }
     }
 
--- /dev/null
+++ b/crates/testkit/examples/quickstart.rs
@@ -0,0 +1,167 @@
+//! The whole path at work: balancers, agents and targets as processes of their own.
+//!
+//! Starts stand-ins for the platform, the fabric, callers and targets, three balancers and four
+//! targets with their agents, all on loopback, and sends real TCP flows whose packets the fabric
+//! sprays over the balancers. Meanwhile one balancer is replaced and one target drained. Prints
+//! what became of the flows, as JSON with `--json`, and fails if a stated outcome is missed.
+
+use std::error::Error;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use citronhollow_core::clock::Millis;
+use citronhollow_core::config::{Documents, Pool, Refusal, Service};
+use citronhollow_core::flow::FlowId;
+use citronhollow_testkit::fabric::Fabric;
+use citronhollow_testkit::fleet::{Fleet, TargetPlan};
+use citronhollow_testkit::load::{Load, Session};
+use citronhollow_testkit::outcome::Outcome;
+use gumdrop::Options;
+
+const BALANCERS: usize = 3;
+const TARGETS: u16 = 4;
+const FLOWS: u32 = 400;
+const SEED: u64 = 1;
+
+/// Time over which flows start.
+const START_SPAN: Millis = Millis(6_000);
+
+/// When one balancer is replaced.
+const REPLACE_AT: Millis = Millis(2_000);
+
+/// When one target is drained.
+const DRAIN_AT: Millis = Millis(3_000);
+
+/// A draining target gets no new flow later than this after the request.
+const DRAIN_BOUND: Millis = Millis(3_000);
+
+/// When the run ends at the latest.
+const END_AT: Millis = Millis(14_000);
+
+/// Time that the fabric waits for a packet.
+const FABRIC_WAIT: Duration = Duration::from_millis(1);
+
+/// Shows the whole path at work on loopback.
+#[derive(Debug, Options)]
+struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(no_short, help = "print one JSON object instead of a summary")]
+    json: bool,
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse_args_default_or_exit();
+    match run() {
+        Ok(outcome) => report(&outcome, arguments.json),
+        Err(err) => {
+            eprintln!("quickstart: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn report(outcome: &Outcome, as_json: bool) -> ExitCode {
+    if as_json {
+        match serde_json::to_string(outcome) {
+            Ok(json) => println!("{json}"),
+            Err(err) => eprintln!("quickstart: {err}"),
+        }
+    } else {
+        print!("{outcome}");
+    }
+    let failures = outcome.failures();
+    for failure in &failures {
+        eprintln!("quickstart: {failure}");
+    }
+    if failures.is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+fn run() -> Result<Outcome, Box<dyn Error>> {
+    let fabric = Fabric::bind(FABRIC_WAIT, SEED)?;
+    let mut fleet = Fleet::start("quickstart", fabric.local_addr()?, BALANCERS)?;
+    for number in 1..=TARGETS {
+        fleet.add_target(&plan(number))?;
+    }
+    fleet.apply(&documents()?)?;
+    fleet.wait_for_ready_targets(usize::from(TARGETS))?;
+
+    let mut load = Load::new(fabric, sessions()?);
+    load.fabric().set_balancers(fleet.fabric_addrs());
+    load.run_until(REPLACE_AT);
+    fleet.add_balancer()?;
+    load.fabric().set_balancers(fleet.fabric_addrs());
+    let retired = fleet.begin_retirement(0)?;
+    load.fabric().set_balancers(fleet.fabric_addrs());
+    load.run_until(DRAIN_AT);
+    let drained = plan(1).name;
+    let asked_at = load.now();
+    fleet.drain(&drained)?;
+    load.run_until(END_AT);
+    Fleet::end_retirement(retired)?;
+
+    let ran = fleet.ran()?;
+    let late = load
+        .starts_at(&drained)
+        .iter()
+        .filter(|start| start.since(asked_at) > DRAIN_BOUND)
+        .count();
+    let mut outcome = load.judge(&ran, &[drained]);
+    outcome.late_to_draining = late as u64;
+    Ok(outcome)
+}
+
+fn plan(number: u16) -> TargetPlan {
+    TargetPlan {
+        name: format!("desk-{number}"),
+        group: String::from("match-desk"),
+        service: String::from("match-desk"),
+        slots: 2,
+        work_ms: 5,
+    }
+}
+
+fn documents() -> Result<Documents, Box<dyn Error>> {
+    let service = Service {
+        name: String::from("match-desk"),
+        addresses: vec!["10.1.0.1:443".parse()?],
+        pool: String::from("match-desk"),
+        refusal: Refusal::Reset,
+        new_flows_per_s: None,
+        new_flows_per_s_per_caller: None,
+    };
+    let pool = Pool {
+        name: String::from("match-desk"),
+        groups: vec![String::from("match-desk")],
+        flows_per_target: None,
+    };
+    Ok(Documents {
+        services: vec![service],
+        pools: vec![pool],
+        rules: Vec::new(),
+    })
+}
+
+fn sessions() -> Result<Vec<Session>, Box<dyn Error>> {
+    let service: SocketAddr = "10.1.0.1:443".parse()?;
+    let sessions = (0..FLOWS).map(|number| {
+        let ip = [10, 9, (number / 200 % 256) as u8, (number % 200 + 1) as u8];
+        Session {
+            flow: FlowId {
+                caller: SocketAddr::from((ip, 20_000)),
+                service,
+            },
+            service: String::from("match-desk"),
+            start: Millis(u64::from(number) * START_SPAN.0 / u64::from(FLOWS)),
+            requests: 10,
+            think: Millis(300),
+            answer_bytes: 3_000,
+        }
+    });
+    Ok(sessions.collect())
+}
--- /dev/null
+++ b/crates/testkit/src/fleet.rs
@@ -0,0 +1,377 @@
+//! A small fleet of processes on loopback.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+use std::time::{Duration, Instant};
+
+use citronhollow_core::config::Documents;
+use citronhollow_operator::status::Status;
+use serde_json::json;
+
+use crate::process::{Process, Signal, binaries};
+use crate::target::{TargetSettings, fetch_report};
+
+/// Token of the operators of the stand-in fleet.
+pub const TOKEN: &str = "operator-token-of-the-stand-in-fleet";
+
+/// How long a process may take until it answers.
+const START_LIMIT: Duration = Duration::from_secs(30);
+
+/// Time between two looks at whether something has happened.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+
+/// A balancer's process and addresses.
+#[derive(Debug)]
+pub struct BalancerNode {
+    /// The process.
+    pub process: Process,
+    /// Where the fabric delivers packets.
+    pub fabric: SocketAddr,
+    /// Where agents and balancers talk to it.
+    pub control: SocketAddr,
+    /// Where operators talk to it.
+    pub operator: SocketAddr,
+}
+
+/// A target's process and its agent's.
+#[derive(Debug)]
+pub struct TargetNode {
+    /// The target.
+    pub target: Process,
+    /// The agent.
+    pub agent: Process,
+    /// Where the target listens.
+    pub listen: SocketAddr,
+    /// Name of both.
+    pub name: String,
+}
+
+/// Shape of a target.
+#[derive(Clone, Debug)]
+pub struct TargetPlan {
+    /// Name of the target.
+    pub name: String,
+    /// Group that it announces.
+    pub group: String,
+    /// Name of the service that it stands for.
+    pub service: String,
+    /// Requests it can work on at once.
+    pub slots: u16,
+    /// Time that a request takes, in milliseconds.
+    pub work_ms: u64,
+}
+
+/// Every process of a run.
+#[derive(Debug)]
+pub struct Fleet {
+    folder: PathBuf,
+    fabric: SocketAddr,
+    /// The platform's stand-in.
+    pub platform: Process,
+    platform_addr: SocketAddr,
+    /// Balancers, in the order of their start.
+    pub balancers: Vec<BalancerNode>,
+    /// Targets, in the order of their start.
+    pub targets: Vec<TargetNode>,
+    started: usize,
+}
+
+impl Fleet {
+    /// Starts the platform's stand-in and `balancers` balancers.
+    ///
+    /// # Errors
+    ///
+    /// The error of the first process that does not start.
+    pub fn start(name: &str, fabric: SocketAddr, balancers: usize) -> io::Result<Self> {
+        let folder = std::env::temp_dir().join(format!("{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        let platform_addr = free_tcp()?;
+        let platform = Process::start(
+            "standin_platform",
+            "platform",
+            ["--listen", &platform_addr.to_string()],
+            &folder.join("platform.log"),
+        )?;
+        wait_for(platform_addr)?;
+        let mut fleet = Self {
+            folder,
+            fabric,
+            platform,
+            platform_addr,
+            balancers: Vec::new(),
+            targets: Vec::new(),
+            started: 0,
+        };
+        for _ in 0..balancers {
+            fleet.add_balancer()?;
+        }
+        Ok(fleet)
+    }
+
+    /// Starts one more balancer, which joins through those that run.
+    ///
+    /// # Errors
+    ///
+    /// The error of the process.
+    pub fn add_balancer(&mut self) -> io::Result<()> {
+        self.started += 1;
+        let name = format!("entry-{}", self.started);
+        let fabric = free_udp()?;
+        let control = free_both()?;
+        let operator = free_tcp()?;
+        let settings = json!({
+            "name": name,
+            "domain": "domain-a",
+            "fabric_listen": fabric,
+            "control_listen": control,
+            "operator_listen": operator,
+            "seeds": self.seeds(),
+            "platform": self.platform_addr,
+            "keys": keys(),
+            "operator_token": TOKEN,
+        });
+        let file = self.write(&name, &settings)?;
+        let args = ["balancer", "--settings", &file];
+        let process = Process::start("citronhollow", &name, args, &self.log(&name))?;
+        wait_for(operator)?;
+        self.balancers.push(BalancerNode {
+            process,
+            fabric,
+            control,
+            operator,
+        });
+        Ok(())
+    }
+
+    /// Starts a target with its agent.
+    ///
+    /// # Errors
+    ///
+    /// The error of the process.
+    pub fn add_target(&mut self, plan: &TargetPlan) -> io::Result<()> {
+        let listen = free_tcp()?;
+        let announce = free_tcp()?;
+        let settings = json!({
+            "name": plan.name,
+            "domain": "domain-a",
+            "traffic_listen": free_udp()?,
+            "announce_listen": announce,
+            "fabric": [self.fabric],
+            "seeds": self.seeds(),
+            "keys": keys(),
+        });
+        let agent_name = format!("agent-{}", plan.name);
+        let file = self.write(&agent_name, &settings)?;
+        let args = ["--settings", &file];
+        let agent = Process::start(
+            "citronhollow-agent",
+            &agent_name,
+            args,
+            &self.log(&agent_name),
+        )?;
+        wait_for(announce)?;
+        let settings = TargetSettings {
+            name: plan.name.clone(),
+            service: plan.service.clone(),
+            group: plan.group.clone(),
+            listen,
+            slots: plan.slots,
+            work_ms: plan.work_ms,
+            announce_to: announce,
+        };
+        let file = self.write(&plan.name, &serde_json::to_value(settings)?)?;
+        let target = Process::start("standin_target", &plan.name, [file], &self.log(&plan.name))?;
+        wait_for(listen)?;
+        self.targets.push(TargetNode {
+            target,
+            agent,
+            listen,
+            name: plan.name.clone(),
+        });
+        Ok(())
+    }
+
+    /// Runs an operator's command against the first balancer.
+    ///
+    /// # Errors
+    ///
+    /// The error of the start of the command.
+    pub fn operate(&self, args: &[&str]) -> io::Result<Output> {
+        let balancer = self
+            .balancers
+            .first()
+            .ok_or_else(|| io::Error::other("no balancer runs"))?;
+        Command::new(binaries()?.join("citronhollow"))
+            .args(args)
+            .env("CITRONHOLLOW_BALANCER", balancer.operator.to_string())
+            .env("CITRONHOLLOW_TOKEN", TOKEN)
+            .output()
+    }
+
+    /// Applies documents and waits until they are in force.
+    ///
+    /// # Errors
+    ///
+    /// What the command printed, if it failed.
+    pub fn apply(&self, documents: &Documents) -> io::Result<()> {
+        let file = self.write("documents", &serde_json::to_value(documents)?)?;
+        let output = self.operate(&["apply", &file, "--wait", "10"])?;
+        succeeded(&output)
+    }
+
+    /// Drains a target.
+    ///
+    /// # Errors
+    ///
+    /// What the command printed, if it failed.
+    pub fn drain(&self, target: &str) -> io::Result<()> {
+        let output = self.operate(&["drain", target])?;
+        succeeded(&output)
+    }
+
+    /// Asks the balancer at `at` to end, and takes it out of the list.
+    ///
+    /// # Errors
+    ///
+    /// The error of the signal.
+    pub fn begin_retirement(&mut self, at: usize) -> io::Result<BalancerNode> {
+        let node = self.balancers.remove(at);
+        node.process.signal(Signal::Terminate)?;
+        Ok(node)
+    }
+
+    /// Waits until a balancer that was asked to end has done so.
+    ///
+    /// # Errors
+    ///
+    /// A timeout, if it goes on.
+    pub fn end_retirement(mut node: BalancerNode) -> io::Result<()> {
+        wait_until(|| node.process.has_ended())
+    }
+
+    /// Waits until every balancer knows `count` targets that take new flows.
+    ///
+    /// # Errors
+    ///
+    /// A timeout, if that does not come.
+    pub fn wait_for_ready_targets(&self, count: usize) -> io::Result<()> {
+        wait_until(|| {
+            for balancer in &self.balancers {
+                if Self::ready_targets(balancer)? < count {
+                    return Ok(false);
+                }
+            }
+            Ok(true)
+        })
+    }
+
+    fn ready_targets(balancer: &BalancerNode) -> io::Result<usize> {
+        let output = Command::new(binaries()?.join("citronhollow"))
+            .args(["status", "--json"])
+            .env("CITRONHOLLOW_BALANCER", balancer.operator.to_string())
+            .env("CITRONHOLLOW_TOKEN", TOKEN)
+            .output()?;
+        succeeded(&output)?;
+        let status: Status = serde_json::from_slice(&output.stdout)?;
+        let ready = status.fleet.targets.iter();
+        Ok(ready.filter(|target| target.state.takes_new()).count())
+    }
+
+    /// Addresses to which the fabric sends packets.
+    #[must_use]
+    pub fn fabric_addrs(&self) -> Vec<SocketAddr> {
+        self.balancers.iter().map(|node| node.fabric).collect()
+    }
+
+    /// How often each nonce ran, over all targets that still run.
+    ///
+    /// # Errors
+    ///
+    /// The error of a target that does not answer.
+    pub fn ran(&self) -> io::Result<BTreeMap<u64, u64>> {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        let mut ran = BTreeMap::new();
+        for node in &self.targets {
+            let report = runtime.block_on(fetch_report(node.listen))?;
+            for (nonce, times) in report.ran {
+                *ran.entry(nonce).or_default() += times;
+            }
+        }
+        Ok(ran)
+    }
+
+    /// Folder of settings and logs.
+    #[must_use]
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
+    fn seeds(&self) -> Vec<SocketAddr> {
+        self.balancers.iter().map(|node| node.control).collect()
+    }
+
+    fn log(&self, name: &str) -> PathBuf {
+        self.folder.join(format!("{name}.log"))
+    }
+
+    fn write(&self, name: &str, settings: &serde_json::Value) -> io::Result<String> {
+        let file = self.folder.join(format!("{name}.json"));
+        std::fs::write(&file, serde_json::to_vec_pretty(settings)?)?;
+        Ok(file.to_string_lossy().into_owned())
+    }
+}
+
+fn keys() -> serde_json::Value {
+    json!([{ "id": 1, "secret": "5a".repeat(32) }])
+}
+
+fn succeeded(output: &Output) -> io::Result<()> {
+    if output.status.success() {
+        return Ok(());
+    }
+    let printed = String::from_utf8_lossy(&output.stderr).into_owned();
+    Err(io::Error::other(printed))
+}
+
+fn free_tcp() -> io::Result<SocketAddr> {
+    TcpListener::bind("127.0.0.1:0")?.local_addr()
+}
+
+fn free_udp() -> io::Result<SocketAddr> {
+    UdpSocket::bind("127.0.0.1:0")?.local_addr()
+}
+
+fn free_both() -> io::Result<SocketAddr> {
+    loop {
+        let addr = free_tcp()?;
+        if UdpSocket::bind(addr).is_ok() {
+            return Ok(addr);
+        }
+    }
+}
+
+/// Waits until something listens at a TCP address.
+fn wait_for(addr: SocketAddr) -> io::Result<()> {
+    wait_until(|| Ok(std::net::TcpStream::connect(addr).is_ok()))
+}
+
+/// Waits until `happened` says yes.
+///
+/// # Errors
+///
+/// The error of `happened`, or a timeout.
+pub fn wait_until(mut happened: impl FnMut() -> io::Result<bool>) -> io::Result<()> {
+    let started = Instant::now();
+    while started.elapsed() < START_LIMIT {
+        if happened()? {
+            return Ok(());
+        }
+        std::thread::sleep(LOOK_EVERY);
+    }
+    Err(io::ErrorKind::TimedOut.into())
+}
--- /dev/null
+++ b/crates/testkit/src/load.rs
@@ -0,0 +1,370 @@
+//! Real TCP flows through the fabric, and the judgement of what becomes of them.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use citronhollow_core::clock::Millis;
+use citronhollow_core::flow::FlowId;
+
+use crate::caller::Caller;
+use crate::fabric::Fabric;
+use crate::outcome::{FlowEnd, Outcome};
+use crate::protocol::{Answer, Request};
+
+/// Silence after which a flow counts as broken.
+const SILENCE_LIMIT: Millis = Millis::from_secs(15);
+
+/// Time between two polls of every connection.
+const SWEEP_EVERY: Millis = Millis(5);
+
+/// Packets handled between two sweeps at most.
+const BATCH: usize = 256;
+
+/// What one caller does.
+#[derive(Clone, Debug)]
+pub struct Session {
+    /// The two ends.
+    pub flow: FlowId,
+    /// Name of the service that must answer.
+    pub service: String,
+    /// When it starts, from the start of the run.
+    pub start: Millis,
+    /// Requests that it sends, one after the other.
+    pub requests: u32,
+    /// Time between an answer and the next request.
+    pub think: Millis,
+    /// Filling of each answer.
+    pub answer_bytes: usize,
+}
+
+/// Sessions in progress.
+pub struct Load {
+    fabric: Fabric,
+    started: Instant,
+    last_sweep: Millis,
+    next_nonce: u64,
+    waiting: Vec<Session>,
+    active: HashMap<SocketAddr, Active>,
+    outcome: Outcome,
+    refused_nonces: BTreeSet<u64>,
+    starts_by_target: BTreeMap<String, Vec<Millis>>,
+}
+
+struct Active {
+    session: Session,
+    caller: Caller,
+    left: u32,
+    asked: Option<Request>,
+    next_request: Millis,
+    last_progress: Millis,
+    opened: Millis,
+    received: Vec<u8>,
+    nonces: Vec<u64>,
+    target: Option<String>,
+    was_established: bool,
+}
+
+impl Load {
+    /// A load over `fabric`; sessions start when their time comes.
+    #[must_use]
+    pub fn new(fabric: Fabric, mut sessions: Vec<Session>) -> Self {
+        sessions.sort_by_key(|session| std::cmp::Reverse(session.start));
+        Self {
+            fabric,
+            started: Instant::now(),
+            last_sweep: Millis::ZERO,
+            next_nonce: 1,
+            waiting: sessions,
+            active: HashMap::new(),
+            outcome: Outcome::default(),
+            refused_nonces: BTreeSet::new(),
+            starts_by_target: BTreeMap::new(),
+        }
+    }
+
+    /// Time since the start of the run.
+    #[must_use]
+    pub fn now(&self) -> Millis {
+        Millis::from(self.started.elapsed())
+    }
+
+    /// The fabric, to change its balancers or faults.
+    pub const fn fabric(&mut self) -> &mut Fabric {
+        &mut self.fabric
+    }
+
+    /// Whether every session has ended.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        self.waiting.is_empty() && self.active.is_empty()
+    }
+
+    /// Sessions that are open now.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        self.active.len()
+    }
+
+    /// Works for a moment: takes packets that arrived and polls connections that are due.
+    pub fn step(&mut self) {
+        let now = self.now();
+        self.start_due(now);
+        for _ in 0..BATCH {
+            let Some(packet) = self.fabric.receive() else {
+                break;
+            };
+            self.deliver(packet);
+        }
+        let now = self.now();
+        if now.since(self.last_sweep) >= SWEEP_EVERY {
+            self.last_sweep = now;
+            self.sweep(now);
+        }
+    }
+
+    /// Runs until `until`, or until every session has ended.
+    pub fn run_until(&mut self, until: Millis) {
+        while self.now() < until && !self.is_done() {
+            self.step();
+        }
+    }
+
+    /// When flows reached a target, from the start of the run.
+    #[must_use]
+    pub fn starts_at(&self, target: &str) -> &[Millis] {
+        self.starts_by_target
+            .get(target)
+            .map(Vec::as_slice)
+            .unwrap_or_default()
+    }
+
+    /// The judgement, given how often each nonce ran at all targets together.
+    #[must_use]
+    pub fn judge(mut self, ran: &BTreeMap<u64, u64>, excluded: &[String]) -> Outcome {
+        for active in std::mem::take(&mut self.active).into_values() {
+            self.outcome.count(FlowEnd::Broken);
+            self.count_target(&active);
+        }
+        self.outcome.doubled = ran.values().filter(|times| **times > 1).count() as u64;
+        self.outcome.refused_but_run = self
+            .refused_nonces
+            .iter()
+            .filter(|nonce| ran.contains_key(nonce))
+            .count() as u64;
+        self.outcome.imbalance = imbalance(&self.outcome.by_target, excluded);
+        self.outcome
+    }
+
+    fn start_due(&mut self, now: Millis) {
+        while self
+            .waiting
+            .last()
+            .is_some_and(|session| session.start <= now)
+        {
+            let Some(session) = self.waiting.pop() else {
+                return;
+            };
+            self.open_session(session, now);
+        }
+    }
+
+    fn open_session(&mut self, session: Session, now: Millis) {
+        let seed = session.flow.hash() ^ self.next_nonce;
+        let caller = Caller::connect(session.flow, seed, true);
+        let active = Active {
+            left: session.requests,
+            caller,
+            asked: None,
+            next_request: now,
+            last_progress: now,
+            opened: now,
+            received: Vec::new(),
+            nonces: Vec::new(),
+            target: None,
+            was_established: false,
+            session,
+        };
+        let local = active.caller.local();
+        self.active.insert(local, active);
+        self.advance(local, now);
+    }
+
+    fn deliver(&mut self, packet: Vec<u8>) {
+        let Ok(parsed) = citronhollow_caller::packet::parse(&packet) else {
+            return;
+        };
+        // A packet to a caller has the ends the other way round.
+        let local = parsed.flow.service;
+        let Some(active) = self.active.get_mut(&local) else {
+            return;
+        };
+        active.caller.receive(packet);
+        let now = self.now();
+        self.advance(local, now);
+    }
+
+    fn sweep(&mut self, now: Millis) {
+        let locals: Vec<_> = self.active.keys().copied().collect();
+        for local in locals {
+            self.advance(local, now);
+        }
+    }
+
+    fn advance(&mut self, local: SocketAddr, now: Millis) {
+        let Some(active) = self.active.get_mut(&local) else {
+            return;
+        };
+        let mut out = Vec::new();
+        active.caller.poll(now, &mut out);
+        let end = active.progress(now, &mut self.next_nonce, &mut self.outcome);
+        active.caller.poll(now, &mut out);
+        for packet in out {
+            self.fabric.send(&packet);
+        }
+        if let Some(end) = end {
+            self.finish(local, end);
+        }
+    }
+
+    fn finish(&mut self, local: SocketAddr, end: FlowEnd) {
+        let Some(mut active) = self.active.remove(&local) else {
+            return;
+        };
+        self.outcome.count(end);
+        self.count_target(&active);
+        if end == FlowEnd::Refused {
+            self.refused_nonces.extend(&active.nonces);
+        }
+        let mut out = Vec::new();
+        if end == FlowEnd::Broken {
+            active.caller.abort();
+        }
+        active.caller.poll(self.now(), &mut out);
+        for packet in out {
+            self.fabric.send(&packet);
+        }
+    }
+
+    fn count_target(&mut self, active: &Active) {
+        if let Some(target) = &active.target {
+            *self.outcome.by_target.entry(target.clone()).or_default() += 1;
+            self.starts_by_target
+                .entry(target.clone())
+                .or_default()
+                .push(active.opened);
+        }
+    }
+}
+
+impl Active {
+    fn progress(
+        &mut self,
+        now: Millis,
+        next_nonce: &mut u64,
+        outcome: &mut Outcome,
+    ) -> Option<FlowEnd> {
+        if self.caller.is_established() && !self.was_established {
+            self.was_established = true;
+            self.last_progress = now;
+        }
+        self.caller.read(&mut self.received);
+        while let Some(line) = self.next_line() {
+            self.last_progress = now;
+            if let Some(end) = self.take_line(&line, now, outcome) {
+                return Some(end);
+            }
+        }
+        if self.left == 0 && self.asked.is_none() {
+            return Some(FlowEnd::Completed);
+        }
+        if self.caller.is_closed() || self.is_cut_short() {
+            return Some(self.failed_end());
+        }
+        if now.since(self.last_progress) > SILENCE_LIMIT.after(self.session.think) {
+            return Some(FlowEnd::Broken);
+        }
+        if self.was_established && self.asked.is_none() && now >= self.next_request {
+            self.ask(next_nonce);
+            self.last_progress = now;
+        }
+        None
+    }
+
+    fn is_cut_short(&mut self) -> bool {
+        self.was_established && self.caller.is_at_end()
+    }
+
+    const fn failed_end(&self) -> FlowEnd {
+        if self.was_established {
+            FlowEnd::Broken
+        } else {
+            FlowEnd::Refused
+        }
+    }
+
+    fn ask(&mut self, next_nonce: &mut u64) {
+        let req = Request {
+            nonce: *next_nonce,
+            bytes: self.session.answer_bytes,
+        };
+        let line = req.to_string();
+        // A request is far smaller than the buffer, which is empty between two requests.
+        if self.caller.write(line.as_bytes()) == line.len() {
+            *next_nonce += 1;
+            self.nonces.push(req.nonce);
+            self.asked = Some(req);
+            self.left -= 1;
+        }
+    }
+
+    fn take_line(&mut self, line: &str, now: Millis, outcome: &mut Outcome) -> Option<FlowEnd> {
+        if line.starts_with("HTTP/1.1 503") {
+            return Some(FlowEnd::Refused);
+        }
+        let Some(answer) = Answer::parse(line) else {
+            return Some(FlowEnd::Broken);
+        };
+        let is_other_target = self
+            .target
+            .as_ref()
+            .is_some_and(|target| *target != answer.target);
+        if answer.service != self.session.service || is_other_target {
+            outcome.misdelivered += 1;
+        }
+        let asked = self.asked.take();
+        let is_whole =
+            asked.is_some_and(|req| req.nonce == answer.nonce && req.bytes == answer.bytes);
+        if !is_whole {
+            outcome.misdelivered += 1;
+            return Some(FlowEnd::Broken);
+        }
+        self.target = Some(answer.target);
+        self.next_request = now.after(self.session.think);
+        if self.left == 0 {
+            self.caller.close();
+        }
+        None
+    }
+
+    fn next_line(&mut self) -> Option<String> {
+        let end = self.received.iter().position(|byte| *byte == b'\n')?;
+        let line: Vec<u8> = self.received.drain(..=end).collect();
+        Some(String::from_utf8_lossy(&line[..end]).into_owned())
+    }
+}
+
+fn imbalance(by_target: &BTreeMap<String, u64>, excluded: &[String]) -> f64 {
+    let counts: Vec<u32> = by_target
+        .iter()
+        .filter(|(target, _)| !excluded.contains(target))
+        .map(|(_, flows)| u32::try_from(*flows).unwrap_or(u32::MAX))
+        .collect();
+    let total: f64 = counts.iter().copied().map(f64::from).sum();
+    let max = counts.iter().copied().max().unwrap_or(0);
+    if total == 0.0 {
+        return 0.0;
+    }
+    let count = u32::try_from(counts.len()).unwrap_or(u32::MAX);
+    f64::from(max) * f64::from(count) / total
+}
--- /dev/null
+++ b/crates/testkit/src/outcome.rs
@@ -0,0 +1,99 @@
+//! What became of the flows of a run, judged against the stated outcomes.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// How one flow ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FlowEnd {
+    /// Every request was answered in full.
+    Completed,
+    /// Refused before anything of it ran.
+    Refused,
+    /// Reset or silent after it was established.
+    Broken,
+}
+
+/// Tally of a run.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Outcome {
+    /// Flows that were started.
+    pub flows: u64,
+    /// Flows of which every request was answered in full.
+    pub completed: u64,
+    /// Flows that were established and then reset or silent.
+    pub broken: u64,
+    /// Flows refused before anything of them ran.
+    pub refused: u64,
+    /// Answers that came from another service than the one asked.
+    pub misdelivered: u64,
+    /// Requests that ran more than once.
+    pub doubled: u64,
+    /// Refused flows of which something ran all the same.
+    pub refused_but_run: u64,
+    /// Largest number of flows on one target over the mean, at the busiest sampled moments.
+    pub imbalance: f64,
+    /// Flows by target.
+    pub by_target: BTreeMap<String, u64>,
+    /// New flows that a draining target got after the stated bound.
+    pub late_to_draining: u64,
+}
+
+impl Outcome {
+    /// Counts the end of a flow.
+    pub const fn count(&mut self, end: FlowEnd) {
+        self.flows += 1;
+        match end {
+            FlowEnd::Completed => self.completed += 1,
+            FlowEnd::Refused => self.refused += 1,
+            FlowEnd::Broken => self.broken += 1,
+        }
+    }
+
+    /// The stated outcomes that this run missed, none if it holds.
+    #[must_use]
+    pub fn failures(&self) -> Vec<String> {
+        let stated = [
+            ("broken flows", self.broken),
+            ("misdelivered answers", self.misdelivered),
+            ("requests run twice", self.doubled),
+            ("refused flows that ran", self.refused_but_run),
+            ("late flows to a draining target", self.late_to_draining),
+        ];
+        let mut failures: Vec<String> = stated
+            .iter()
+            .filter(|(_, count)| *count > 0)
+            .map(|(what, count)| format!("{count} {what}"))
+            .collect();
+        if self.completed + self.refused != self.flows {
+            failures.push(format!(
+                "{} of {} flows neither completed nor refused",
+                self.flows - self.completed - self.refused,
+                self.flows
+            ));
+        }
+        if self.completed == 0 {
+            failures.push(String::from("no flow completed"));
+        }
+        failures
+    }
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "flows            {:>8}", self.flows)?;
+        writeln!(f, "  completed      {:>8}", self.completed)?;
+        writeln!(f, "  refused        {:>8}", self.refused)?;
+        writeln!(f, "  broken         {:>8}", self.broken)?;
+        writeln!(f, "misdelivered     {:>8}", self.misdelivered)?;
+        writeln!(f, "run twice        {:>8}", self.doubled)?;
+        writeln!(f, "imbalance        {:>8.2}", self.imbalance)?;
+        for (target, flows) in &self.by_target {
+            writeln!(f, "  {target:<14} {flows:>8}")?;
+        }
+        Ok(())
+    }
+}
