Shape the status that a balancer reports

The control loop, the publisher and the traffic threads each know a part of what operators ask for.

Checked by the compiler and the lints only; nothing fills the shapes yet.

--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -1,1 +1,7 @@
-//! Placeholder.
+//! What operators see of a process: its status, its answers, its settings and its logs.
+//!
+//! Nothing in this crate decides anything about flows, members or documents. It gives the other
+//! packages one way to check settings, to describe their state and to answer over HTTP, so that
+//! every process tells operators the same things in the same words.
+
+pub mod status;
