Leave the tail of a caller's packet out of a frame's tag

Ruled out: a faster hash over the whole frame, which would still grow with the payload; no tag at all, which would let anybody steer an agent.

Change: the tag covers the lengths, all that the envelope says and the first 120 bytes of the packet, which hold its headers. The payload's tail is left out: it was not authentic before it reached the balancer either. The packet became the last field, and the covered lengths forbid bytes after it, so that nothing can be appended that overrides a covered field.

--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -1,7 +1,11 @@
-//! Frames: version, key identity, envelope, tag.
+//! Frames: version, key identity, covered length, frame length, envelope, tag.
 //!
 //! [`Codec`] frames a datagram, which is a frame by itself. [`StreamCodec`] adds a length in front
-//! for TCP. The tag covers everything before it.
+//! for TCP. The tag covers the whole frame, but for the tail of a caller's packet: hashing that
+//! tail would cost more than forwarding it, and its bytes were not authentic before they reached
+//! the balancer either. What is covered always includes all that the envelope says, the packet's
+//! headers and the lengths, so that an altered tail can change payload bytes in place and nothing
+//! else.
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use prost::Message;
@@ -9,7 +13,7 @@
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
 
 use crate::key::{Keyring, TAG_LEN};
-use crate::message::Envelope;
+use crate::message::{Body, Envelope};
 
 /// Largest datagram, in bytes: an Ethernet frame's payload less IP and UDP headers.
 pub const MAX_DATAGRAM: usize = 1_472;
@@ -18,7 +22,12 @@
 pub const MAX_STREAM_FRAME: usize = 8 * 1_024 * 1_024;
 
 const VERSION: u8 = 1;
-const HEADER_LEN: usize = 2;
+
+/// Version, key identity, covered length, frame length without the tag.
+const HEADER_LEN: usize = 1 + 1 + 4 + 4;
+
+/// Bytes at the start of a packet that are always covered: the longest IPv4 and TCP headers.
+const COVERED_PACKET: usize = 120;
 
 /// A frame that cannot be read or written.
 #[derive(Debug, Error)]
@@ -29,6 +38,12 @@
     /// Another version of the framing.
     #[error("frame version {0} is unknown")]
     Version(u8),
+    /// The lengths in the header do not fit the frame.
+    #[error("frame of {0} bytes has other lengths in its header")]
+    Length(usize),
+    /// More than the tail of a packet is left uncovered.
+    #[error("frame leaves more than a packet's payload uncovered")]
+    Uncovered,
     /// The tag does not belong to the frame under any valid key.
     #[error("frame tag does not verify under key {0}")]
     Tag(u8),
@@ -60,33 +75,82 @@
     /// [`CodecError`] if the frame is short, of another version, not authentic or does not parse.
     pub fn open(&self, frame: &[u8]) -> Result<Envelope, CodecError> {
         let short = CodecError::Short(frame.len());
-        let Some((signed, tag)) = frame.split_last_chunk::<TAG_LEN>() else {
-            return Err(short);
-        };
-        let [version, key, envelope @ ..] = signed else {
-            return Err(short);
-        };
-        if *version != VERSION {
-            return Err(CodecError::Version(*version));
+        let (signed, tag) = frame.split_last_chunk::<TAG_LEN>().ok_or(short)?;
+        let header = Header::parse(signed)?;
+        let covered = &signed[..header.covered];
+        if !self.keys.verify(header.key, covered, tag) {
+            return Err(CodecError::Tag(header.key));
         }
-        if !self.keys.verify(*key, signed, tag) {
-            return Err(CodecError::Tag(*key));
+        let envelope = Envelope::decode(&signed[HEADER_LEN..])?;
+        if signed.len() - header.covered > uncovered_len(&envelope) {
+            return Err(CodecError::Uncovered);
         }
-        Ok(Envelope::decode(envelope)?)
+        Ok(envelope)
     }
 
     /// Appends a whole datagram to `buf`.
     pub fn seal(&self, envelope: &Envelope, buf: &mut BytesMut) {
         let start = buf.len();
-        buf.reserve(HEADER_LEN + envelope.encoded_len() + TAG_LEN);
-        buf.put_u8(VERSION);
-        buf.put_u8(self.keys.signing_id());
+        let len = HEADER_LEN + envelope.encoded_len();
+        buf.reserve(len + TAG_LEN);
+        let header = Header {
+            key: self.keys.signing_id(),
+            covered: len - uncovered_len(envelope),
+            len,
+        };
+        header.put(buf);
         envelope.encode_raw(buf);
-        let tag = self.keys.sign(&buf[start..]);
+        let tag = self.keys.sign(&buf[start..start + header.covered]);
         buf.put_slice(&tag);
     }
 }
 
+/// Start of a frame.
+struct Header {
+    key: u8,
+    covered: usize,
+    len: usize,
+}
+
+impl Header {
+    fn parse(signed: &[u8]) -> Result<Self, CodecError> {
+        let short = CodecError::Short(signed.len());
+        let mut header = signed.get(..HEADER_LEN).ok_or(short)?;
+        let version = header.get_u8();
+        if version != VERSION {
+            return Err(CodecError::Version(version));
+        }
+        let key = header.get_u8();
+        let covered = header.get_u32() as usize;
+        let len = header.get_u32() as usize;
+        if len != signed.len() || !(HEADER_LEN..=len).contains(&covered) {
+            return Err(CodecError::Length(signed.len()));
+        }
+        Ok(Self { key, covered, len })
+    }
+
+    fn put(&self, buf: &mut BytesMut) {
+        buf.put_u8(VERSION);
+        buf.put_u8(self.key);
+        buf.put_u32(frame_len(self.covered));
+        buf.put_u32(frame_len(self.len));
+    }
+}
+
+/// Lengths are bounded by the largest frame, far below four bytes' range.
+fn frame_len(len: usize) -> u32 {
+    u32::try_from(len).unwrap_or(u32::MAX)
+}
+
+/// Bytes at the end of the envelope that the tag leaves out: the tail of a caller's packet, which
+/// is the last field of its message.
+fn uncovered_len(envelope: &Envelope) -> usize {
+    match &envelope.body {
+        Some(Body::Forward(forward)) => forward.packet.len().saturating_sub(COVERED_PACKET),
+        _ => 0,
+    }
+}
+
 impl Encoder<Envelope> for Codec {
     type Error = CodecError;
 
--- a/crates/peer/src/message/traffic.rs
+++ b/crates/peer/src/message/traffic.rs
@@ -18,9 +18,6 @@
 /// A caller's packet on its way to the agent that holds its flow.
 #[derive(Clone, PartialEq, Message)]
 pub struct Forward {
-    /// The IP packet as the fabric delivered it.
-    #[prost(bytes = "bytes", tag = "1")]
-    pub packet: Bytes,
     /// Revision by which the sender chose.
     #[prost(uint64, tag = "2")]
     pub revision: u64,
@@ -39,6 +36,10 @@
     /// The agent's target that sent it, zero for a balancer.
     #[prost(fixed64, tag = "7")]
     pub sender: u64,
+    /// The IP packet as the fabric delivered it. Its tag is the highest, so that it is encoded last
+    /// and the frame's tag can leave out the end of it.
+    #[prost(bytes = "bytes", tag = "15")]
+    pub packet: Bytes,
 }
 
 /// Does the receiver hold this flow?
