Carry a caller's flow to the target on the agent's traffic thread

Cause: the agent decided about packets but nothing received them, held a flow or answered. Ruled out: a queue and a wake-up per packet over tokio channels, since the thread is the only user of the flows; a block of such a channel alone would cost more than an idle flow's state. Endpoints kept for the time-wait, since the answer to a repeated last segment follows from the segment. Change: the traffic thread with one local task per flow, endpoint and target connection spliced without a third buffer, refusals by reset or 503, questions, loads and drains on the wire. Not proved yet: loss and reordering, hand-over, silence, the 503, memory and speed.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -6,3 +6,4 @@
 
 pub mod link;
 pub mod settings;
+pub mod traffic;
--- a/crates/agent/src/link.rs
+++ b/crates/agent/src/link.rs
@@ -1,7 +1,7 @@
 //! What passes between the control thread and the traffic thread.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 
 use citronhollow_core::config::Revision;
 use citronhollow_core::members::{TargetRecord, TargetState};
@@ -42,8 +42,42 @@
 #[derive(Debug, Default)]
 pub struct TrafficFigures {
     open: AtomicU32,
+    malformed: AtomicU64,
+    dropped: AtomicU64,
+    refused: AtomicU64,
+    unsent: AtomicU64,
 }
 
+macro_rules! sums {
+    ($($(#[$doc:meta])* $name:ident, $count:ident;)*) => {
+        impl TrafficFigures {
+            $(
+                $(#[$doc])*
+                #[must_use]
+                pub fn $name(&self) -> u64 {
+                    self.$name.load(Ordering::Relaxed)
+                }
+
+                /// Counts one more.
+                pub fn $count(&self) {
+                    self.$name.fetch_add(1, Ordering::Relaxed);
+                }
+            )*
+        }
+    };
+}
+
+sums!(
+    /// Datagrams that were not authentic or made no sense.
+    malformed, count_malformed;
+    /// Packets that the decisions dropped, or that a flow had no room for.
+    dropped, count_dropped;
+    /// Flows and packets refused.
+    refused, count_refused;
+    /// Datagrams that could not be sent.
+    unsent, count_unsent;
+);
+
 impl TrafficFigures {
     /// Flows held.
     #[must_use]
--- /dev/null
+++ b/crates/agent/src/traffic/agent.rs
@@ -0,0 +1,138 @@
+//! What the tasks of the traffic thread share.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use bytes::{Bytes, BytesMut};
+use citronhollow_caller::endpoint;
+use citronhollow_core::clock::Millis;
+use citronhollow_core::config::Refusal;
+use citronhollow_core::flow::FlowId;
+use citronhollow_core::flows::Flows;
+use citronhollow_core::hash;
+use citronhollow_core::id::TargetId;
+use citronhollow_peer::{Body, Codec, Envelope, MAX_DATAGRAM};
+use citronhollow_target::splice;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc::UnboundedSender;
+
+use super::lingering::Lingering;
+use super::tasks::Tasks;
+use crate::link::{ControlCommand, TrafficFigures};
+
+/// Monotonic time since the start of the thread.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Clock {
+    start: Instant,
+}
+
+impl Clock {
+    pub(super) fn new() -> Self {
+        Self {
+            start: Instant::now(),
+        }
+    }
+
+    pub(super) fn now(self) -> Millis {
+        self.start.elapsed().into()
+    }
+
+    /// Waits until `at`.
+    pub(super) async fn sleep_until(self, at: Millis) {
+        let at = self.start + std::time::Duration::from(at);
+        tokio::time::sleep_until(at.into()).await;
+    }
+}
+
+/// Everything that outlives a flow.
+pub(super) struct Agent {
+    pub(super) me: TargetId,
+    pub(super) clock: Clock,
+    pub(super) socket: UdpSocket,
+    pub(super) fabric: Vec<SocketAddr>,
+    pub(super) codec: Codec,
+    pub(super) flows: RefCell<Flows<Bytes>>,
+    pub(super) tasks: RefCell<Tasks>,
+    pub(super) refusals: RefCell<Tasks>,
+    pub(super) lingering: RefCell<Lingering>,
+    pub(super) peers: RefCell<HashMap<TargetId, SocketAddr>>,
+    pub(super) answers: RefCell<HashMap<SocketAddr, Refusal>>,
+    pub(super) target: Cell<Option<SocketAddr>>,
+    pub(super) is_target_reachable: Cell<bool>,
+    pub(super) control: UnboundedSender<ControlCommand>,
+    pub(super) figures: Arc<TrafficFigures>,
+    pub(super) endpoint_settings: endpoint::Settings,
+    pub(super) target_settings: splice::Settings,
+    pub(super) seed: u64,
+    pub(super) seeds_drawn: Cell<u64>,
+    pub(super) frame: RefCell<BytesMut>,
+    pub(super) packets: RefCell<Vec<Vec<u8>>>,
+}
+
+impl Agent {
+    /// A seed that no other flow of this or any other agent has.
+    pub(super) fn draw_seed(&self) -> u64 {
+        let drawn = self.seeds_drawn.get();
+        self.seeds_drawn.set(drawn + 1);
+        hash::pair(self.seed, drawn)
+    }
+
+    /// Sends a packet to the caller.
+    pub(super) fn send_to_caller(&self, flow: &FlowId, packet: &[u8]) {
+        let count = self.fabric.len() as u64;
+        let Some(index) = flow.hash().checked_rem(count) else {
+            return;
+        };
+        let fabric = self.fabric[usize::try_from(index).unwrap_or(0)];
+        self.send(packet, fabric);
+    }
+
+    /// Sends a message to a peer, if its address is known.
+    pub(super) fn send_to_peer(&self, to: TargetId, body: Body) {
+        let addr = self.peers.borrow().get(&to).copied();
+        match addr {
+            Some(addr) => self.send_message(addr, body),
+            None => self.figures.count_unsent(),
+        }
+    }
+
+    /// Sends a message to every peer.
+    pub(super) fn send_to_peers(&self, body: &Body) {
+        let peers = self.peers.borrow();
+        let others = peers.iter().filter(|(id, _)| **id != self.me);
+        for (_, addr) in others {
+            self.send_message(*addr, body.clone());
+        }
+    }
+
+    /// Tells the control thread whether the target takes connections, when that changes.
+    pub(super) fn set_target_reachable(&self, is_reachable: bool) {
+        if self.is_target_reachable.replace(is_reachable) == is_reachable {
+            return;
+        }
+        let command = ControlCommand::TargetReachable(is_reachable);
+        // Without a control thread the process is about to end.
+        let _ = self.control.send(command);
+    }
+
+    fn send_message(&self, to: SocketAddr, body: Body) {
+        let mut frame = self.frame.borrow_mut();
+        frame.clear();
+        self.codec.seal(&Envelope::from(body), &mut frame);
+        if frame.len() > MAX_DATAGRAM {
+            self.figures.count_unsent();
+            return;
+        }
+        self.send(&frame, to);
+    }
+
+    fn send(&self, datagram: &[u8], to: SocketAddr) {
+        // A datagram that the kernel has no room for is lost like one on the way.
+        if self.socket.try_send_to(datagram, to).is_err() {
+            self.figures.count_unsent();
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/traffic/dispatch.rs
@@ -0,0 +1,251 @@
+//! From datagrams to decisions, and from decisions to what they say.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use citronhollow_caller::packet::{self, Parsed};
+use citronhollow_core::clock::Millis;
+use citronhollow_core::config::Refusal;
+use citronhollow_core::error::{ErrorKind, FlowAnswer};
+use citronhollow_core::flow::FlowId;
+use citronhollow_core::flows::{Action, CloseReason, Flows, Holding, Packet};
+use citronhollow_core::id::TargetId;
+use citronhollow_peer::Body;
+use citronhollow_peer::message::{Drain, Forward, Question, Reply};
+
+use super::agent::Agent;
+use super::mailbox::{Delivery, Dismissal, Mailbox};
+use super::wire::{self, WireError};
+use super::{flow, refusal};
+use crate::link::ControlCommand;
+
+/// Takes a datagram from a balancer or a peer.
+pub(super) fn on_datagram(agent: &Rc<Agent>, datagram: &[u8], from: SocketAddr) {
+    let Ok(envelope) = agent.codec.open(datagram) else {
+        agent.figures.count_malformed();
+        return;
+    };
+    let result = match envelope.body {
+        Some(Body::Forward(forward)) => on_forward(agent, forward),
+        Some(Body::Question(question)) => on_question(agent, &question),
+        Some(Body::Reply(reply)) => on_reply(agent, &reply),
+        Some(Body::Load(load)) => {
+            let report = wire::report(&load);
+            agent.flows.borrow_mut().on_load(agent.clock.now(), report);
+            Ok(())
+        }
+        Some(Body::Drain(drain)) => {
+            on_drain(agent, drain, from);
+            Ok(())
+        }
+        // Another version's message, or one that is not for an agent's traffic.
+        _ => {
+            agent.figures.count_malformed();
+            Ok(())
+        }
+    };
+    if let Err(err) = result {
+        log::debug!("traffic: message from {from} dropped: {err}");
+        agent.figures.count_malformed();
+    }
+}
+
+/// Does what is due.
+pub(super) fn on_tick(agent: &Rc<Agent>) {
+    let now = agent.clock.now();
+    agent.lingering.borrow_mut().expire(now);
+    decide(agent, Flows::on_tick);
+}
+
+fn on_forward(agent: &Rc<Agent>, forward: Forward) -> Result<(), WireError> {
+    let packet = wire::packet_from(forward)?;
+    if packet.trace == 0 {
+        on_packet(agent, packet);
+        return Ok(());
+    }
+    let span = tracing::info_span!(
+        "agent",
+        trace = packet.trace,
+        target = %agent.me,
+        caller = %packet.flow.caller,
+        service = %packet.flow.service,
+        hops = packet.hops,
+    );
+    span.in_scope(|| on_packet(agent, packet));
+    Ok(())
+}
+
+fn on_packet(agent: &Rc<Agent>, packet: Packet<Bytes>) {
+    if is_for_refusal(agent, &packet) || is_for_ended(agent, &packet) {
+        return;
+    }
+    decide(agent, |flows, now, out| flows.on_packet(now, packet, out));
+}
+
+fn on_question(agent: &Rc<Agent>, question: &Question) -> Result<(), WireError> {
+    let flow = wire::asked(question)?;
+    let from = TargetId(question.sender);
+    if agent.refusals.borrow().get(&flow).is_some() {
+        send_reply(agent, from, &flow, Holding::Here);
+        return Ok(());
+    }
+    decide(agent, |flows, now, out| {
+        flows.on_question(now, from, flow, out);
+    });
+    Ok(())
+}
+
+fn on_reply(agent: &Rc<Agent>, reply: &Reply) -> Result<(), WireError> {
+    let (flow, holding) = wire::answered(reply)?;
+    let from = TargetId(reply.sender);
+    decide(agent, |flows, now, out| {
+        flows.on_reply(now, from, flow, holding, out);
+    });
+    Ok(())
+}
+
+fn on_drain(agent: &Agent, drain: Drain, from: SocketAddr) {
+    let command = ControlCommand::Drain {
+        on: drain.on,
+        reply_to: from,
+    };
+    // Without a control thread the process is about to end.
+    let _ = agent.control.send(command);
+}
+
+/// Gives the packet to the task that refuses its flow, if there is one.
+fn is_for_refusal(agent: &Agent, packet: &Packet<Bytes>) -> bool {
+    let refusals = agent.refusals.borrow();
+    let Some(mailbox) = refusals.get(&packet.flow) else {
+        return false;
+    };
+    push(agent, mailbox, packet);
+    true
+}
+
+/// Answers a repeated segment of a flow that ended in order, if it is one.
+fn is_for_ended(agent: &Agent, packet: &Packet<Bytes>) -> bool {
+    if !agent.lingering.borrow().contains(&packet.flow) {
+        return false;
+    }
+    if packet.segment.opens() {
+        agent.lingering.borrow_mut().remove(&packet.flow);
+        return false;
+    }
+    let Parsed { flow, segment } = parsed(packet);
+    if !segment.fin {
+        return true;
+    }
+    if let Some(answer) = packet::acknowledgement(&Parsed { flow, segment }) {
+        agent.send_to_caller(&flow, &answer);
+    }
+    true
+}
+
+/// Lets the decisions work on an event and does what they say.
+fn decide(
+    agent: &Rc<Agent>,
+    event: impl FnOnce(&mut Flows<Bytes>, Millis, &mut Vec<Action<Bytes>>),
+) {
+    let now = agent.clock.now();
+    let mut actions = Vec::new();
+    event(&mut agent.flows.borrow_mut(), now, &mut actions);
+    for action in actions {
+        perform(agent, action);
+    }
+}
+
+fn perform(agent: &Rc<Agent>, action: Action<Bytes>) {
+    match action {
+        Action::Open { packet } => flow::open(agent, &packet),
+        Action::Deliver { packet } => deliver(agent, &packet),
+        Action::Send { to, relay, packet } => {
+            let forward = wire::forward(agent.me, relay, packet);
+            agent.send_to_peer(to, Body::Forward(forward));
+        }
+        Action::Ask { to, flow } => {
+            let question = wire::question(agent.me, &flow);
+            agent.send_to_peer(to, Body::Question(question));
+        }
+        Action::Reply { to, flow, holding } => send_reply(agent, to, &flow, holding),
+        Action::Refuse {
+            packet,
+            kind,
+            retry_after,
+        } => refuse(agent, &packet, kind, retry_after),
+        Action::Close { flow, reason } => close(agent, &flow, reason),
+        Action::Drop { reason } => {
+            tracing::debug!(?reason, "packet dropped");
+            agent.figures.count_dropped();
+        }
+    }
+}
+
+fn deliver(agent: &Agent, packet: &Packet<Bytes>) {
+    let tasks = agent.tasks.borrow();
+    if let Some(mailbox) = tasks.get(&packet.flow) {
+        push(agent, mailbox, packet);
+    }
+}
+
+fn push(agent: &Agent, mailbox: &Mailbox, packet: &Packet<Bytes>) {
+    let delivery = Delivery {
+        segment: packet.segment,
+        bytes: packet.bytes.clone(),
+    };
+    if !mailbox.push(delivery) {
+        agent.figures.count_dropped();
+    }
+}
+
+fn send_reply(agent: &Agent, to: TargetId, flow: &FlowId, holding: Holding) {
+    let reply = wire::reply(agent.me, flow, holding);
+    agent.send_to_peer(to, Body::Reply(reply));
+}
+
+fn refuse(agent: &Rc<Agent>, packet: &Packet<Bytes>, kind: ErrorKind, retry_after: Millis) {
+    tracing::debug!(%kind, "flow refused");
+    agent.figures.count_refused();
+    match kind.answer().flow {
+        FlowAnswer::Silence => {}
+        FlowAnswer::Reset => reset(agent, packet),
+        FlowAnswer::Unavailable => {
+            let is_asked_for = asks_for_answer(agent, packet.flow.service);
+            let is_taken = is_asked_for && refusal::open(agent, packet, retry_after);
+            if !is_taken {
+                reset(agent, packet);
+            }
+        }
+    }
+}
+
+/// Whether the service's settings ask for an answer instead of a reset.
+fn asks_for_answer(agent: &Agent, service: SocketAddr) -> bool {
+    agent.answers.borrow().get(&service) == Some(&Refusal::Unavailable)
+}
+
+fn reset(agent: &Agent, packet: &Packet<Bytes>) {
+    if let Some(reset) = packet::reset(&parsed(packet)) {
+        agent.send_to_caller(&packet.flow, &reset);
+    }
+}
+
+fn close(agent: &Agent, flow: &FlowId, reason: CloseReason) {
+    let dismissal = if reason.resets() {
+        Dismissal::Reset
+    } else {
+        Dismissal::Silent
+    };
+    let mailbox = agent.tasks.borrow_mut().remove(flow);
+    if let Some(mailbox) = mailbox {
+        mailbox.dismiss(dismissal);
+    }
+}
+
+pub(super) const fn parsed(packet: &Packet<Bytes>) -> Parsed {
+    Parsed {
+        flow: packet.flow,
+        segment: packet.segment,
+    }
+}
--- /dev/null
+++ b/crates/agent/src/traffic/flow.rs
@@ -0,0 +1,350 @@
+//! One flow: the caller's endpoint, the target's connection, and the bytes between them.
+//!
+//! The target's connection is opened only when the caller has finished the handshake, because a
+//! flow may move to another target until then and must not after. From then on a byte is taken
+//! from one side only when the other has room for it, and the end of one direction is passed on
+//! after its last byte. A flow that fails on one side is reset on the other at once.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use citronhollow_caller::endpoint::{Endpoint, Stage};
+use citronhollow_caller::packet::Parsed;
+use citronhollow_core::clock::Millis;
+use citronhollow_core::flow::FlowId;
+use citronhollow_core::flows::Packet;
+use citronhollow_target::splice::{Progress, TargetStream};
+
+use super::agent::Agent;
+use super::dispatch::parsed;
+use super::mailbox::{Dismissal, Mailbox};
+
+/// Opens the flow of an opening packet.
+pub(super) fn open(agent: &Rc<Agent>, packet: &Packet<Bytes>) {
+    let side = CallerSide::open(agent, packet);
+    let Some(isn) = side.endpoint.isn() else {
+        let now = agent.clock.now();
+        agent.flows.borrow_mut().on_closed(now, &packet.flow);
+        return;
+    };
+    agent.flows.borrow_mut().on_isn(&packet.flow, isn);
+    let mailbox = agent.tasks.borrow_mut().add(packet.flow);
+    agent.figures.set_open(agent.tasks.borrow().len());
+    let task = FlowTask {
+        side,
+        mailbox,
+        is_busy: false,
+    };
+    tokio::task::spawn_local(task.run());
+}
+
+/// The caller's endpoint with what it needs to run.
+pub(super) struct CallerSide {
+    pub(super) agent: Rc<Agent>,
+    pub(super) flow: FlowId,
+    pub(super) endpoint: Box<Endpoint>,
+    due: Option<Millis>,
+}
+
+impl CallerSide {
+    /// An endpoint that has answered the opening packet.
+    pub(super) fn open(agent: &Rc<Agent>, packet: &Packet<Bytes>) -> Self {
+        let now = agent.clock.now();
+        let seed = agent.draw_seed();
+        let endpoint = Endpoint::new(now, packet.flow, seed, agent.endpoint_settings);
+        let mut side = Self {
+            agent: Rc::clone(agent),
+            flow: packet.flow,
+            endpoint: Box::new(endpoint),
+            due: None,
+        };
+        side.take_packet(&parsed(packet), &packet.bytes);
+        side.poll();
+        side
+    }
+
+    /// Takes what has come for the endpoint.
+    pub(super) fn take_packets(&mut self, mailbox: &Mailbox) {
+        for delivery in mailbox.take() {
+            let parsed = Parsed {
+                flow: self.flow,
+                segment: delivery.segment,
+            };
+            self.take_packet(&parsed, &delivery.bytes);
+        }
+    }
+
+    /// Does what is due at the endpoint and sends its packets.
+    pub(super) fn poll(&mut self) {
+        let mut packets = self.agent.packets.take();
+        let now = self.agent.clock.now();
+        self.due = self.endpoint.poll(now, &mut packets);
+        self.send(packets);
+    }
+
+    /// Waits until the endpoint has something to do.
+    pub(super) async fn due(&self) {
+        match self.due {
+            Some(at) => self.agent.clock.sleep_until(at).await,
+            None => std::future::pending().await,
+        }
+    }
+
+    fn take_packet(&mut self, parsed: &Parsed, packet: &[u8]) {
+        let mut packets = self.agent.packets.take();
+        let now = self.agent.clock.now();
+        self.endpoint.on_packet(now, parsed, packet, &mut packets);
+        self.send(packets);
+    }
+
+    fn send(&self, mut packets: Vec<Vec<u8>>) {
+        for packet in packets.drain(..) {
+            self.agent.send_to_caller(&self.flow, &packet);
+        }
+        // The list goes back, so that its memory serves the next packet of any flow.
+        self.agent.packets.replace(packets);
+    }
+}
+
+/// How a flow ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum End {
+    /// Both directions ended in order.
+    Finished,
+    /// The target was not reached, nothing ran.
+    ConnectFailed,
+    /// Reset or given up.
+    Reset,
+    /// The decisions removed it.
+    Dismissed,
+}
+
+/// Directions that wait for the target's connection.
+#[derive(Clone, Copy, Debug, Default)]
+struct Wants {
+    read: bool,
+    write: bool,
+}
+
+struct FlowTask {
+    side: CallerSide,
+    mailbox: Rc<Mailbox>,
+    is_busy: bool,
+}
+
+impl FlowTask {
+    async fn run(mut self) {
+        let end = self.life().await;
+        self.end(end);
+    }
+
+    async fn life(&mut self) -> End {
+        if let Err(end) = self.handshake().await {
+            return end;
+        }
+        match self.connect().await {
+            Ok(target) => self.splice(target).await,
+            Err(end) => end,
+        }
+    }
+
+    async fn handshake(&mut self) -> Result<(), End> {
+        loop {
+            self.step()?;
+            if self.side.endpoint.stage() != Stage::HalfOpen {
+                break;
+            }
+            tokio::select! {
+                () = self.mailbox.wait() => {}
+                () = self.side.due() => {}
+            }
+        }
+        let now = self.now();
+        let flow = self.side.flow;
+        let agent = &self.side.agent;
+        agent.flows.borrow_mut().on_established(now, &flow);
+        Ok(())
+    }
+
+    async fn connect(&mut self) -> Result<TargetStream, End> {
+        let agent = Rc::clone(&self.side.agent);
+        let Some(target) = agent.target.get() else {
+            return Err(End::ConnectFailed);
+        };
+        let connect = TargetStream::connect(target, agent.target_settings);
+        let mut connect = Box::pin(connect);
+        let connected = loop {
+            self.step()?;
+            tokio::select! {
+                connected = &mut connect => break connected,
+                () = self.mailbox.wait() => {}
+                () = self.side.due() => {}
+            }
+        };
+        agent.set_target_reachable(connected.is_ok());
+        connected.map_err(|err| {
+            log::warn!("traffic: {err}");
+            End::ConnectFailed
+        })
+    }
+
+    async fn splice(&mut self, target: TargetStream) -> End {
+        let mut pump = Pump::default();
+        loop {
+            let wants = match self.pass(&mut pump, &target) {
+                Ok(wants) => wants,
+                Err(end) => {
+                    target.abort();
+                    return end;
+                }
+            };
+            if pump.is_done() && self.is_caller_done() {
+                return End::Finished;
+            }
+            tokio::select! {
+                () = self.mailbox.wait() => {}
+                () = target.ready(wants.read, wants.write) => {}
+                () = self.side.due() => {}
+            }
+        }
+    }
+
+    /// Moves packets and bytes as far as they go.
+    fn pass(&mut self, pump: &mut Pump, target: &TargetStream) -> Result<Wants, End> {
+        self.step()?;
+        let wants = pump.pass(&mut self.side.endpoint, target)?;
+        self.note_busy(pump.is_waiting);
+        self.side.poll();
+        self.check()?;
+        Ok(wants)
+    }
+
+    /// Takes the packets that came and does what is due.
+    fn step(&mut self) -> Result<(), End> {
+        if self.mailbox.dismissal().is_some() {
+            return Err(End::Dismissed);
+        }
+        self.side.take_packets(&self.mailbox);
+        self.side.poll();
+        self.check()
+    }
+
+    fn check(&self) -> Result<(), End> {
+        match self.side.endpoint.stage() {
+            Stage::Reset => Err(End::Reset),
+            _ => Ok(()),
+        }
+    }
+
+    fn is_caller_done(&self) -> bool {
+        matches!(self.side.endpoint.stage(), Stage::Lingering | Stage::Closed)
+    }
+
+    fn note_busy(&mut self, is_busy: bool) {
+        if self.is_busy == is_busy {
+            return;
+        }
+        self.is_busy = is_busy;
+        let flow = self.side.flow;
+        self.side.agent.flows.borrow_mut().on_busy(&flow, is_busy);
+    }
+
+    /// Tells the caller and the decisions that the flow is over.
+    fn end(mut self, end: End) {
+        let now = self.now();
+        let flow = self.side.flow;
+        let agent = Rc::clone(&self.side.agent);
+        let is_silent = self.mailbox.dismissal() == Some(Dismissal::Silent);
+        if end != End::Finished && !is_silent {
+            self.side.endpoint.abort();
+            self.side.poll();
+        }
+        if end == End::Finished && self.side.endpoint.stage() == Stage::Lingering {
+            agent.lingering.borrow_mut().add(now, flow);
+        }
+        if agent.tasks.borrow_mut().remove_exact(&flow, &self.mailbox) {
+            let mut flows = agent.flows.borrow_mut();
+            match end {
+                End::ConnectFailed => flows.on_connect_failed(now, &flow),
+                _ => flows.on_closed(now, &flow),
+            }
+        }
+        agent.figures.set_open(agent.tasks.borrow().len());
+    }
+
+    fn now(&self) -> Millis {
+        self.side.agent.clock.now()
+    }
+}
+
+/// The bytes between the two ends.
+#[derive(Debug, Default)]
+struct Pump {
+    is_to_target_done: bool,
+    is_to_caller_done: bool,
+    /// Whether the caller spoke last, which means that the target has work to do.
+    is_waiting: bool,
+}
+
+impl Pump {
+    const fn is_done(&self) -> bool {
+        self.is_to_target_done && self.is_to_caller_done
+    }
+
+    fn pass(&mut self, endpoint: &mut Endpoint, target: &TargetStream) -> Result<Wants, End> {
+        let write = self.pass_to_target(endpoint, target)?;
+        let read = self.pass_to_caller(endpoint, target)?;
+        Ok(Wants { read, write })
+    }
+
+    /// Returns whether bytes wait for room at the target.
+    fn pass_to_target(
+        &mut self,
+        endpoint: &mut Endpoint,
+        target: &TargetStream,
+    ) -> Result<bool, End> {
+        while endpoint.can_read() {
+            let mut progress = Progress::Blocked;
+            endpoint.read_with(|bytes| {
+                progress = target.try_write(bytes);
+                progress.passed()
+            });
+            match progress {
+                Progress::Passed(_) => self.is_waiting = true,
+                Progress::Blocked => return Ok(true),
+                Progress::Finished | Progress::Failed => return Err(End::Reset),
+            }
+        }
+        if !self.is_to_target_done && endpoint.is_read_finished() {
+            target.finish();
+            self.is_to_target_done = true;
+        }
+        Ok(false)
+    }
+
+    /// Returns whether there is room for bytes of the target.
+    fn pass_to_caller(
+        &mut self,
+        endpoint: &mut Endpoint,
+        target: &TargetStream,
+    ) -> Result<bool, End> {
+        while !self.is_to_caller_done && endpoint.can_write() {
+            let mut progress = Progress::Blocked;
+            endpoint.write_with(|room| {
+                progress = target.try_read(room);
+                progress.passed()
+            });
+            match progress {
+                Progress::Passed(_) => self.is_waiting = false,
+                Progress::Blocked => return Ok(true),
+                Progress::Failed => return Err(End::Reset),
+                Progress::Finished => {
+                    endpoint.finish();
+                    self.is_to_caller_done = true;
+                    self.is_waiting = false;
+                }
+            }
+        }
+        Ok(false)
+    }
+}
--- /dev/null
+++ b/crates/agent/src/traffic/run.rs
@@ -0,0 +1,229 @@
+//! The loop of the traffic thread.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use bytes::BytesMut;
+use citronhollow_caller::endpoint;
+use citronhollow_core::clock::Millis;
+use citronhollow_core::config::Revision;
+use citronhollow_core::flows::{FlowLimits, Flows};
+use citronhollow_core::id::TargetId;
+use citronhollow_core::members::TargetRecord;
+use citronhollow_peer::{Body, Codec, Keyring, MAX_DATAGRAM};
+use citronhollow_target::splice;
+use rand::TryRngCore;
+use rand::rngs::OsRng;
+use tokio::net::UdpSocket;
+use tokio::runtime::Runtime;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
+use tokio::task::LocalSet;
+use tokio::time::{MissedTickBehavior, interval};
+
+use super::agent::{Agent, Clock};
+use super::lingering::Lingering;
+use super::tasks::Tasks;
+use super::{dispatch, wire};
+use crate::link::{ControlCommand, TrafficCommand, TrafficFigures};
+use crate::settings::Settings;
+
+/// Datagrams read before the flows' tasks run again.
+const BATCH: usize = 256;
+
+/// Room that the kernel keeps for datagrams, in bytes.
+const SOCKET_BUFFER: usize = 4 * 1_024 * 1_024;
+
+/// Time between two ticks of the decisions.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Ticks between two load reports.
+const TICKS_PER_REPORT: u32 = 5;
+
+/// Silences of this many idle times end a flow.
+const TIMEOUT_KEEPALIVES: u64 = 3;
+
+/// Time that the target has to accept a connection.
+const CONNECT_TIMEOUT: Millis = Millis::from_secs(3);
+
+/// Binds the socket of the packets.
+pub(super) fn bind(listen: SocketAddr) -> io::Result<std::net::UdpSocket> {
+    let socket = std::net::UdpSocket::bind(listen)?;
+    socket.set_nonblocking(true)?;
+    let options = socket2::SockRef::from(&socket);
+    // The kernel may grant less, which costs packets under bursts and nothing else.
+    let _ = options.set_recv_buffer_size(SOCKET_BUFFER);
+    let _ = options.set_send_buffer_size(SOCKET_BUFFER);
+    Ok(socket)
+}
+
+/// Runs until nobody can command the thread any more.
+pub(super) fn run(
+    runtime: &Runtime,
+    socket: std::net::UdpSocket,
+    settings: &Settings,
+    keys: Keyring,
+    commands: UnboundedReceiver<TrafficCommand>,
+    control: UnboundedSender<ControlCommand>,
+    figures: Arc<TrafficFigures>,
+) {
+    let local = LocalSet::new();
+    local.block_on(runtime, async move {
+        match new_agent(socket, settings, keys, control, figures) {
+            Ok(agent) => serve(&Rc::new(agent), commands).await,
+            Err(err) => log::error!("traffic: cannot start: {err}"),
+        }
+    });
+}
+
+async fn serve(agent: &Rc<Agent>, mut commands: UnboundedReceiver<TrafficCommand>) {
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut ticks_done = 0_u32;
+    let mut buf = vec![0; MAX_DATAGRAM + 1];
+    loop {
+        tokio::select! {
+            biased;
+            command = commands.recv() => match command {
+                Some(command) => on_command(agent, command),
+                None => return,
+            },
+            _ = ticks.tick() => {
+                ticks_done = ticks_done.wrapping_add(1);
+                on_tick(agent, ticks_done);
+            }
+            readable = agent.socket.readable() => {
+                if readable.is_ok() {
+                    receive(agent, &mut buf);
+                }
+                tokio::task::yield_now().await;
+            }
+        }
+    }
+}
+
+/// Reads the datagrams that are there, up to a batch.
+fn receive(agent: &Rc<Agent>, buf: &mut [u8]) {
+    for _ in 0..BATCH {
+        match agent.socket.try_recv_from(buf) {
+            Ok((len, from)) => dispatch::on_datagram(agent, &buf[..len], from),
+            Err(err) if err.kind() == io::ErrorKind::WouldBlock => return,
+            // An earlier datagram did not reach its receiver.
+            Err(_) => {}
+        }
+    }
+}
+
+fn on_tick(agent: &Rc<Agent>, ticks_done: u32) {
+    dispatch::on_tick(agent);
+    if !ticks_done.is_multiple_of(TICKS_PER_REPORT) {
+        return;
+    }
+    let now = agent.clock.now();
+    let report = agent.flows.borrow_mut().load_report(now);
+    agent.send_to_peers(&Body::Load(wire::load(&report)));
+}
+
+fn on_command(agent: &Rc<Agent>, command: TrafficCommand) {
+    let now = agent.clock.now();
+    match command {
+        TrafficCommand::Target { address, slots } => {
+            agent.target.set(Some(address));
+            agent.flows.borrow_mut().set_slots(now, slots);
+        }
+        TrafficCommand::State(state) => agent.flows.borrow_mut().set_state(now, state),
+        TrafficCommand::Peers(peers) => set_peers(agent, now, &peers),
+        TrafficCommand::Services(revision) => set_services(agent, &revision),
+    }
+}
+
+fn set_peers(agent: &Agent, now: Millis, peers: &[TargetRecord]) {
+    let addrs = peers.iter().map(|peer| (peer.id, peer.agent)).collect();
+    agent.peers.replace(addrs);
+    agent.flows.borrow_mut().set_peers(now, peers);
+}
+
+fn set_services(agent: &Agent, revision: &Revision) {
+    let answers = revision
+        .documents
+        .services
+        .iter()
+        .flat_map(|service| {
+            let refusal = service.refusal;
+            service.addresses.iter().map(move |addr| (*addr, refusal))
+        })
+        .collect();
+    agent.answers.replace(answers);
+    agent.flows.borrow_mut().set_services(revision);
+}
+
+fn new_agent(
+    socket: std::net::UdpSocket,
+    settings: &Settings,
+    keys: Keyring,
+    control: UnboundedSender<ControlCommand>,
+    figures: Arc<TrafficFigures>,
+) -> io::Result<Agent> {
+    let me = TargetId::of(&settings.name);
+    let seed = OsRng.try_next_u64().map_err(io::Error::other)?;
+    let limits = FlowLimits {
+        flows: settings.flow_limit as usize,
+        ..FlowLimits::default()
+    };
+    let mut flows = Flows::new(me, limits, seed);
+    flows.set_incarnation(incarnation());
+    Ok(Agent {
+        me,
+        clock: Clock::new(),
+        socket: UdpSocket::from_std(socket)?,
+        fabric: settings.fabric.clone(),
+        codec: Codec::new(keys),
+        flows: RefCell::new(flows),
+        tasks: RefCell::new(Tasks::default()),
+        refusals: RefCell::new(Tasks::default()),
+        lingering: RefCell::new(Lingering::default()),
+        peers: RefCell::new(HashMap::new()),
+        answers: RefCell::new(HashMap::new()),
+        target: Cell::new(None),
+        is_target_reachable: Cell::new(true),
+        control,
+        figures,
+        endpoint_settings: endpoint_settings(me, settings),
+        target_settings: target_settings(settings),
+        seed,
+        seeds_drawn: Cell::new(0),
+        frame: RefCell::new(BytesMut::new()),
+        packets: RefCell::new(Vec::new()),
+    })
+}
+
+fn endpoint_settings(me: TargetId, settings: &Settings) -> endpoint::Settings {
+    endpoint::Settings {
+        hint: me.hint(),
+        keepalive: settings.keepalive_ms,
+        timeout: timeout(settings),
+    }
+}
+
+fn target_settings(settings: &Settings) -> splice::Settings {
+    splice::Settings {
+        connect_timeout: CONNECT_TIMEOUT,
+        keepalive: settings.keepalive_ms,
+        probe_interval: settings.keepalive_ms,
+        timeout: timeout(settings),
+    }
+}
+
+fn timeout(settings: &Settings) -> Millis {
+    Millis(settings.keepalive_ms.0 * TIMEOUT_KEEPALIVES)
+}
+
+/// Grows with every start, so that peers tell this start's load reports from the last one's.
+fn incarnation() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.map_or(0, |span| Millis::from(span).0)
+}
--- a/crates/caller/src/endpoint.rs
+++ b/crates/caller/src/endpoint.rs
@@ -41,10 +41,8 @@
     pub hint: u32,
     /// Idle time after which the caller is probed.
     pub keepalive: Millis,
-    /// Silence after which the caller is given up.
+    /// Silence after which the caller of an established flow is given up.
     pub timeout: Millis,
-    /// Time that the caller has to complete the handshake.
-    pub handshake_timeout: Millis,
 }
 
 /// Life of an endpoint.
@@ -56,8 +54,10 @@
     Established,
     /// Both directions ended in order, only repeated segments are still answered.
     Lingering,
-    /// Nothing more will pass.
+    /// Both directions ended in order and nothing more will come.
     Closed,
+    /// Reset by either end, or given up.
+    Reset,
 }
 
 /// One flow's TCP endpoint.
@@ -69,6 +69,8 @@
     handle: SocketHandle,
     isn: Option<u32>,
     is_established: bool,
+    is_ended_here: bool,
+    is_ended_there: bool,
 }
 
 impl Endpoint {
@@ -80,7 +82,7 @@
     pub fn new(now: Millis, flow: FlowId, seed: u64, settings: Settings) -> Self {
         let iface = new_interface(now, &flow, seed);
         let mut sockets = SocketSet::new(Vec::with_capacity(1));
-        let handle = sockets.add(new_socket(&flow, settings));
+        let handle = sockets.add(new_socket(&flow));
         Self {
             flow,
             settings,
@@ -89,6 +91,8 @@
             handle,
             isn: None,
             is_established: false,
+            is_ended_here: false,
+            is_ended_there: false,
         }
     }
 
@@ -135,7 +139,8 @@
     #[must_use]
     pub fn stage(&self) -> Stage {
         match self.socket().state() {
-            _ if self.is_gone() => Stage::Closed,
+            _ if self.is_gone() && self.is_ended_here && self.is_ended_there => Stage::Closed,
+            _ if self.is_gone() => Stage::Reset,
             tcp::State::TimeWait => Stage::Lingering,
             _ if self.is_established => Stage::Established,
             _ => Stage::HalfOpen,
@@ -202,7 +207,12 @@
 
     /// Ends the direction to the caller after the bytes that were written.
     pub fn finish(&mut self) {
-        self.socket_mut().close();
+        self.is_ended_here = true;
+        let socket = self.socket_mut();
+        // The last acknowledgement of the flow goes out at once, because the endpoint is dropped
+        // as soon as both directions have ended.
+        socket.set_ack_delay(None);
+        socket.close();
     }
 
     /// Resets the flow with the next poll.
@@ -257,22 +267,34 @@
     }
 
     fn note_progress(&mut self) {
-        let state = self.socket().state();
+        match self.socket().state() {
+            tcp::State::Closed
+            | tcp::State::Listen
+            | tcp::State::SynSent
+            | tcp::State::SynReceived => {}
+            tcp::State::Established | tcp::State::FinWait1 | tcp::State::FinWait2 => {
+                self.note_established();
+            }
+            tcp::State::CloseWait
+            | tcp::State::LastAck
+            | tcp::State::Closing
+            | tcp::State::TimeWait => {
+                self.note_established();
+                self.is_ended_there = true;
+            }
+        }
+    }
+
+    fn note_established(&mut self) {
         if self.is_established {
             return;
         }
-        let is_past_handshake = !matches!(
-            state,
-            tcp::State::Closed | tcp::State::Listen | tcp::State::SynSent | tcp::State::SynReceived
-        );
-        if is_past_handshake {
-            self.is_established = true;
-            let timeout = duration(self.settings.timeout);
-            let keepalive = duration(self.settings.keepalive);
-            let socket = self.socket_mut();
-            socket.set_timeout(Some(timeout));
-            socket.set_keep_alive(Some(keepalive));
-        }
+        self.is_established = true;
+        let timeout = duration(self.settings.timeout);
+        let keepalive = duration(self.settings.keepalive);
+        let socket = self.socket_mut();
+        socket.set_timeout(Some(timeout));
+        socket.set_keep_alive(Some(keepalive));
     }
 }
 
@@ -293,14 +315,13 @@
     iface
 }
 
-fn new_socket(flow: &FlowId, settings: Settings) -> tcp::Socket<'static> {
+fn new_socket(flow: &FlowId) -> tcp::Socket<'static> {
     let rx = tcp::SocketBuffer::new(vec![0; BUFFER_LEN]);
     let tx = tcp::SocketBuffer::new(vec![0; BUFFER_LEN]);
     let mut socket = tcp::Socket::new(rx, tx);
     socket.set_tsval_generator(Some(|| HINT.get()));
     // What the target wrote is passed on as it comes.
     socket.set_nagle_enabled(false);
-    socket.set_timeout(Some(duration(settings.handshake_timeout)));
     // Listening fails only on port zero, which no parsed packet has; the endpoint then refuses
     // every packet.
     let _ = socket.listen(flow.service);
--- a/crates/caller/src/packet.rs
+++ b/crates/caller/src/packet.rs
@@ -8,7 +8,10 @@
 
 use citronhollow_core::flow::{FlowId, Segment};
 use etherparse::err::ip::SliceError;
-use etherparse::{IpNumber, IpSlice, PacketBuilder, TcpOptionElement, TcpSlice};
+use etherparse::{
+    IpHeaders, IpNumber, IpSlice, PacketBuilder, PacketBuilderStep, TcpHeader, TcpOptionElement,
+    TcpSlice,
+};
 use thiserror::Error;
 
 /// Largest packet towards a caller, in bytes, so that envelope, UDP and IP headers fit around it
@@ -88,15 +91,7 @@
     if segment.rst {
         return None;
     }
-    let builder = match (flow.service.ip(), flow.caller.ip()) {
-        (IpAddr::V4(from), IpAddr::V4(to)) => {
-            PacketBuilder::ipv4(from.octets(), to.octets(), HOP_LIMIT)
-        }
-        (IpAddr::V6(from), IpAddr::V6(to)) => {
-            PacketBuilder::ipv6(from.octets(), to.octets(), HOP_LIMIT)
-        }
-        _ => return None,
-    };
+    let builder = reply_builder(flow)?;
     // A reset must lie where the caller expects the next byte: at the acknowledgement number if
     // there is one, else it acknowledges all that the segment takes up.
     let seq = if segment.ack { segment.ack_seq } else { 0 };
@@ -108,6 +103,35 @@
     } else {
         builder.ack(next_seq(segment))
     };
+    finish(builder)
+}
+
+/// Builds the acknowledgement of a segment of a flow that has ended in order.
+#[must_use]
+pub fn acknowledgement(parsed: &Parsed) -> Option<Vec<u8>> {
+    let Parsed { flow, segment } = parsed;
+    if segment.rst || !segment.ack {
+        return None;
+    }
+    let builder = reply_builder(flow)?
+        .tcp(flow.service.port(), flow.caller.port(), segment.ack_seq, 0)
+        .ack(next_seq(segment));
+    finish(builder)
+}
+
+fn reply_builder(flow: &FlowId) -> Option<PacketBuilderStep<IpHeaders>> {
+    match (flow.service.ip(), flow.caller.ip()) {
+        (IpAddr::V4(from), IpAddr::V4(to)) => {
+            Some(PacketBuilder::ipv4(from.octets(), to.octets(), HOP_LIMIT))
+        }
+        (IpAddr::V6(from), IpAddr::V6(to)) => {
+            Some(PacketBuilder::ipv6(from.octets(), to.octets(), HOP_LIMIT))
+        }
+        _ => None,
+    }
+}
+
+fn finish(builder: PacketBuilderStep<TcpHeader>) -> Option<Vec<u8>> {
     let mut buf = Vec::with_capacity(builder.size(0));
     builder.write(&mut buf, &[]).ok()?;
     Some(buf)
--- a/crates/target/src/splice.rs
+++ b/crates/target/src/splice.rs
@@ -19,6 +19,9 @@
 /// Probes without an answer after which the target is given up.
 const KEEPALIVE_PROBES: u32 = 3;
 
+/// Shortest time that the kernel's keepalive knows.
+const KEEPALIVE_MIN: Duration = Duration::from_secs(1);
+
 /// How connections to a target are made.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
@@ -86,11 +89,11 @@
             (true, true) => Interest::READABLE | Interest::WRITABLE,
             (true, false) => Interest::READABLE,
             (false, true) => Interest::WRITABLE,
-            (false, false) => return std::future::pending().await,
+            (false, false) => std::future::pending().await,
         };
         // Registration fails only when the runtime is going away, and then nothing is ready.
         if self.stream.ready(interest).await.is_err() {
-            std::future::pending().await;
+            std::future::pending::<()>().await;
         }
     }
 
@@ -126,6 +129,15 @@
 }
 
 impl Progress {
+    /// Bytes that passed.
+    #[must_use]
+    pub const fn passed(self) -> usize {
+        match self {
+            Self::Passed(len) => len,
+            Self::Blocked | Self::Finished | Self::Failed => 0,
+        }
+    }
+
     fn of(err: &io::Error) -> Self {
         match err.kind() {
             io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted => Self::Blocked,
@@ -137,8 +149,8 @@
 fn configure(stream: &TcpStream, settings: Settings) -> io::Result<()> {
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
-        .with_time(settings.keepalive.into())
-        .with_interval(settings.probe_interval.into())
+        .with_time(Duration::from(settings.keepalive).max(KEEPALIVE_MIN))
+        .with_interval(Duration::from(settings.probe_interval).max(KEEPALIVE_MIN))
         .with_retries(KEEPALIVE_PROBES);
     socket.set_tcp_keepalive(&keepalive)?;
     socket.set_tcp_user_timeout(Some(settings.timeout.into()))?;
