Steer opening packets to the least loaded agent and remember where

Cause: the agent that a balancer's hash picks opened every flow, however loaded it was, and a handed flow was forgotten at once.

Change: an opening packet is opened here or handed to the peer with the lowest score (requests in progress, flows handed since the peer's last report, a part for open flows, all by slots, with a seeded jitter). A handed packet is opened or refused where it arrives. Redirects stand in a bounded table; the one unused for longest goes first, and held flows are in another table that redirects cannot push out. A repeated opening packet follows the redirect; one with another sequence number is passed and not handed, because the peer may still hold the old connection. A peer that fell silent is not waited for. Only addresses of services whose pools contain this target's group are served.

Ruled out: steering a repeated opening packet anew, which opens the flow twice; a hash map in random order for peers, which would make a seed worthless.

A flow that no redirect knows is still reset too early; the search comes next.

--- a/crates/core/src/flows.rs
+++ b/crates/core/src/flows.rs
@@ -3,103 +3,91 @@
 //! The truth about a flow is beside the target that serves it, so the agent and not the balancer
 //! decides what becomes of a packet. It owns the flows it opened, remembers which flows it handed
 //! to a peer, and searches for the holder of a flow it does not know before it resets it.
+//!
+//! Three rules carry the rest. Bytes reach a target only through the endpoint whose sequence
+//! number the caller acknowledged, so they reach one target. An opening packet that was handed to
+//! an agent is opened or refused there, so it does not wander. A flow is reset only when every
+//! peer that may hold it has said that it does not.
+
+use std::net::SocketAddr;
 
-use std::collections::HashMap;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 
 use crate::clock::Millis;
 use crate::config::Revision;
-use crate::error::ErrorKind;
 use crate::flow::FlowId;
 use crate::id::{GroupId, TargetId};
 use crate::members::{TargetRecord, TargetState};
 
+mod counters;
+mod held;
 mod limits;
 mod load;
+mod ongoing;
+mod opening;
 mod packet;
+mod peers;
+mod recent;
+mod redirects;
+mod services;
 
+pub use counters::Counters;
 pub use limits::FlowLimits;
 pub use load::LoadReport;
 pub use packet::{Action, Arrival, CloseReason, DropReason, Holding, Packet, Relay};
 
-/// Life of a flow that this agent opened.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Stage {
-    HalfOpen,
-    Established,
-}
-
-/// Sums since the start.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Counters {
-    /// Flows opened here.
-    pub opened: u64,
-    /// Packets given to endpoints.
-    pub delivered: u64,
-}
+use held::Held;
+use peers::Peers;
+use redirects::Redirects;
+use services::{ServiceKey, Services};
 
 /// The agent's table of flows. `B` is a packet's bytes, opaque here.
 #[derive(Debug)]
 pub struct Flows<B> {
     me: TargetId,
     group: Option<GroupId>,
+    incarnation: u64,
     limits: FlowLimits,
     state: TargetState,
     slots: u16,
-    incarnation: u64,
+    services: Services,
+    peers: Peers,
+    held: Held,
+    redirects: Redirects,
     sequence: u64,
-    held: HashMap<FlowId, Stage>,
+    rng: SmallRng,
     counters: Counters,
-    packets: std::marker::PhantomData<B>,
+    bytes: std::marker::PhantomData<B>,
 }
 
 impl<B> Flows<B> {
     /// A table without flows for the agent of target `me`. The seed makes its random choices.
     #[must_use]
-    pub fn new(me: TargetId, limits: FlowLimits, _seed: u64) -> Self {
+    pub fn new(me: TargetId, limits: FlowLimits, seed: u64) -> Self {
         Self {
             me,
             group: None,
+            incarnation: 0,
             limits,
             state: TargetState::Starting,
             slots: 1,
-            incarnation: 0,
+            services: Services::default(),
+            peers: Peers::default(),
+            held: Held::new(&limits),
+            redirects: Redirects::new(limits.redirects),
             sequence: 0,
-            held: HashMap::new(),
+            rng: SmallRng::seed_from_u64(seed),
             counters: Counters::default(),
-            packets: std::marker::PhantomData,
+            bytes: std::marker::PhantomData,
         }
     }
 
     /// Decides about a packet.
-    pub fn on_packet(&mut self, _now: Millis, packet: Packet<B>, out: &mut Vec<Action<B>>) {
-        if self.held.contains_key(&packet.flow) {
-            self.counters.delivered += 1;
-            out.push(Action::Deliver { packet });
-            return;
-        }
-        if packet.segment.opens() {
-            self.counters.opened += 1;
-            self.held.insert(packet.flow, Stage::HalfOpen);
-            out.push(Action::Open { packet });
-            return;
-        }
-        let me = self.me;
-        let next = packet.chain.iter().copied().find(|other| *other != me);
-        if let Some(to) = next {
-            let mut packet = packet;
-            packet.chain.retain(|other| *other != to && *other != me);
-            out.push(Action::Send {
-                to,
-                relay: Relay::Pass,
-                packet,
-            });
-            return;
-        }
-        out.push(Action::Refuse {
-            packet,
-            kind: ErrorKind::UnknownFlow,
-            retry_after: Millis::ZERO,
-        });
+    pub fn on_packet(&mut self, now: Millis, packet: Packet<B>, out: &mut Vec<Action<B>>) {
+        let before = out.len();
+        self.decide(now, packet, out);
+        self.counters.count(&out[before..]);
     }
 
     /// The endpoint answers the opening packet with this sequence number.
@@ -107,9 +95,7 @@
 
     /// The endpoint finished the handshake.
     pub fn on_established(&mut self, _now: Millis, flow: &FlowId) {
-        if let Some(stage) = self.held.get_mut(flow) {
-            *stage = Stage::Established;
-        }
+        self.held.establish(flow);
     }
 
     /// The target refused or did not answer the connection for the flow, which is closed by that.
@@ -118,11 +104,13 @@
     }
 
     /// Whether a request of the flow waits for the target's answer.
-    pub fn on_busy(&mut self, _flow: &FlowId, _busy: bool) {}
+    pub fn on_busy(&mut self, flow: &FlowId, busy: bool) {
+        self.held.set_busy(flow, busy);
+    }
 
     /// The endpoint is gone.
     pub fn on_closed(&mut self, _now: Millis, flow: &FlowId) {
-        self.held.remove(flow);
+        self.held.close(flow);
     }
 
     /// A peer asks for a flow.
@@ -133,9 +121,10 @@
         flow: FlowId,
         out: &mut Vec<Action<B>>,
     ) {
-        let holding = match self.held.get(&flow) {
-            Some(Stage::Established) => Holding::Here,
-            _ => Holding::No,
+        let holding = if self.held.contains(&flow) {
+            Holding::Here
+        } else {
+            Holding::No
         };
         out.push(Action::Reply {
             to: from,
@@ -156,16 +145,19 @@
     }
 
     /// A peer tells its load.
-    pub fn on_load(&mut self, _now: Millis, _report: LoadReport) {}
+    pub fn on_load(&mut self, now: Millis, report: LoadReport) {
+        self.peers.on_load(now, report);
+    }
 
     /// The targets of the pools that this target belongs to, as the balancers tell them.
     ///
     /// To be called after every answer of a balancer, also if nothing changed: a list that was
-    /// not confirmed for long resets no flow. This target's own record may be among them.
+    /// not confirmed resets no flow. This target's own record may be among them.
     pub fn set_peers(&mut self, _now: Millis, peers: &[TargetRecord]) {
         if let Some(own) = peers.iter().find(|peer| peer.id == self.me) {
             self.group = Some(own.group);
         }
+        self.peers.update(self.me, peers);
     }
 
     /// The group that this target announced. Without it no service is served.
@@ -179,7 +171,12 @@
     }
 
     /// The configuration in force. A lower number than the last one is ignored.
-    pub fn set_services(&mut self, _revision: &Revision) {}
+    pub fn set_services(&mut self, revision: &Revision) {
+        if revision.number < self.services.number() {
+            return;
+        }
+        self.services = Services::build(revision);
+    }
 
     /// What this target can take.
     pub fn set_state(&mut self, _now: Millis, state: TargetState) {
@@ -197,15 +194,7 @@
     /// This target's load, to be sent to the peers.
     pub fn load_report(&mut self, _now: Millis) -> LoadReport {
         self.sequence += 1;
-        LoadReport {
-            sender: self.me,
-            incarnation: self.incarnation,
-            sequence: self.sequence,
-            open: u32::try_from(self.held.len()).unwrap_or(u32::MAX),
-            milli_slots: u32::from(self.slots) * 1_000,
-            takes_new: self.state.takes_new() && self.held.len() < self.limits.flows,
-            ..LoadReport::default()
-        }
+        self.report()
     }
 
     /// Flows held here.
@@ -217,7 +206,13 @@
     /// Whether no flow is held here.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.held.is_empty()
+        self.held.len() == 0
+    }
+
+    /// Flows at peers that are remembered.
+    #[must_use]
+    pub fn redirect_count(&self) -> usize {
+        self.redirects.len()
     }
 
     /// Sums since the start.
@@ -225,4 +220,45 @@
     pub const fn counters(&self) -> Counters {
         self.counters
     }
+
+    fn decide(&mut self, now: Millis, packet: Packet<B>, out: &mut Vec<Action<B>>) {
+        if self.held.takes(&packet.flow, &packet.segment) {
+            out.push(Action::Deliver { packet });
+            return;
+        }
+        let Some(service) = self.served(packet.flow.service) else {
+            drop_for(DropReason::WrongService, out);
+            return;
+        };
+        if packet.segment.opens() {
+            self.on_opening(now, service, packet, out);
+        } else {
+            self.on_ongoing(now, service, packet, out);
+        }
+    }
+
+    /// The service that owns the address, if this target serves it.
+    fn served(&self, address: SocketAddr) -> Option<ServiceKey> {
+        let service = self.services.at(address)?;
+        let group = self.group?;
+        self.services.serves(service, group).then_some(service)
+    }
+
+    fn report(&self) -> LoadReport {
+        LoadReport {
+            sender: self.me,
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            open: u32::try_from(self.held.len()).unwrap_or(u32::MAX),
+            busy: self.held.busy(),
+            queued: 0,
+            milli_slots: u32::from(self.slots) * 1_000,
+            takes_new: self.state.takes_new() && self.held.len() < self.limits.flows,
+            milli_failures: 0,
+        }
+    }
+}
+
+fn drop_for<B>(reason: DropReason, out: &mut Vec<Action<B>>) {
+    out.push(Action::Drop { reason });
 }
--- /dev/null
+++ b/crates/core/src/flows/counters.rs
@@ -0,0 +1,73 @@
+//! Sums of what was decided.
+
+use super::packet::{Action, DropReason, Relay};
+
+/// Sums since the start, each counting one kind of [`Action`].
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Counters {
+    /// Flows opened here.
+    pub opened: u64,
+    /// Packets given to endpoints.
+    pub delivered: u64,
+    /// Opening packets handed to peers.
+    pub handed: u64,
+    /// Packets passed to peers.
+    pub passed: u64,
+    /// Questions to peers.
+    pub asked: u64,
+    /// Answers to peers, and notices without a question.
+    pub replied: u64,
+    /// Refused flows.
+    pub refused: u64,
+    /// Endpoints closed by a decision.
+    pub closed: u64,
+    /// Drops of [`DropReason::WrongService`].
+    pub dropped_wrong_service: u64,
+    /// Drops of [`DropReason::UnknownLimit`].
+    pub dropped_unknown_limit: u64,
+    /// Drops of [`DropReason::HopLimit`].
+    pub dropped_hop_limit: u64,
+    /// Drops of [`DropReason::Stale`].
+    pub dropped_stale: u64,
+    /// Drops of [`DropReason::Waiting`].
+    pub dropped_waiting: u64,
+    /// Drops of [`DropReason::Unanswered`].
+    pub dropped_unanswered: u64,
+}
+
+impl Counters {
+    pub(super) fn count<B>(&mut self, actions: &[Action<B>]) {
+        for action in actions {
+            *self.sum_of(action) += 1;
+        }
+    }
+
+    fn sum_of<B>(&mut self, action: &Action<B>) -> &mut u64 {
+        match action {
+            Action::Open { .. } => &mut self.opened,
+            Action::Deliver { .. } => &mut self.delivered,
+            Action::Send {
+                relay: Relay::Hand, ..
+            } => &mut self.handed,
+            Action::Send {
+                relay: Relay::Pass, ..
+            } => &mut self.passed,
+            Action::Ask { .. } => &mut self.asked,
+            Action::Reply { .. } => &mut self.replied,
+            Action::Refuse { .. } => &mut self.refused,
+            Action::Close { .. } => &mut self.closed,
+            Action::Drop { reason } => self.sum_of_drops(*reason),
+        }
+    }
+
+    fn sum_of_drops(&mut self, reason: DropReason) -> &mut u64 {
+        match reason {
+            DropReason::WrongService => &mut self.dropped_wrong_service,
+            DropReason::UnknownLimit => &mut self.dropped_unknown_limit,
+            DropReason::HopLimit => &mut self.dropped_hop_limit,
+            DropReason::Stale => &mut self.dropped_stale,
+            DropReason::Waiting => &mut self.dropped_waiting,
+            DropReason::Unanswered => &mut self.dropped_unanswered,
+        }
+    }
+}
--- a/crates/core/src/flows/load.rs
+++ b/crates/core/src/flows/load.rs
@@ -16,7 +16,7 @@
     pub sequence: u64,
     /// Flows held.
     pub open: u32,
-    /// Flows with a request that the target has not answered.
+    /// Flows with a request that the target has not answered, and half-open ones.
     pub busy: u32,
     /// Flows that wait in the queue.
     pub queued: u32,
@@ -27,3 +27,74 @@
     /// Connects to the target that failed lately, in thousandths of all.
     pub milli_failures: u32,
 }
+
+impl LoadReport {
+    /// Order of two reports of one sender, the later one greater.
+    #[must_use]
+    pub const fn version(&self) -> (u64, u64) {
+        (self.incarnation, self.sequence)
+    }
+}
+
+/// Work of one request, in thousandths of a request.
+const REQUEST_MILLI: u64 = 1_000;
+/// Work that an open flow is expected to bring besides its requests in progress.
+const OPEN_FLOW_MILLI: u64 = 125;
+/// Random part of a score. It keeps several agents from choosing the same peer.
+pub(super) const JITTER_MILLI: u64 = 500;
+/// Share of failed connects above which a target gets new flows only if all others fail too.
+const MAX_FAILURES_MILLI: u32 = 500;
+/// Slots of a target that never reported, as a part of what it announced.
+const UNREPORTED_SLOTS_MILLI: u64 = 250;
+
+/// Load of one target, for comparison with others.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Estimate {
+    work_milli: u64,
+    milli_slots: u64,
+    is_failing: bool,
+}
+
+impl Estimate {
+    /// A target that announced its slots but never its load counts as full.
+    pub(super) fn unreported(slots: u16) -> Self {
+        Self {
+            work_milli: 0,
+            milli_slots: u64::from(slots) * UNREPORTED_SLOTS_MILLI,
+            is_failing: false,
+        }
+    }
+
+    /// At least one request for every slot.
+    pub(super) fn or_full(self) -> Self {
+        Self {
+            work_milli: self.work_milli.max(self.milli_slots),
+            ..self
+        }
+    }
+
+    /// With this many more requests.
+    pub(super) fn with_requests(self, requests: u32) -> Self {
+        Self {
+            work_milli: self.work_milli + u64::from(requests) * REQUEST_MILLI,
+            ..self
+        }
+    }
+
+    /// What a new flow would find. The lowest score wins; failing targets come last.
+    pub(super) fn score(self, jitter_milli: u64) -> (bool, u64) {
+        let work = self.work_milli + REQUEST_MILLI + jitter_milli;
+        (self.is_failing, work * 1_000 / self.milli_slots.max(1))
+    }
+}
+
+impl From<&LoadReport> for Estimate {
+    fn from(report: &LoadReport) -> Self {
+        let requests = u64::from(report.busy) + u64::from(report.queued);
+        Self {
+            work_milli: requests * REQUEST_MILLI + u64::from(report.open) * OPEN_FLOW_MILLI,
+            milli_slots: u64::from(report.milli_slots),
+            is_failing: report.milli_failures > MAX_FAILURES_MILLI,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/flows/opening.rs
@@ -0,0 +1,254 @@
+//! Where a new flow goes.
+//!
+//! The agent that gets an opening packet knows the load of its peers, and the balancer that sent
+//! it here does not. So it may hand the packet to a peer, once: the peer accepts or refuses the
+//! flow itself, and no opening packet wanders. A repeated opening packet follows the redirect of
+//! the first.
+
+use rand::Rng;
+
+use crate::clock::Millis;
+use crate::error::ErrorKind;
+use crate::id::TargetId;
+
+use super::Flows;
+use super::held::Connection;
+use super::load::{Estimate, JITTER_MILLI};
+use super::ongoing::may_pass;
+use super::packet::{Action, Arrival, Packet, Relay};
+use super::peers::Peer;
+use super::redirects::Redirect;
+use super::services::{PoolKey, ServiceKey};
+
+/// Where a new flow is to be opened.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Place {
+    /// At this target.
+    Here,
+    /// At a peer.
+    Peer(TargetId),
+    /// Nowhere yet: every target is full.
+    Full,
+    /// Nowhere: no target takes new flows.
+    Nobody,
+}
+
+impl<B> Flows<B> {
+    /// Decides about an opening packet of a flow that is not held here.
+    pub(super) fn on_opening(
+        &mut self,
+        now: Millis,
+        service: ServiceKey,
+        packet: Packet<B>,
+        out: &mut Vec<Action<B>>,
+    ) {
+        if let Arrival::Handed(_) = packet.arrival {
+            self.on_handed(now, service, packet, out);
+            return;
+        }
+        if let Some(redirect) = self.redirect_for_opening(now, service, &packet) {
+            self.follow_with_opening(now, redirect, packet, out);
+            return;
+        }
+        self.steer(now, service, packet, out);
+    }
+
+    /// A peer chose this target. The flow is opened or refused here, whatever other peers could do.
+    fn on_handed(
+        &mut self,
+        now: Millis,
+        service: ServiceKey,
+        packet: Packet<B>,
+        out: &mut Vec<Action<B>>,
+    ) {
+        let pool = self.services.pool_for(service, &packet.flow);
+        if self.has_room(pool) {
+            self.open(now, packet, out);
+        } else if self.state.takes_new() {
+            refuse(packet, ErrorKind::Overloaded, out);
+        } else {
+            refuse(packet, ErrorKind::NoTarget, out);
+        }
+    }
+
+    fn steer(
+        &mut self,
+        now: Millis,
+        service: ServiceKey,
+        packet: Packet<B>,
+        out: &mut Vec<Action<B>>,
+    ) {
+        match self.place(now, service, &packet) {
+            Place::Here => self.open(now, packet, out),
+            Place::Peer(to) => self.hand(now, service, to, packet, out),
+            Place::Full => refuse(packet, ErrorKind::Overloaded, out),
+            Place::Nobody => refuse(packet, ErrorKind::NoTarget, out),
+        }
+    }
+
+    /// Chooses the target for a new flow.
+    fn place(&mut self, now: Millis, service: ServiceKey, packet: &Packet<B>) -> Place {
+        let pool = self.services.pool_for(service, &packet.flow);
+        let here = self.score_here(pool).map(|score| (score, Place::Here));
+        let peer = self.best_peer(now, pool, packet.arrival.sender());
+        let peer = peer.map(|(score, id)| (score, Place::Peer(id)));
+        let best = here.into_iter().chain(peer).min_by_key(|(score, _)| *score);
+        if let Some((_, place)) = best {
+            return place;
+        }
+        if self.takes_new(pool) {
+            Place::Full
+        } else {
+            Place::Nobody
+        }
+    }
+
+    /// Whether any target takes new flows of the pool, full or not.
+    fn takes_new(&self, pool: PoolKey) -> bool {
+        let peers = self.peers.iter().any(|peer| {
+            peer.record.state.takes_new() && self.services.contains(pool, peer.record.group)
+        });
+        self.state.takes_new() || peers
+    }
+
+    fn score_here(&mut self, pool: PoolKey) -> Option<(bool, u64)> {
+        // By the rule this caller belongs to other targets, if there are any.
+        let is_member = self
+            .group
+            .is_some_and(|group| self.services.contains(pool, group));
+        let has_members = self
+            .peers
+            .iter()
+            .any(|peer| self.services.contains(pool, peer.record.group));
+        if !self.has_room(pool) || (!is_member && has_members) {
+            return None;
+        }
+        let jitter = self.jitter();
+        Some(self.estimate_here().score(jitter))
+    }
+
+    fn best_peer(
+        &mut self,
+        now: Millis,
+        pool: PoolKey,
+        avoid: Option<TargetId>,
+    ) -> Option<((bool, u64), TargetId)> {
+        let limit = self.services.flows_per_target(pool);
+        let max_age = self.limits.load_max_age;
+        let mut best = None;
+        for peer in self.peers.iter() {
+            let id = peer.record.id;
+            let is_member = self.services.contains(pool, peer.record.group);
+            if !is_member || Some(id) == avoid || !peer.has_room(limit) {
+                continue;
+            }
+            let jitter = self.rng.random_range(0..JITTER_MILLI);
+            let score = peer.estimate(now, max_age).score(jitter);
+            if best.is_none_or(|(other, _)| score < other) {
+                best = Some((score, id));
+            }
+        }
+        best
+    }
+
+    fn estimate_here(&self) -> Estimate {
+        Estimate::from(&self.report())
+    }
+
+    fn jitter(&mut self) -> u64 {
+        self.rng.random_range(0..JITTER_MILLI)
+    }
+
+    /// Whether this target may open another flow of the pool.
+    pub(super) fn has_room(&self, pool: PoolKey) -> bool {
+        let limit = self.services.flows_per_target(pool).min(self.limits.flows);
+        self.state.takes_new() && self.held.len() < limit
+    }
+
+    fn open(&mut self, now: Millis, packet: Packet<B>, out: &mut Vec<Action<B>>) {
+        self.held.open(now, packet.flow, Connection::default());
+        self.redirects.remove(&packet.flow);
+        out.push(Action::Open { packet });
+    }
+
+    fn hand(
+        &mut self,
+        now: Millis,
+        service: ServiceKey,
+        to: TargetId,
+        packet: Packet<B>,
+        out: &mut Vec<Action<B>>,
+    ) {
+        let redirect = Redirect {
+            to,
+            service: self.services.id(service),
+            caller_isn: Some(packet.segment.seq),
+        };
+        self.redirects.insert(now, packet.flow, redirect);
+        self.peers.on_handed(to);
+        self.send(to, Relay::Hand, packet, out);
+    }
+
+    /// The redirect that an opening packet follows.
+    fn redirect_for_opening(
+        &mut self,
+        now: Millis,
+        service: ServiceKey,
+        packet: &Packet<B>,
+    ) -> Option<Redirect> {
+        let redirect = self.usable_redirect(service, packet)?;
+        let peer = self.peers.get(redirect.to)?;
+        // The caller repeats itself because nobody answers, and a peer that is silent towards
+        // this agent as well is not waited for.
+        if peer.is_silent(now, self.limits.load_max_age) {
+            self.redirects.remove(&packet.flow);
+            return None;
+        }
+        Some(redirect)
+    }
+
+    fn follow_with_opening(
+        &mut self,
+        now: Millis,
+        redirect: Redirect,
+        packet: Packet<B>,
+        out: &mut Vec<Action<B>>,
+    ) {
+        // Only the packet that was handed before may be handed again. Another one may open a new
+        // connection between the same two ends: the peer knows whether it still has the old one.
+        let is_repeated = redirect.caller_isn == Some(packet.segment.seq);
+        let takes_new = self.peers.get(redirect.to).is_some_and(Peer::takes_new);
+        let relay = if is_repeated && takes_new {
+            Relay::Hand
+        } else {
+            Relay::Pass
+        };
+        self.redirects.touch(now, &packet.flow);
+        self.send(redirect.to, relay, packet, out);
+    }
+
+    /// The redirect of a packet's flow, removed if it leads nowhere.
+    pub(super) fn usable_redirect(
+        &mut self,
+        service: ServiceKey,
+        packet: &Packet<B>,
+    ) -> Option<Redirect> {
+        let redirect = self.redirects.get(&packet.flow)?;
+        let is_usable = redirect.service == self.services.id(service)
+            && Some(redirect.to) != packet.arrival.sender()
+            && self.peers.may_hold(redirect.to)
+            && may_pass(packet);
+        if !is_usable {
+            self.redirects.remove(&packet.flow);
+        }
+        is_usable.then_some(redirect)
+    }
+}
+
+fn refuse<B>(packet: Packet<B>, kind: ErrorKind, out: &mut Vec<Action<B>>) {
+    out.push(Action::Refuse {
+        packet,
+        kind,
+        retry_after: Millis::from_secs(1),
+    });
+}
--- a/crates/core/src/flows/packet.rs
+++ b/crates/core/src/flows/packet.rs
@@ -16,6 +16,17 @@
     Passed(TargetId),
 }
 
+impl Arrival {
+    /// The peer that sent the packet.
+    #[must_use]
+    pub const fn sender(self) -> Option<TargetId> {
+        match self {
+            Self::Balancer => None,
+            Self::Handed(peer) | Self::Passed(peer) => Some(peer),
+        }
+    }
+}
+
 /// A packet to decide about. `B` is the packet's bytes, opaque here.
 #[derive(Clone, Debug)]
 pub struct Packet<B> {
--- /dev/null
+++ b/crates/core/src/flows/peers.rs
@@ -0,0 +1,136 @@
+//! The other agents and what is known of their load.
+//!
+//! A peer's report is old when it comes, so the flows that were handed to the peer since then are
+//! added to it. A peer that has not reported for long counts as full.
+
+use std::collections::BTreeMap;
+
+use crate::clock::Millis;
+use crate::id::TargetId;
+use crate::members::{TargetRecord, TargetState};
+
+use super::load::{Estimate, LoadReport};
+
+#[derive(Clone, Copy, Debug)]
+struct Told {
+    report: LoadReport,
+    at: Millis,
+}
+
+/// One other agent.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Peer {
+    pub(super) record: TargetRecord,
+    told: Option<Told>,
+    /// Flows handed to it since its last report.
+    handed: u32,
+}
+
+impl Peer {
+    const fn new(record: TargetRecord) -> Self {
+        Self {
+            record,
+            told: None,
+            handed: 0,
+        }
+    }
+
+    /// Whether it may be given a new flow of a pool with this limit.
+    pub(super) fn has_room(&self, flows_per_target: usize) -> bool {
+        if !self.takes_new() {
+            return false;
+        }
+        let open = self.told.map_or(0, |told| told.report.open);
+        let expected = open.saturating_add(self.handed);
+        (expected as usize) < flows_per_target
+    }
+
+    /// Whether record and report both say that it takes new flows.
+    pub(super) fn takes_new(&self) -> bool {
+        self.record.state.takes_new() && self.told.is_none_or(|told| told.report.takes_new)
+    }
+
+    /// Whether it has reported before but is silent now.
+    pub(super) fn is_silent(&self, now: Millis, max_age: Millis) -> bool {
+        self.told.is_some_and(|told| now.since(told.at) > max_age)
+    }
+
+    /// Its load now, as far as one can tell.
+    pub(super) fn estimate(&self, now: Millis, max_age: Millis) -> Estimate {
+        let reported = self.told.map_or_else(
+            || Estimate::unreported(self.record.slots),
+            |told| Estimate::from(&told.report),
+        );
+        let is_fresh = self.told.is_some_and(|told| now.since(told.at) <= max_age);
+        let known = if is_fresh {
+            reported
+        } else {
+            reported.or_full()
+        };
+        known.with_requests(self.handed)
+    }
+}
+
+/// Every other agent, in the order of identities so that decisions repeat under one seed.
+#[derive(Debug, Default)]
+pub(super) struct Peers {
+    by_id: BTreeMap<TargetId, Peer>,
+}
+
+impl Peers {
+    pub(super) fn update(&mut self, me: TargetId, records: &[TargetRecord]) {
+        self.by_id
+            .retain(|id, _| records.iter().any(|record| record.id == *id));
+        for record in records.iter().filter(|record| record.id != me) {
+            self.update_one(*record);
+        }
+    }
+
+    pub(super) fn get(&self, id: TargetId) -> Option<&Peer> {
+        self.by_id.get(&id)
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Peer> {
+        self.by_id.values()
+    }
+
+    /// Whether the peer is known and not known to be gone.
+    pub(super) fn may_hold(&self, id: TargetId) -> bool {
+        self.get(id)
+            .is_some_and(|peer| peer.record.state != TargetState::Dead)
+    }
+
+    pub(super) fn on_load(&mut self, now: Millis, report: LoadReport) {
+        let Some(peer) = self.by_id.get_mut(&report.sender) else {
+            return;
+        };
+        let is_late = peer
+            .told
+            .is_some_and(|told| told.report.version() >= report.version());
+        if is_late {
+            return;
+        }
+        peer.told = Some(Told { report, at: now });
+        peer.handed = 0;
+    }
+
+    pub(super) fn on_handed(&mut self, to: TargetId) {
+        if let Some(peer) = self.by_id.get_mut(&to) {
+            peer.handed = peer.handed.saturating_add(1);
+        }
+    }
+
+    fn update_one(&mut self, record: TargetRecord) {
+        let peer = self
+            .by_id
+            .entry(record.id)
+            .or_insert_with(|| Peer::new(record));
+        // A report of an earlier start says nothing about this one.
+        if peer.record.incarnation < record.incarnation {
+            *peer = Peer::new(record);
+        }
+        if peer.record.version() <= record.version() {
+            peer.record = record;
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/flows/recent.rs
@@ -0,0 +1,152 @@
+//! A bounded map in the order of last use.
+//!
+//! Entries live in an arena and are linked by their positions, so that an insertion into a full
+//! map, a touch and a removal of the oldest entry all take the same short time, whatever the
+//! bound is.
+
+use std::collections::HashMap;
+use std::hash::Hash;
+
+use crate::clock::Millis;
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct EntryKey(u32);
+
+#[derive(Clone, Copy, Debug)]
+struct Entry<K, V> {
+    key: K,
+    value: V,
+    used: Millis,
+    older: Option<EntryKey>,
+    newer: Option<EntryKey>,
+}
+
+/// At most `bound` values. The one that was not used for longest goes first.
+#[derive(Debug)]
+pub(super) struct Recent<K, V> {
+    bound: usize,
+    by_key: HashMap<K, EntryKey>,
+    entries: Vec<Entry<K, V>>,
+    free: Vec<EntryKey>,
+    oldest: Option<EntryKey>,
+    newest: Option<EntryKey>,
+}
+
+impl<K: Copy + Eq + Hash, V: Copy> Recent<K, V> {
+    pub(super) fn new(bound: usize) -> Self {
+        Self {
+            bound: bound.max(1),
+            by_key: HashMap::new(),
+            entries: Vec::new(),
+            free: Vec::new(),
+            oldest: None,
+            newest: None,
+        }
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.by_key.len()
+    }
+
+    pub(super) fn contains(&self, key: &K) -> bool {
+        self.by_key.contains_key(key)
+    }
+
+    pub(super) fn get(&self, key: &K) -> Option<&V> {
+        let at = *self.by_key.get(key)?;
+        Some(&self.entry(at).value)
+    }
+
+    /// Inserts or replaces, and returns what had to go.
+    pub(super) fn insert(&mut self, now: Millis, key: K, value: V) -> Option<(K, V)> {
+        self.remove(&key);
+        let evicted = self.make_room();
+        let entry = Entry {
+            key,
+            value,
+            used: now,
+            older: None,
+            newer: None,
+        };
+        let at = self.place(entry);
+        self.by_key.insert(key, at);
+        self.link_newest(at);
+        evicted
+    }
+
+    /// Makes the entry the newest one.
+    pub(super) fn touch(&mut self, now: Millis, key: &K) {
+        let Some(&at) = self.by_key.get(key) else {
+            return;
+        };
+        self.unlink(at);
+        self.entry_mut(at).used = now;
+        self.link_newest(at);
+    }
+
+    pub(super) fn remove(&mut self, key: &K) -> Option<V> {
+        let at = self.by_key.remove(key)?;
+        self.unlink(at);
+        self.free.push(at);
+        Some(self.entry(at).value)
+    }
+
+    /// Removes the oldest entry if its last use is at least `age` ago.
+    pub(super) fn pop_unused(&mut self, now: Millis, age: Millis) -> Option<(K, V)> {
+        let at = self.oldest?;
+        let entry = *self.entry(at);
+        if now.since(entry.used) < age {
+            return None;
+        }
+        self.remove(&entry.key);
+        Some((entry.key, entry.value))
+    }
+
+    fn make_room(&mut self) -> Option<(K, V)> {
+        if self.by_key.len() < self.bound {
+            return None;
+        }
+        self.pop_unused(Millis::ZERO, Millis::ZERO)
+    }
+
+    fn place(&mut self, entry: Entry<K, V>) -> EntryKey {
+        if let Some(at) = self.free.pop() {
+            *self.entry_mut(at) = entry;
+            return at;
+        }
+        let at = u32::try_from(self.entries.len()).expect("a table below 2^32 entries");
+        self.entries.push(entry);
+        EntryKey(at)
+    }
+
+    fn unlink(&mut self, at: EntryKey) {
+        let Entry { older, newer, .. } = *self.entry(at);
+        match older {
+            Some(older) => self.entry_mut(older).newer = newer,
+            None => self.oldest = newer,
+        }
+        match newer {
+            Some(newer) => self.entry_mut(newer).older = older,
+            None => self.newest = older,
+        }
+    }
+
+    fn link_newest(&mut self, at: EntryKey) {
+        let before = self.newest.replace(at);
+        let entry = self.entry_mut(at);
+        entry.older = before;
+        entry.newer = None;
+        match before {
+            Some(before) => self.entry_mut(before).newer = Some(at),
+            None => self.oldest = Some(at),
+        }
+    }
+
+    fn entry(&self, at: EntryKey) -> &Entry<K, V> {
+        &self.entries[at.0 as usize]
+    }
+
+    fn entry_mut(&mut self, at: EntryKey) -> &mut Entry<K, V> {
+        &mut self.entries[at.0 as usize]
+    }
+}
--- /dev/null
+++ b/crates/core/src/flows/redirects.rs
@@ -0,0 +1,56 @@
+//! Where flows that are not held here were handed or found.
+//!
+//! A redirect only saves a search: one that is lost is found again by asking. The table may
+//! therefore be bounded, and the redirect that was not used for longest goes first. Held flows
+//! are kept elsewhere and are never pushed out by redirects.
+
+use crate::clock::Millis;
+use crate::flow::FlowId;
+use crate::id::{ServiceId, TargetId};
+
+use super::recent::Recent;
+
+/// Where a flow is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct Redirect {
+    /// The peer that holds it, as far as known.
+    pub(super) to: TargetId,
+    /// The service that the flow was opened for.
+    pub(super) service: ServiceId,
+    /// The caller's opening sequence number, if the flow was handed from here.
+    pub(super) caller_isn: Option<u32>,
+}
+
+/// Redirects by flow.
+#[derive(Debug)]
+pub(super) struct Redirects {
+    by_flow: Recent<FlowId, Redirect>,
+}
+
+impl Redirects {
+    pub(super) fn new(bound: usize) -> Self {
+        Self {
+            by_flow: Recent::new(bound),
+        }
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.by_flow.len()
+    }
+
+    pub(super) fn get(&self, flow: &FlowId) -> Option<Redirect> {
+        self.by_flow.get(flow).copied()
+    }
+
+    pub(super) fn insert(&mut self, now: Millis, flow: FlowId, redirect: Redirect) {
+        self.by_flow.insert(now, flow, redirect);
+    }
+
+    pub(super) fn touch(&mut self, now: Millis, flow: &FlowId) {
+        self.by_flow.touch(now, flow);
+    }
+
+    pub(super) fn remove(&mut self, flow: &FlowId) {
+        self.by_flow.remove(flow);
+    }
+}
--- /dev/null
+++ b/crates/core/src/flows/services.rs
@@ -0,0 +1,174 @@
+//! The revision as this agent needs it: who owns an address and which groups serve it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use crate::config::{Pool, Revision, Rule, Service};
+use crate::flow::FlowId;
+use crate::hash;
+use crate::id::{GroupId, ServiceId};
+
+/// Position of a service in [`Services`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct ServiceKey(u32);
+
+/// Position of a pool in [`Services`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct PoolKey(u32);
+
+#[derive(Clone, Debug)]
+struct PoolView {
+    groups: Vec<GroupId>,
+    flows_per_target: Option<u32>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct RuleView {
+    percent: u64,
+    seed: u64,
+    pool: PoolKey,
+}
+
+#[derive(Clone, Debug)]
+struct ServiceView {
+    id: ServiceId,
+    pool: PoolKey,
+    rules: Vec<RuleView>,
+}
+
+impl RuleView {
+    /// The same share of callers that the balancers' table takes.
+    fn takes(&self, flow: &FlowId) -> bool {
+        let caller = SocketAddr::new(flow.caller.ip(), 0);
+        hash::socket_addr(caller, self.seed) % 100 < self.percent
+    }
+}
+
+/// Services by address.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Services {
+    number: u64,
+    by_address: HashMap<SocketAddr, ServiceKey>,
+    views: Vec<ServiceView>,
+    pools: Vec<PoolView>,
+}
+
+impl Services {
+    pub(super) fn build(revision: &Revision) -> Self {
+        let documents = &revision.documents;
+        let mut services = Self {
+            number: revision.number,
+            pools: documents.pools.iter().map(PoolView::from).collect(),
+            ..Self::default()
+        };
+        let pools = pool_keys(&documents.pools);
+        let rules = rules_by_service(&documents.rules, &pools);
+        for service in &documents.services {
+            services.add(service, &pools, &rules);
+        }
+        services
+    }
+
+    pub(super) const fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// The service that owns the address.
+    pub(super) fn at(&self, address: SocketAddr) -> Option<ServiceKey> {
+        self.by_address.get(&address).copied()
+    }
+
+    pub(super) fn id(&self, service: ServiceKey) -> ServiceId {
+        self.view(service).id
+    }
+
+    /// The pool for a new flow of the service.
+    pub(super) fn pool_for(&self, service: ServiceKey, flow: &FlowId) -> PoolKey {
+        let view = self.view(service);
+        let rule = view.rules.iter().find(|rule| rule.takes(flow));
+        rule.map_or(view.pool, |rule| rule.pool)
+    }
+
+    /// Whether targets of the group serve the service.
+    pub(super) fn serves(&self, service: ServiceKey, group: GroupId) -> bool {
+        let view = self.view(service);
+        let of_rules = view.rules.iter().map(|rule| rule.pool);
+        std::iter::once(view.pool)
+            .chain(of_rules)
+            .any(|pool| self.contains(pool, group))
+    }
+
+    /// Whether targets of the group belong to the pool.
+    pub(super) fn contains(&self, pool: PoolKey, group: GroupId) -> bool {
+        self.pool(pool).groups.contains(&group)
+    }
+
+    /// Flows that one target of the pool may hold.
+    pub(super) fn flows_per_target(&self, pool: PoolKey) -> usize {
+        let limit = self.pool(pool).flows_per_target;
+        limit.map_or(usize::MAX, |limit| limit as usize)
+    }
+
+    fn add(&mut self, service: &Service, pools: &PoolKeys, rules: &RulesByService) {
+        let Some(&pool) = pools.get(service.pool.as_str()) else {
+            return;
+        };
+        let key = ServiceKey(u32::try_from(self.views.len()).unwrap_or(u32::MAX));
+        for address in &service.addresses {
+            self.by_address.insert(*address, key);
+        }
+        let rules = rules.get(service.name.as_str());
+        self.views.push(ServiceView {
+            id: service.id(),
+            pool,
+            rules: rules.cloned().unwrap_or_default(),
+        });
+    }
+
+    fn view(&self, service: ServiceKey) -> &ServiceView {
+        &self.views[service.0 as usize]
+    }
+
+    fn pool(&self, pool: PoolKey) -> &PoolView {
+        &self.pools[pool.0 as usize]
+    }
+}
+
+impl From<&Pool> for PoolView {
+    fn from(pool: &Pool) -> Self {
+        Self {
+            groups: pool.group_ids().collect(),
+            flows_per_target: pool.flows_per_target,
+        }
+    }
+}
+
+type PoolKeys<'a> = HashMap<&'a str, PoolKey>;
+type RulesByService<'a> = HashMap<&'a str, Vec<RuleView>>;
+
+fn pool_keys(pools: &[Pool]) -> PoolKeys<'_> {
+    let keys = (0_u32..).map(PoolKey);
+    pools
+        .iter()
+        .map(|pool| pool.name.as_str())
+        .zip(keys)
+        .collect()
+}
+
+fn rules_by_service<'a>(rules: &'a [Rule], pools: &PoolKeys) -> RulesByService<'a> {
+    let mut by_service = RulesByService::new();
+    for rule in rules {
+        let Some(&pool) = pools.get(rule.pool.as_str()) else {
+            continue;
+        };
+        by_service
+            .entry(rule.service.as_str())
+            .or_default()
+            .push(RuleView {
+                percent: u64::from(rule.percent),
+                seed: hash::bytes(rule.name.as_bytes(), 0),
+                pool,
+            });
+    }
+    by_service
+}
--- /dev/null
+++ b/crates/core/tests/flows/main.rs
@@ -0,0 +1,10 @@
+//! Decisions of an agent about flows.
+
+macro_rules! cases {
+    ($($name:ident => $body:expr;)*) => {
+        $(#[test] fn $name() { $body })*
+    };
+}
+
+mod fixture;
+mod steering;
