Check settings whole and start the two command lines

Cause: settings were raw JSON that serde refuses at its first error, and both programs had an empty main.

Change: an operator's settings file is checked field by field inside a valid example, so that unknown, missing, malformed and out-of-range fields are told in one answer, each with a remedy and without any secret. `Checked` is made by the check alone and holds the parsed keys and log level. The example files ship in examples/settings and show every field, which a test holds them to. Both settings gain `traces`, the UDP address for spans.

Ruled out: a second list of field names for the unknown-field message; names come from the example's own serialisation instead.

Conclusion: the check stands; the balancer and the agent do not start yet.

--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -1,9 +1,16 @@
-//! Settings of an agent, as its JSON file gives them.
+//! Settings of an agent, as its JSON file gives them and as the program uses them.
+//!
+//! [`Settings`] is the file as written. [`Checked`] is made of it by [`Settings::check`] alone, and
+//! holds what the check has already parsed, so that nothing behind it has to check again.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 
 use citronhollow_core::clock::Millis;
-use citronhollow_peer::Key;
+use citronhollow_operator::problem::Problem;
+use citronhollow_operator::settings::{self, SettingsError, Shape};
+use citronhollow_peer::{Key, Keyring};
+use log::LevelFilter;
 use serde::{Deserialize, Serialize};
 
 /// Settings as written, not yet checked.
@@ -36,6 +43,9 @@
     /// Least severe level that is logged: error, warn, info, debug or trace.
     #[serde(default = "default_log_level")]
     pub log_level: String,
+    /// UDP address that takes spans as JSON lines, none for standard error.
+    #[serde(default)]
+    pub traces: Option<SocketAddr>,
 }
 
 const fn default_flow_limit() -> u32 {
@@ -49,3 +59,103 @@
 fn default_log_level() -> String {
     String::from("info")
 }
+
+/// Bounds of `flow_limit`.
+const FLOW_LIMIT: RangeInclusive<u64> = 1..=1_000_000;
+
+/// Bounds of `keepalive_ms`.
+const KEEPALIVE_MS: RangeInclusive<u64> = 1_000..=3_600_000;
+
+/// The file's shape, with the example that ships with the program.
+const SHAPE: Shape = Shape {
+    example: include_str!("../../../examples/settings/agent.json"),
+    secrets: &["keys"],
+};
+
+/// Settings that have passed the check.
+#[derive(Clone, Debug)]
+pub struct Checked {
+    settings: Settings,
+    keys: Keyring,
+    log_level: LevelFilter,
+}
+
+impl Settings {
+    /// Reads and checks the file at `path`, `-` for standard input.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`] with everything that is wrong.
+    pub fn load(path: &str) -> Result<Checked, SettingsError> {
+        settings::load(path, SHAPE, Self::check)
+    }
+
+    /// Reads and checks the text of a file; `path` is for the errors only.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`] with everything that is wrong.
+    pub fn parse(path: &str, text: &str) -> Result<Checked, SettingsError> {
+        settings::parse(path, text, SHAPE, Self::check)
+    }
+
+    /// Checks the settings.
+    ///
+    /// # Errors
+    ///
+    /// Everything that is out of range.
+    pub fn check(self) -> Result<Checked, Vec<Problem>> {
+        let mut problems = self.range_problems();
+        let keys = settings::check_keys("keys", &self.keys);
+        let log_level = settings::check_level("log_level", &self.log_level);
+        match (keys, log_level) {
+            (Ok(keys), Ok(log_level)) if problems.is_empty() => Ok(Checked {
+                settings: self,
+                keys,
+                log_level,
+            }),
+            (keys, log_level) => {
+                problems.extend(keys.err().into_iter().flatten());
+                problems.extend(log_level.err());
+                Err(problems)
+            }
+        }
+    }
+
+    fn range_problems(&self) -> Vec<Problem> {
+        let single = [
+            settings::check_name("name", &self.name),
+            settings::check_name("domain", &self.domain),
+            settings::check_listen("traffic_listen", self.traffic_listen),
+            settings::check_loopback("announce_listen", self.announce_listen),
+            settings::check_range("flow_limit", u64::from(self.flow_limit), FLOW_LIMIT),
+            settings::check_range("keepalive_ms", self.keepalive_ms.0, KEEPALIVE_MS),
+            settings::check_optional_destination("metrics", self.metrics),
+            settings::check_optional_destination("traces", self.traces),
+        ];
+        let fabric = settings::check_destinations("fabric", &self.fabric, 1);
+        let seeds = settings::check_destinations("seeds", &self.seeds, 1);
+        let lists = fabric.into_iter().chain(seeds);
+        single.into_iter().flatten().chain(lists).collect()
+    }
+}
+
+impl Checked {
+    /// The settings as written.
+    #[must_use]
+    pub const fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// The keys, ready to sign and verify.
+    #[must_use]
+    pub const fn keys(&self) -> &Keyring {
+        &self.keys
+    }
+
+    /// Least severe level that is logged.
+    #[must_use]
+    pub const fn log_level(&self) -> LevelFilter {
+        self.log_level
+    }
+}
--- /dev/null
+++ b/crates/balancer/src/commands.rs
@@ -0,0 +1,65 @@
+//! The command line of `citronhollow`.
+//!
+//! One module a command. A command gets its parsed options and returns the text for standard
+//! output, or the [`Failure`] that decides what standard error and the exit code say.
+
+use std::process::ExitCode;
+
+use citronhollow_operator::cli::{self, Program};
+use citronhollow_operator::failure::Failure;
+use gumdrop::Options;
+
+use crate::settings::Checked;
+
+mod balancer;
+
+const PROGRAM: Program = Program {
+    name: "citronhollow",
+    version: env!("CARGO_PKG_VERSION"),
+    about: "Layer-4 load balancer: the process of an entry VM, and the operator's commands.",
+    examples: "  \
+  citronhollow balancer --settings balancer.json --check-settings
+      checks a settings file and does nothing else
+  citronhollow balancer --settings balancer.json
+      runs the balancer until it gets SIGTERM",
+};
+
+#[derive(Debug, Options)]
+struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "print the version", short = "V")]
+    version: bool,
+    #[options(command)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Options)]
+enum Command {
+    #[options(help = "run the process of an entry VM")]
+    Balancer(balancer::BalancerOptions),
+}
+
+/// Runs the command that the arguments name. `start` runs a balancer until it has stopped.
+pub fn run(args: &[String], start: impl FnOnce(Checked) -> Result<(), Failure>) -> ExitCode {
+    let json = args.iter().any(|arg| arg == "--json");
+    let outcome = PROGRAM
+        .parse::<Arguments>(args)
+        .and_then(|arguments| arguments.run(start));
+    cli::finish(outcome, json)
+}
+
+impl Arguments {
+    fn run(self, start: impl FnOnce(Checked) -> Result<(), Failure>) -> Result<String, Failure> {
+        if self.version {
+            return Ok(PROGRAM.version_line());
+        }
+        if self.help_requested() {
+            return Ok(PROGRAM.help(&self));
+        }
+        match self.command {
+            Some(Command::Balancer(options)) => balancer::run(&options, start),
+            None => Ok(PROGRAM.help(&self)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/balancer/src/commands/balancer.rs
@@ -0,0 +1,30 @@
+//! `citronhollow balancer`: checks the settings and runs the process.
+
+use citronhollow_operator::failure::Failure;
+use gumdrop::Options;
+
+use crate::settings::{Checked, Settings};
+
+/// Runs the process of an entry VM until it gets SIGTERM.
+#[derive(Debug, Options)]
+pub struct BalancerOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "settings file, - for standard input", meta = "FILE", required)]
+    settings: String,
+    #[options(no_short, help = "check the settings and stop")]
+    check_settings: bool,
+}
+
+/// Checks the settings, and starts the process unless only the check is wanted.
+pub fn run(
+    options: &BalancerOptions,
+    start: impl FnOnce(Checked) -> Result<(), Failure>,
+) -> Result<String, Failure> {
+    let checked = Settings::load(&options.settings)?;
+    if options.check_settings {
+        return Ok(format!("{}: settings are valid\n", options.settings));
+    }
+    start(checked)?;
+    Ok(String::new())
+}
--- /dev/null
+++ b/crates/operator/src/failure.rs
@@ -0,0 +1,62 @@
+//! What a request or a command that failed is answered with.
+//!
+//! The same value is the JSON body of an HTTP answer and the error of a command, so that an
+//! operator reads the same words wherever the refusal was made. Status and exit code come from the
+//! one table in [`ErrorKind::answer`].
+
+use citronhollow_core::error::ErrorKind;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::problem::{self, Problem};
+
+/// Why something was not done.
+#[derive(Clone, Debug, Eq, Error, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+#[error("{message}{}", listed(.problems))]
+pub struct Failure {
+    /// Kind, which decides status and exit code.
+    pub kind: ErrorKind,
+    /// One sentence that names the object and the remedy.
+    pub message: String,
+    /// Problems with single fields, if that is the reason.
+    #[serde(default)]
+    pub problems: Vec<Problem>,
+}
+
+impl Failure {
+    /// A failure without problems of single fields.
+    #[must_use]
+    pub fn new(kind: ErrorKind, message: impl Into<String>) -> Self {
+        Self {
+            kind,
+            message: message.into(),
+            problems: Vec::new(),
+        }
+    }
+
+    /// HTTP status of the answer.
+    #[must_use]
+    pub const fn status(&self) -> u16 {
+        self.kind.answer().status
+    }
+
+    /// Exit code of the command.
+    #[must_use]
+    pub const fn exit(&self) -> u8 {
+        self.kind.answer().exit
+    }
+}
+
+impl From<ErrorKind> for Failure {
+    fn from(kind: ErrorKind) -> Self {
+        Self::new(kind, kind.to_string())
+    }
+}
+
+fn listed(problems: &[Problem]) -> String {
+    if problems.is_empty() {
+        return String::new();
+    }
+    format!("\n{}", problem::lines(problems))
+}
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -4,4 +4,9 @@
 //! packages one way to check settings, to describe their state and to answer over HTTP, so that
 //! every process tells operators the same things in the same words.
 
+pub mod cli;
+pub mod failure;
+pub mod input;
+pub mod problem;
+pub mod settings;
 pub mod status;
