--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -4,6 +4,7 @@
 //! announcements, sends heartbeats and learns of peers and services. [`link`] is all that passes
 //! between the two.
 
+pub mod command;
 pub mod link;
 pub mod settings;
 pub mod traffic;
