Seal a forwarded packet without copying it first

Cause: deciding and sealing copies each packet into a buffer of its own only to encode it into the frame, and allocates a list for the chain.

Change: the codec encodes the packet's field straight from the receive buffer; the forwarder keeps its message between packets.

--- a/crates/balancer/examples/forwarding.rs
+++ b/crates/balancer/examples/forwarding.rs
@@ -198,20 +198,16 @@
 }
 
 fn settings() -> Result<Settings, Box<dyn Error>> {
-    let any: SocketAddr = "127.0.0.1:0".parse()?;
-    Ok(Settings {
-        name: String::from("entry-1"),
-        domain: String::from("domain-a"),
-        fabric_listen: any,
-        control_listen: any,
-        operator_listen: any,
-        seeds: Vec::new(),
-        platform: any,
-        keys: vec![key()],
-        operator_token: String::from("none"),
-        traffic_threads: 1,
-        metrics: None,
-        log_level: String::from("info"),
-        trace_one_in: 0,
-    })
+    let any = "127.0.0.1:0";
+    let settings = serde_json::json!({
+        "name": "entry-1",
+        "domain": "domain-a",
+        "fabric_listen": any,
+        "control_listen": any,
+        "operator_listen": any,
+        "platform": any,
+        "keys": [key()],
+        "operator_token": "none",
+    });
+    Ok(serde_json::from_value(settings)?)
 }
--- a/crates/balancer/src/traffic/forwarder.rs
+++ b/crates/balancer/src/traffic/forwarder.rs
@@ -2,12 +2,12 @@
 
 use std::net::SocketAddr;
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use citronhollow_caller::packet::{self, Parsed};
 use citronhollow_core::error::ErrorKind;
 use citronhollow_core::flow::FlowId;
 use citronhollow_core::routes::{Choice, Routes, chain_ids};
-use citronhollow_peer::message::{Body, Envelope, Forward, Relay};
+use citronhollow_peer::message::{Forward, Relay};
 use citronhollow_peer::{Codec, Keyring, MAX_DATAGRAM};
 
 use super::Figure;
@@ -52,7 +52,7 @@
     codec: Codec,
     trace_one_in: u64,
     frame: BytesMut,
-    packet: BytesMut,
+    forward: Forward,
 }
 
 impl Forwarder {
@@ -63,7 +63,10 @@
             codec: Codec::new(keys),
             trace_one_in: u64::from(trace_one_in),
             frame: BytesMut::with_capacity(MAX_DATAGRAM),
-            packet: BytesMut::with_capacity(MAX_DATAGRAM),
+            forward: Forward {
+                relay: Relay::Balancer as i32,
+                ..Forward::default()
+            },
         }
     }
 
@@ -96,18 +99,14 @@
                     .entered();
             tracing::info!(target = %target.id, hinted = choice.hinted, "packet forwarded");
         }
-        let forward = Forward {
-            packet: self.copy(packet),
-            revision: routes.revision(),
-            chain: chain_ids(routes, choice).map(|id| id.0).collect(),
-            hops: 0,
-            trace,
-            relay: Relay::Balancer as i32,
-            sender: 0,
-        };
-        let envelope = Envelope::from(Body::Forward(forward));
+        self.forward.revision = routes.revision();
+        self.forward.trace = trace;
+        self.forward.chain.clear();
+        let chain = chain_ids(routes, choice).map(|id| id.0);
+        self.forward.chain.extend(chain);
         self.frame.clear();
-        self.codec.seal(&envelope, &mut self.frame);
+        self.codec
+            .seal_forward(&self.forward, packet, &mut self.frame);
         if self.frame.len() > MAX_DATAGRAM {
             return Verdict::Drop(Figure::TooLong);
         }
@@ -118,14 +117,6 @@
         }
     }
 
-    /// The buffer is reclaimed once the envelope is dropped, so the copy allocates only at first.
-    fn copy(&mut self, packet: &[u8]) -> Bytes {
-        self.packet.clear();
-        self.packet.reserve(packet.len());
-        self.packet.extend_from_slice(packet);
-        self.packet.split().freeze()
-    }
-
     /// The trace identity comes from the flow, so that every balancer samples the same flows.
     fn trace_of(&self, flow: &FlowId) -> u64 {
         if self.trace_one_in == 0 {
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -9,11 +9,12 @@
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use prost::Message;
+use prost::encoding::{WireType, encode_key, encode_varint, encoded_len_varint, key_len};
 use thiserror::Error;
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
 
 use crate::key::{Keyring, TAG_LEN};
-use crate::message::{Body, Envelope};
+use crate::message::{Body, Envelope, FORWARD_TAG, Forward, PACKET_TAG};
 
 /// Largest datagram, in bytes: an Ethernet frame's payload less IP and UDP headers.
 pub const MAX_DATAGRAM: usize = 1_472;
@@ -90,16 +91,46 @@
 
     /// Appends a whole datagram to `buf`.
     pub fn seal(&self, envelope: &Envelope, buf: &mut BytesMut) {
-        let start = buf.len();
         let len = HEADER_LEN + envelope.encoded_len();
+        let uncovered = uncovered_len(envelope);
+        self.seal_with(len, uncovered, buf, |buf| envelope.encode_raw(buf));
+    }
+
+    /// Appends a whole datagram that forwards `packet`, which is not copied before.
+    ///
+    /// The same as [`Self::seal`] with `packet` in `forward`, whose own packet must be empty.
+    pub fn seal_forward(&self, forward: &Forward, packet: &[u8], buf: &mut BytesMut) {
+        debug_assert!(forward.packet.is_empty());
+        let packet_field = key_len(PACKET_TAG) + encoded_len_varint(packet.len() as u64);
+        let message = forward.encoded_len() + packet_field + packet.len();
+        let envelope = key_len(FORWARD_TAG) + encoded_len_varint(message as u64) + message;
+        let uncovered = packet.len().saturating_sub(COVERED_PACKET);
+        self.seal_with(HEADER_LEN + envelope, uncovered, buf, |buf| {
+            encode_key(FORWARD_TAG, WireType::LengthDelimited, buf);
+            encode_varint(message as u64, buf);
+            forward.encode_raw(buf);
+            encode_key(PACKET_TAG, WireType::LengthDelimited, buf);
+            encode_varint(packet.len() as u64, buf);
+            buf.put_slice(packet);
+        });
+    }
+
+    fn seal_with(
+        &self,
+        len: usize,
+        uncovered: usize,
+        buf: &mut BytesMut,
+        encode: impl FnOnce(&mut BytesMut),
+    ) {
+        let start = buf.len();
         buf.reserve(len + TAG_LEN);
         let header = Header {
             key: self.keys.signing_id(),
-            covered: len - uncovered_len(envelope),
+            covered: len - uncovered,
             len,
         };
         header.put(buf);
-        envelope.encode_raw(buf);
+        encode(buf);
         let tag = self.keys.sign(&buf[start..start + header.covered]);
         buf.put_slice(&tag);
     }
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -12,8 +12,12 @@
     Balancer, Digest, Heartbeat, HeartbeatReply, MembersReply, MembersRequest, PoolReply,
     PoolRequest, RevisionReply, RevisionRequest, Rumour, Target,
 };
+pub(crate) use traffic::PACKET_TAG;
 pub use traffic::{Drain, Forward, Holding, Load, Question, Relay, Reply};
 
+/// Tag of [`Body::Forward`].
+pub(crate) const FORWARD_TAG: u32 = 1;
+
 /// What every frame carries.
 #[derive(Clone, PartialEq, Message)]
 pub struct Envelope {
--- a/crates/peer/src/message/traffic.rs
+++ b/crates/peer/src/message/traffic.rs
@@ -3,6 +3,9 @@
 use bytes::Bytes;
 use prost::{Enumeration, Message};
 
+/// Tag of [`Forward::packet`].
+pub(crate) const PACKET_TAG: u32 = 15;
+
 /// How a packet came to be sent.
 #[derive(Clone, Copy, Debug, Enumeration, Eq, PartialEq)]
 #[repr(i32)]
