Search for the holder of an unknown flow before it is reset

Cause: a packet of a flow that neither a redirect nor the chain knew was reset, although a peer might hold the flow.

Change: such a packet is passed by redirect, by the caller's hint (first agent only) and along the chain, at most four hops and never to its sender. Then it is kept and every peer that may hold the flow is asked, again with doubling time and at most four times. `Here` makes a redirect; `At` is used when the others are late or silent. Every peer has to deny the flow before it is reset, and even then only when the flow was unclaimed before the list of peers was last confirmed (`peers_settle`), or when its holder is known to be dead by redirect or hint. A peer missing from the list is still asked; it counts as gone when it answers no question after `peer_absence`. A target that only the chain or a peer's answer names forbids the reset. Questions, guesses, searches and kept packets are bounded, so that a flood ends here. Holders and agents in between tell the sender once a second where the flow is, so that detours get short. New counts `search_count`, `search_packet_count`.

Ruled out: resetting at the first unanimous denial. An agent that does not know a new target yet would reset that target's flows. One case of the steering tests now looks past the notice that a holder sends along.

Two half-open handshakes of one flow are not told apart yet.

--- a/crates/core/src/flows.rs
+++ b/crates/core/src/flows.rs
@@ -20,16 +20,20 @@
 use crate::id::{GroupId, TargetId};
 use crate::members::{TargetRecord, TargetState};
 
+mod bucket;
 mod counters;
 mod held;
 mod limits;
 mod load;
+mod notice;
 mod ongoing;
 mod opening;
 mod packet;
 mod peers;
 mod recent;
 mod redirects;
+mod search;
+mod searching;
 mod services;
 
 pub use counters::Counters;
@@ -37,9 +41,12 @@
 pub use load::LoadReport;
 pub use packet::{Action, Arrival, CloseReason, DropReason, Holding, Packet, Relay};
 
+use bucket::{Bucket, Rate};
 use held::Held;
 use peers::Peers;
+use recent::Recent;
 use redirects::Redirects;
+use search::Searches;
 use services::{ServiceKey, Services};
 
 /// The agent's table of flows. `B` is a packet's bytes, opaque here.
@@ -55,10 +62,15 @@
     peers: Peers,
     held: Held,
     redirects: Redirects,
+    searches: Searches<B>,
+    /// When a flow was first claimed by nobody.
+    suspects: Recent<FlowId, Millis>,
+    questions: Bucket,
+    notices: Bucket,
+    guesses: Bucket,
     sequence: u64,
     rng: SmallRng,
     counters: Counters,
-    bytes: std::marker::PhantomData<B>,
 }
 
 impl<B> Flows<B> {
@@ -76,10 +88,14 @@
             peers: Peers::default(),
             held: Held::new(&limits),
             redirects: Redirects::new(limits.redirects),
+            searches: Searches::new(),
+            suspects: Recent::new(limits.suspects),
+            questions: full_bucket(limits.questions_per_s),
+            notices: full_bucket(limits.questions_per_s),
+            guesses: full_bucket(limits.guesses_per_s),
             sequence: 0,
             rng: SmallRng::seed_from_u64(seed),
             counters: Counters::default(),
-            bytes: std::marker::PhantomData,
         }
     }
 
@@ -121,27 +137,23 @@
         flow: FlowId,
         out: &mut Vec<Action<B>>,
     ) {
-        let holding = if self.held.contains(&flow) {
-            Holding::Here
-        } else {
-            Holding::No
-        };
-        out.push(Action::Reply {
-            to: from,
-            flow,
-            holding,
-        });
+        let before = out.len();
+        self.answer(from, flow, out);
+        self.counters.count(&out[before..]);
     }
 
-    /// A peer says what it knows of a flow.
+    /// A peer says what it knows of a flow, asked or not.
     pub fn on_reply(
         &mut self,
-        _now: Millis,
-        _from: TargetId,
-        _flow: FlowId,
-        _holding: Holding,
-        _out: &mut Vec<Action<B>>,
+        now: Millis,
+        from: TargetId,
+        flow: FlowId,
+        holding: Holding,
+        out: &mut Vec<Action<B>>,
     ) {
+        let before = out.len();
+        self.learn(now, from, flow, holding, out);
+        self.counters.count(&out[before..]);
     }
 
     /// A peer tells its load.
@@ -151,13 +163,14 @@
 
     /// The targets of the pools that this target belongs to, as the balancers tell them.
     ///
-    /// To be called after every answer of a balancer, also if nothing changed: a list that was
-    /// not confirmed resets no flow. This target's own record may be among them.
-    pub fn set_peers(&mut self, _now: Millis, peers: &[TargetRecord]) {
+    /// To be called after every answer of a balancer, also if nothing changed: as long as the list
+    /// is not confirmed, a flow that nobody claims is dropped and not reset. This target's own
+    /// record may be among them.
+    pub fn set_peers(&mut self, now: Millis, peers: &[TargetRecord]) {
         if let Some(own) = peers.iter().find(|peer| peer.id == self.me) {
             self.group = Some(own.group);
         }
-        self.peers.update(self.me, peers);
+        self.peers.update(now, self.me, peers);
     }
 
     /// The group that this target announced. Without it no service is served.
@@ -189,7 +202,11 @@
     }
 
     /// Does what is due. To be called at least every 50 ms.
-    pub fn on_tick(&mut self, _now: Millis, _out: &mut Vec<Action<B>>) {}
+    pub fn on_tick(&mut self, now: Millis, out: &mut Vec<Action<B>>) {
+        let before = out.len();
+        self.tick_searches(now, out);
+        self.counters.count(&out[before..]);
+    }
 
     /// This target's load, to be sent to the peers.
     pub fn load_report(&mut self, _now: Millis) -> LoadReport {
@@ -215,6 +232,18 @@
         self.redirects.len()
     }
 
+    /// Searches in progress.
+    #[must_use]
+    pub fn search_count(&self) -> usize {
+        self.searches.len()
+    }
+
+    /// Packets that wait for the outcome of a search.
+    #[must_use]
+    pub const fn search_packet_count(&self) -> usize {
+        self.searches.kept()
+    }
+
     /// Sums since the start.
     #[must_use]
     pub const fn counters(&self) -> Counters {
@@ -223,7 +252,7 @@
 
     fn decide(&mut self, now: Millis, packet: Packet<B>, out: &mut Vec<Action<B>>) {
         if self.held.takes(&packet.flow, &packet.segment) {
-            out.push(Action::Deliver { packet });
+            self.deliver(now, packet, out);
             return;
         }
         let Some(service) = self.served(packet.flow.service) else {
@@ -237,6 +266,15 @@
         }
     }
 
+    fn deliver(&mut self, now: Millis, packet: Packet<B>, out: &mut Vec<Action<B>>) {
+        if let Arrival::Passed(sender) = packet.arrival
+            && self.held.is_notice_due(now, &packet.flow, sender)
+        {
+            self.notify(now, sender, packet.flow, Holding::Here, out);
+        }
+        out.push(Action::Deliver { packet });
+    }
+
     /// The service that owns the address, if this target serves it.
     fn served(&self, address: SocketAddr) -> Option<ServiceKey> {
         let service = self.services.at(address)?;
@@ -262,3 +300,7 @@
 fn drop_for<B>(reason: DropReason, out: &mut Vec<Action<B>>) {
     out.push(Action::Drop { reason });
 }
+
+const fn full_bucket(per_s: u32) -> Bucket {
+    Bucket::full(Millis::ZERO, Rate::per_s(per_s))
+}
--- /dev/null
+++ b/crates/core/src/flows/bucket.rs
@@ -0,0 +1,64 @@
+//! Token buckets.
+
+use crate::clock::Millis;
+
+/// How fast a bucket fills. It holds one second's worth, and at least one token.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct Rate {
+    milli_per_s: u64,
+}
+
+impl Rate {
+    pub(super) const fn per_s(tokens: u32) -> Self {
+        Self {
+            milli_per_s: tokens as u64 * 1_000,
+        }
+    }
+
+    const fn capacity_micro(self) -> u64 {
+        let milli = if self.milli_per_s > MILLI {
+            self.milli_per_s
+        } else {
+            MILLI
+        };
+        milli * 1_000
+    }
+}
+
+const MILLI: u64 = 1_000;
+const MICRO: u64 = 1_000_000;
+
+/// Tokens in millionths, so that a millisecond's share of any rate is a whole number.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Bucket {
+    micro: u64,
+    filled_at: Millis,
+}
+
+impl Bucket {
+    pub(super) const fn full(now: Millis, rate: Rate) -> Self {
+        Self {
+            micro: rate.capacity_micro(),
+            filled_at: now,
+        }
+    }
+
+    /// Takes all the tokens or none.
+    pub(super) fn take(&mut self, now: Millis, rate: Rate, tokens: usize) -> bool {
+        self.fill(now, rate);
+        let micro = tokens as u64 * MICRO;
+        if self.micro < micro {
+            return false;
+        }
+        self.micro -= micro;
+        true
+    }
+
+    fn fill(&mut self, now: Millis, rate: Rate) {
+        let span = now.since(self.filled_at).0;
+        let gained = span.saturating_mul(rate.milli_per_s);
+        let micro = self.micro.saturating_add(gained);
+        self.micro = micro.min(rate.capacity_micro());
+        self.filled_at = self.filled_at.max(now);
+    }
+}
--- a/crates/core/src/flows/held.rs
+++ b/crates/core/src/flows/held.rs
@@ -8,14 +8,17 @@
 
 use crate::clock::Millis;
 use crate::flow::{FlowId, Segment};
+use crate::id::TargetId;
 
 use super::FlowLimits;
+use super::notice::LastNotice;
 use super::recent::Recent;
 
 /// One connection of a caller.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Connection {
     busy: bool,
+    notice: LastNotice,
 }
 
 /// Half-open and established flows.
@@ -54,6 +57,15 @@
         self.contains(flow)
     }
 
+    /// Whether a peer should be told now that the flow is here, which counts as done.
+    ///
+    /// A half-open flow may turn out to be another agent's.
+    pub(super) fn is_notice_due(&mut self, now: Millis, flow: &FlowId, peer: TargetId) -> bool {
+        self.established
+            .get_mut(flow)
+            .is_some_and(|connection| connection.notice.is_due(now, peer))
+    }
+
     /// Adds a half-open flow, and returns the one that had to go.
     pub(super) fn open(
         &mut self,
--- a/crates/core/src/flows/limits.rs
+++ b/crates/core/src/flows/limits.rs
@@ -30,13 +30,16 @@
     pub ask_again: Millis,
     /// Times that a peer is asked in one search.
     pub ask_rounds: u32,
-    /// Questions sent a second. A second's worth may be sent at once.
+    /// Questions sent a second, and as many notices. A second's worth may be sent at once.
     pub questions_per_s: u32,
-    /// Time without a change of the peers before their answers may reset a flow.
+    /// Packets of unknown flows passed by a guess a second. A second's worth may be passed at once.
+    pub guesses_per_s: u32,
+    /// Flows that nobody claimed, remembered until they may be reset. The oldest goes first.
+    pub suspects: usize,
+    /// Time in which a new target becomes known to all its peers. A flow that nobody claims is
+    /// reset after it, unless its holder is known to be dead.
     pub peers_settle: Millis,
-    /// Age of the list of peers above which their answers reset no flow.
-    pub peers_max_age: Millis,
-    /// Time that a peer missing from the list may still hold flows.
+    /// Time after which a peer that is not listed and answers no question counts as gone.
     pub peer_absence: Millis,
     /// Opening packets that wait for room.
     pub queue: usize,
@@ -65,8 +68,9 @@
             ask_again: Millis(50),
             ask_rounds: 4,
             questions_per_s: 400,
-            peers_settle: Millis::from_secs(2),
-            peers_max_age: Millis::from_secs(30),
+            guesses_per_s: 20_000,
+            suspects: 16_384,
+            peers_settle: Millis::from_secs(3),
             peer_absence: Millis::from_secs(60),
             queue: 256,
             queue_wait: Millis(200),
--- a/crates/core/src/flows/opening.rs
+++ b/crates/core/src/flows/opening.rs
@@ -14,6 +14,7 @@
 use super::Flows;
 use super::held::Connection;
 use super::load::{Estimate, JITTER_MILLI};
+use super::notice::LastNotice;
 use super::ongoing::may_pass;
 use super::packet::{Action, Arrival, Packet, Relay};
 use super::peers::Peer;
@@ -42,6 +43,7 @@
         packet: Packet<B>,
         out: &mut Vec<Action<B>>,
     ) {
+        self.suspects.remove(&packet.flow);
         if let Arrival::Handed(_) = packet.arrival {
             self.on_handed(now, service, packet, out);
             return;
@@ -183,8 +185,10 @@
             to,
             service: self.services.id(service),
             caller_isn: Some(packet.segment.seq),
+            notice: LastNotice::default(),
         };
         self.redirects.insert(now, packet.flow, redirect);
+        self.notify_sender(now, packet.arrival, packet.flow, to, out);
         self.peers.on_handed(to);
         self.send(to, Relay::Hand, packet, out);
     }
@@ -224,6 +228,7 @@
             Relay::Pass
         };
         self.redirects.touch(now, &packet.flow);
+        self.notify_sender(now, packet.arrival, packet.flow, redirect.to, out);
         self.send(redirect.to, relay, packet, out);
     }
 
--- a/crates/core/src/flows/peers.rs
+++ b/crates/core/src/flows/peers.rs
@@ -11,6 +11,9 @@
 
 use super::load::{Estimate, LoadReport};
 
+/// Peers kept that the balancers do not list.
+const MAX_ABSENT: usize = 256;
+
 #[derive(Clone, Copy, Debug)]
 struct Told {
     report: LoadReport,
@@ -24,6 +27,8 @@
     told: Option<Told>,
     /// Flows handed to it since its last report.
     handed: u32,
+    /// Last sign of life while the balancers did not list it, none while they do.
+    absent_since: Option<Millis>,
 }
 
 impl Peer {
@@ -32,6 +37,7 @@
             record,
             told: None,
             handed: 0,
+            absent_since: None,
         }
     }
 
@@ -47,7 +53,8 @@
 
     /// Whether record and report both say that it takes new flows.
     pub(super) fn takes_new(&self) -> bool {
-        self.record.state.takes_new() && self.told.is_none_or(|told| told.report.takes_new)
+        let is_listed = self.absent_since.is_none() && self.record.state.takes_new();
+        is_listed && self.told.is_none_or(|told| told.report.takes_new)
     }
 
     /// Whether it has reported before but is silent now.
@@ -75,15 +82,32 @@
 #[derive(Debug, Default)]
 pub(super) struct Peers {
     by_id: BTreeMap<TargetId, Peer>,
+    confirmed_at: Option<Millis>,
 }
 
 impl Peers {
-    pub(super) fn update(&mut self, me: TargetId, records: &[TargetRecord]) {
-        self.by_id
-            .retain(|id, _| records.iter().any(|record| record.id == *id));
+    /// Takes the list of a balancer.
+    ///
+    /// A peer that is missing from it may be alive and hold flows, so it is kept.
+    pub(super) fn update(&mut self, now: Millis, me: TargetId, records: &[TargetRecord]) {
+        for (id, peer) in &mut self.by_id {
+            let is_listed = records.iter().any(|record| record.id == *id);
+            if is_listed {
+                peer.absent_since = None;
+            } else {
+                peer.absent_since.get_or_insert(now);
+            }
+        }
         for record in records.iter().filter(|record| record.id != me) {
             self.update_one(*record);
         }
+        self.bound_absent();
+        self.confirmed_at = Some(now);
+    }
+
+    /// Whether the list was confirmed at this time or later.
+    pub(super) fn confirmed_since(&self, time: Millis) -> bool {
+        self.confirmed_at.is_some_and(|at| at >= time)
     }
 
     pub(super) fn get(&self, id: TargetId) -> Option<&Peer> {
@@ -100,6 +124,32 @@
             .is_some_and(|peer| peer.record.state != TargetState::Dead)
     }
 
+    /// Peers that may hold flows.
+    pub(super) fn holders(&self) -> impl Iterator<Item = TargetId> {
+        let may_hold = |peer: &&Peer| peer.record.state != TargetState::Dead;
+        self.iter().filter(may_hold).map(|peer| peer.record.id)
+    }
+
+    /// The peer that the hint names.
+    pub(super) fn by_hint(&self, hint: u32) -> Option<TargetId> {
+        self.by_id.keys().copied().find(|id| id.hint() == hint)
+    }
+
+    /// The peer has said something.
+    pub(super) fn on_sign_of_life(&mut self, now: Millis, id: TargetId) {
+        if let Some(peer) = self.by_id.get_mut(&id) {
+            peer.absent_since = peer.absent_since.map(|_| now);
+        }
+    }
+
+    /// Forgets a peer that answers no question and was not listed for at least `age`.
+    pub(super) fn forget_if_absent(&mut self, now: Millis, id: TargetId, age: Millis) {
+        let absent_since = self.get(id).and_then(|peer| peer.absent_since);
+        if absent_since.is_some_and(|since| now.since(since) >= age) {
+            self.by_id.remove(&id);
+        }
+    }
+
     pub(super) fn on_load(&mut self, now: Millis, report: LoadReport) {
         let Some(peer) = self.by_id.get_mut(&report.sender) else {
             return;
@@ -111,6 +161,7 @@
             return;
         }
         peer.told = Some(Told { report, at: now });
+        peer.absent_since = peer.absent_since.map(|_| now);
         peer.handed = 0;
     }
 
@@ -120,6 +171,20 @@
         }
     }
 
+    /// Keeps the absent peers that gave the latest signs of life.
+    fn bound_absent(&mut self) {
+        let absent = self.by_id.values().filter_map(|peer| {
+            let since = peer.absent_since?;
+            Some((since, peer.record.id))
+        });
+        let mut absent: Vec<_> = absent.collect();
+        absent.sort_unstable();
+        let excess = absent.len().saturating_sub(MAX_ABSENT);
+        for (_, id) in &absent[..excess] {
+            self.by_id.remove(id);
+        }
+    }
+
     fn update_one(&mut self, record: TargetRecord) {
         let peer = self
             .by_id
--- a/crates/core/src/flows/recent.rs
+++ b/crates/core/src/flows/recent.rs
@@ -57,6 +57,11 @@
         Some(&self.entry(at).value)
     }
 
+    pub(super) fn get_mut(&mut self, key: &K) -> Option<&mut V> {
+        let at = *self.by_key.get(key)?;
+        Some(&mut self.entry_mut(at).value)
+    }
+
     /// Inserts or replaces, and returns what had to go.
     pub(super) fn insert(&mut self, now: Millis, key: K, value: V) -> Option<(K, V)> {
         self.remove(&key);
--- a/crates/core/src/flows/redirects.rs
+++ b/crates/core/src/flows/redirects.rs
@@ -8,6 +8,7 @@
 use crate::flow::FlowId;
 use crate::id::{ServiceId, TargetId};
 
+use super::notice::LastNotice;
 use super::recent::Recent;
 
 /// Where a flow is.
@@ -19,6 +20,8 @@
     pub(super) service: ServiceId,
     /// The caller's opening sequence number, if the flow was handed from here.
     pub(super) caller_isn: Option<u32>,
+    /// Last notice about it.
+    pub(super) notice: LastNotice,
 }
 
 /// Redirects by flow.
@@ -50,6 +53,13 @@
         self.by_flow.touch(now, flow);
     }
 
+    /// Whether a peer should be told now where the flow is, which counts as done.
+    pub(super) fn is_notice_due(&mut self, now: Millis, flow: &FlowId, peer: TargetId) -> bool {
+        self.by_flow
+            .get_mut(flow)
+            .is_some_and(|redirect| redirect.notice.is_due(now, peer))
+    }
+
     pub(super) fn remove(&mut self, flow: &FlowId) {
         self.by_flow.remove(flow);
     }
--- /dev/null
+++ b/crates/core/src/flows/searching.rs
@@ -0,0 +1,332 @@
+//! Asking the peers for a flow, and answering them.
+//!
+//! A reset breaks a connection that may well be alive somewhere, so it needs proof. Every peer
+//! that may hold the flow has to deny it, and the list of peers itself has to be trusted: a
+//! balancer may know a new target earlier than this agent. A flow that nobody claims is therefore
+//! only suspected at first. It is reset when it is still unclaimed after the time in which a new
+//! target becomes known everywhere, or at once if its holder is known to be dead.
+
+use crate::clock::Millis;
+use crate::error::ErrorKind;
+use crate::flow::FlowId;
+use crate::id::{ServiceId, TargetId};
+
+use super::bucket::Rate;
+use super::notice::LastNotice;
+use super::packet::{Action, DropReason, Holding, Packet, Relay};
+use super::redirects::Redirect;
+use super::search::Search;
+use super::services::ServiceKey;
+use super::{Flows, drop_for};
+
+/// Time after which an unclaimed flow that shows no packet is forgotten.
+pub(super) const SUSPECT_LIFE: Millis = Millis::from_secs(60);
+
+impl<B> Flows<B> {
+    /// Keeps the packet and asks every peer that may hold its flow.
+    pub(super) fn search(
+        &mut self,
+        now: Millis,
+        service: ServiceKey,
+        holder_is_gone: bool,
+        packet: Packet<B>,
+        out: &mut Vec<Action<B>>,
+    ) {
+        let flow = packet.flow;
+        if let Some(search) = self.searches.get_mut(&flow) {
+            search.may_reset |= holder_is_gone;
+            self.join_search(packet, out);
+            return;
+        }
+        if !self.searches.has_room(&self.limits) {
+            drop_for(DropReason::UnknownLimit, out);
+            return;
+        }
+        let may_reset = holder_is_gone || self.is_long_suspect(&flow);
+        let service = self.services.id(service);
+        let search = Search::new(service, may_reset, packet);
+        self.searches.insert(flow, search);
+        if !self.ask(now, flow, out) {
+            self.searches.remove(&flow);
+            drop_for(DropReason::UnknownLimit, out);
+            return;
+        }
+        self.conclude_if_answered(now, flow, out);
+    }
+
+    /// Asks again where time is up, and gives up where it was asked often enough.
+    pub(super) fn tick_searches(&mut self, now: Millis, out: &mut Vec<Action<B>>) {
+        for flow in self.searches.flows() {
+            self.tick_search(now, flow, out);
+        }
+        while self.suspects.pop_unused(now, SUSPECT_LIFE).is_some() {}
+    }
+
+    /// Answers a peer.
+    pub(super) fn answer(&mut self, from: TargetId, flow: FlowId, out: &mut Vec<Action<B>>) {
+        let holding = self.holding_for(from, &flow);
+        out.push(Action::Reply {
+            to: from,
+            flow,
+            holding,
+        });
+    }
+
+    /// Takes a peer's answer or notice.
+    pub(super) fn learn(
+        &mut self,
+        now: Millis,
+        from: TargetId,
+        flow: FlowId,
+        holding: Holding,
+        out: &mut Vec<Action<B>>,
+    ) {
+        self.peers.on_sign_of_life(now, from);
+        match self.searches.get_mut(&flow) {
+            None => self.take_notice(now, from, flow, holding),
+            Some(search) => {
+                let is_here = holding == Holding::Here && !search.came_from(from);
+                if is_here {
+                    self.found(now, flow, from, out);
+                    return;
+                }
+                search.deny(from);
+                if let Holding::At(to) = holding
+                    && to != self.me
+                {
+                    search.handed_to = Some(to);
+                    search.has_unknown_holder |= self.peers.get(to).is_none();
+                }
+                self.conclude_if_answered(now, flow, out);
+            }
+        }
+    }
+
+    /// Tells a peer where a flow is, so that it sends the next packet there itself.
+    pub(super) fn notify(
+        &mut self,
+        now: Millis,
+        to: TargetId,
+        flow: FlowId,
+        holding: Holding,
+        out: &mut Vec<Action<B>>,
+    ) {
+        let rate = Rate::per_s(self.limits.questions_per_s);
+        if self.notices.take(now, rate, 1) {
+            out.push(Action::Reply { to, flow, holding });
+        }
+    }
+
+    fn join_search(&mut self, packet: Packet<B>, out: &mut Vec<Action<B>>) {
+        if self.searches.keep(&self.limits, packet).is_some() {
+            drop_for(DropReason::UnknownLimit, out);
+        }
+    }
+
+    /// Asks everyone who has not answered. Fails if too many questions were sent lately.
+    fn ask(&mut self, now: Millis, flow: FlowId, out: &mut Vec<Action<B>>) -> bool {
+        let unanswered = self.unanswered(&flow);
+        let rate = Rate::per_s(self.limits.questions_per_s);
+        if !self.questions.take(now, rate, unanswered.len()) {
+            return false;
+        }
+        if let Some(search) = self.searches.get_mut(&flow) {
+            let backoff = self.limits.ask_again.0 << search.rounds.min(MAX_DOUBLINGS);
+            search.ask_at = now.after(Millis(backoff));
+            search.rounds += 1;
+        }
+        let questions = unanswered.into_iter().map(|to| Action::Ask { to, flow });
+        out.extend(questions);
+        true
+    }
+
+    /// Peers that may hold the flow and have not denied it.
+    fn unanswered(&mut self, flow: &FlowId) -> Vec<TargetId> {
+        let Some(search) = self.searches.get_mut(flow) else {
+            return Vec::new();
+        };
+        self.peers
+            .holders()
+            .filter(|id| !search.denied.contains(id))
+            .collect()
+    }
+
+    fn tick_search(&mut self, now: Millis, flow: FlowId, out: &mut Vec<Action<B>>) {
+        if self.conclude_if_answered(now, flow, out) {
+            return;
+        }
+        let Some(search) = self.searches.get_mut(&flow) else {
+            return;
+        };
+        if now < search.ask_at {
+            return;
+        }
+        let rounds = search.rounds;
+        // A second-hand answer is better than to wait longer for the others.
+        if let Some(to) = self.handed_to(&flow) {
+            self.found(now, flow, to, out);
+        } else if rounds >= self.limits.ask_rounds {
+            self.give_up(now, flow, out);
+        } else if !self.ask(now, flow, out) {
+            self.postpone(now, &flow);
+        }
+    }
+
+    /// Too many questions were sent lately: the round counts, so that the search still ends.
+    fn postpone(&mut self, now: Millis, flow: &FlowId) {
+        let again = self.limits.ask_again;
+        if let Some(search) = self.searches.get_mut(flow) {
+            search.ask_at = now.after(again);
+            search.rounds += 1;
+        }
+    }
+
+    fn give_up(&mut self, now: Millis, flow: FlowId, out: &mut Vec<Action<B>>) {
+        for silent in self.unanswered(&flow) {
+            self.peers
+                .forget_if_absent(now, silent, self.limits.peer_absence);
+        }
+        let Some(search) = self.searches.remove(&flow) else {
+            return;
+        };
+        drop_all(&search.kept, DropReason::Unanswered, out);
+    }
+
+    /// Ends the search if nobody is left to answer.
+    fn conclude_if_answered(
+        &mut self,
+        now: Millis,
+        flow: FlowId,
+        out: &mut Vec<Action<B>>,
+    ) -> bool {
+        if !self.unanswered(&flow).is_empty() {
+            return false;
+        }
+        if let Some(to) = self.handed_to(&flow) {
+            self.found(now, flow, to, out);
+            return true;
+        }
+        if let Some(search) = self.searches.remove(&flow) {
+            self.nobody_holds(now, flow, search, out);
+        }
+        true
+    }
+
+    /// The target that a peer named as the holder, if it may be.
+    fn handed_to(&mut self, flow: &FlowId) -> Option<TargetId> {
+        let search = self.searches.get_mut(flow)?;
+        let to = search.handed_to?;
+        let is_possible = to != self.me && self.peers.may_hold(to) && !search.denied.contains(&to);
+        is_possible.then_some(to)
+    }
+
+    fn found(&mut self, now: Millis, flow: FlowId, to: TargetId, out: &mut Vec<Action<B>>) {
+        let Some(search) = self.searches.remove(&flow) else {
+            return;
+        };
+        self.suspects.remove(&flow);
+        self.redirect(now, flow, to, search.service);
+        for packet in search.kept {
+            self.send(to, Relay::Pass, packet, out);
+        }
+    }
+
+    fn nobody_holds(
+        &mut self,
+        now: Millis,
+        flow: FlowId,
+        search: Search<B>,
+        out: &mut Vec<Action<B>>,
+    ) {
+        let mut kept = search.kept;
+        let is_elsewhere = search.has_unknown_holder || self.names_unknown_target(&kept);
+        if self.held.contains(&flow) {
+            drop_all(&kept, DropReason::Stale, out);
+        } else if search.may_reset && !is_elsewhere {
+            let refused = kept.swap_remove(0);
+            self.suspects.remove(&flow);
+            self.redirects.remove(&flow);
+            out.push(Action::Refuse {
+                packet: refused,
+                kind: ErrorKind::UnknownFlow,
+                retry_after: Millis::ZERO,
+            });
+            drop_all(&kept, DropReason::Stale, out);
+        } else {
+            self.suspect(now, flow);
+            drop_all(&kept, DropReason::Unanswered, out);
+        }
+    }
+
+    /// Whether a balancer knows a possible holder that this agent does not know.
+    fn names_unknown_target(&self, packets: &[Packet<B>]) -> bool {
+        let mut named = packets.iter().flat_map(|packet| &packet.chain);
+        named.any(|id| *id != self.me && self.peers.get(*id).is_none())
+    }
+
+    fn suspect(&mut self, now: Millis, flow: FlowId) {
+        if self.suspects.contains(&flow) {
+            self.suspects.touch(now, &flow);
+        } else {
+            self.suspects.insert(now, flow, now);
+        }
+    }
+
+    /// Whether nobody claimed the flow before the peers last became known in full.
+    fn is_long_suspect(&self, flow: &FlowId) -> bool {
+        let settled = |since: &Millis| {
+            let settled_at = since.after(self.limits.peers_settle);
+            self.peers.confirmed_since(settled_at)
+        };
+        self.suspects.get(flow).is_some_and(settled)
+    }
+
+    fn holding_for(&self, from: TargetId, flow: &FlowId) -> Holding {
+        if self.held.contains(flow) {
+            return Holding::Here;
+        }
+        let redirect = self.redirects.get(flow);
+        let known = redirect.filter(|other| other.to != from && self.peers.may_hold(other.to));
+        known.map_or(Holding::No, |redirect| Holding::At(redirect.to))
+    }
+
+    fn take_notice(&mut self, now: Millis, from: TargetId, flow: FlowId, holding: Holding) {
+        let Some(service) = self.services.at(flow.service) else {
+            return;
+        };
+        let known = self.redirects.get(&flow).map(|redirect| redirect.to);
+        let to = match holding {
+            Holding::Here => from,
+            // Only the agent that the packets go to, or the first to say anything, knows better.
+            Holding::At(to) if known.is_none_or(|known| known == from) => to,
+            Holding::At(_) | Holding::No => return,
+        };
+        if to != self.me && self.peers.may_hold(to) {
+            self.redirect(now, flow, to, self.services.id(service));
+        }
+    }
+
+    fn redirect(&mut self, now: Millis, flow: FlowId, to: TargetId, service: ServiceId) {
+        let known = self.redirects.get(&flow);
+        if known.is_some_and(|known| known.to == to) {
+            self.redirects.touch(now, &flow);
+            return;
+        }
+        let redirect = Redirect {
+            to,
+            service,
+            caller_isn: None,
+            notice: LastNotice::default(),
+        };
+        self.redirects.insert(now, flow, redirect);
+    }
+}
+
+/// Doublings of the time between two rounds.
+const MAX_DOUBLINGS: u32 = 8;
+
+fn drop_all<B>(packets: &[Packet<B>], reason: DropReason, out: &mut Vec<Action<B>>) {
+    for _ in packets {
+        drop_for(reason, out);
+    }
+}
--- a/crates/core/tests/flows/fixture.rs
+++ b/crates/core/tests/flows/fixture.rs
@@ -5,7 +5,7 @@
 use citronhollow_core::clock::Millis;
 use citronhollow_core::config::{Documents, Pool, Refusal, Revision, Service};
 use citronhollow_core::flow::{FlowId, Segment};
-use citronhollow_core::flows::{Action, Arrival, FlowLimits, Flows, LoadReport, Packet};
+use citronhollow_core::flows::{Action, Arrival, FlowLimits, Flows, LoadReport, Packet, Relay};
 use citronhollow_core::id::{DomainId, GroupId, TargetId};
 use citronhollow_core::members::{TargetRecord, TargetState};
 
@@ -176,6 +176,26 @@
     out
 }
 
+/// Where the one packet was sent, and how. Notices to peers do not count.
+pub fn sent(actions: &Actions) -> Option<(TargetId, Relay)> {
+    match only_packet(actions)? {
+        Action::Send { to, relay, .. } => Some((*to, *relay)),
+        _ => None,
+    }
+}
+
+/// Whether the one packet went to its endpoint. Notices to peers do not count.
+pub fn is_delivered(actions: &Actions) -> bool {
+    matches!(only_packet(actions), Some(Action::Deliver { .. }))
+}
+
+fn only_packet(actions: &Actions) -> Option<&Action<Bytes>> {
+    let is_notice = |action: &&Action<Bytes>| matches!(action, Action::Reply { .. });
+    let mut others = actions.iter().filter(|action| !is_notice(action));
+    let first = others.next();
+    first.filter(|_| others.next().is_none())
+}
+
 /// Opens a flow at an agent as a peer's handed one, and finishes its handshake.
 pub fn establish(flows: &mut Flows<Bytes>, now: Millis, number: u16, seq: u32, isn: u32) {
     let actions = on_packet(flows, now, handed(99, syn(number, seq)));
--- a/crates/core/tests/flows/main.rs
+++ b/crates/core/tests/flows/main.rs
@@ -7,4 +7,5 @@
 }
 
 mod fixture;
+mod search;
 mod steering;
--- a/crates/core/tests/flows/steering.rs
+++ b/crates/core/tests/flows/steering.rs
@@ -3,22 +3,13 @@
 use citronhollow_core::clock::Millis;
 use citronhollow_core::error::ErrorKind;
 use citronhollow_core::flows::{Action, FlowLimits, Flows, Relay};
-use citronhollow_core::id::TargetId;
 use citronhollow_core::members::TargetState;
 
 use crate::fixture::{
-    Actions, Bytes, START, ack, agent, agent_with, busy, establish, handed, id, idle, on_packet,
-    passed, ready, record, syn,
+    Bytes, START, ack, agent, agent_with, busy, establish, handed, id, idle, is_delivered,
+    on_packet, passed, ready, record, sent, syn,
 };
 
-/// Where the one packet was sent, and how.
-fn sent(actions: &Actions) -> Option<(TargetId, Relay)> {
-    match actions[..] {
-        [Action::Send { to, relay, .. }] => Some((to, relay)),
-        _ => None,
-    }
-}
-
 /// Agent 1 of 3, busy itself, with an idle peer 2 and a busy peer 3.
 fn busy_agent(limits: FlowLimits) -> Flows<Bytes> {
     let mut flows = agent_with(1, 3, limits);
@@ -89,7 +80,7 @@
         let mut holder = agent(2, 3);
         establish(&mut holder, START, 1, 5, 70);
         let actions = on_packet(&mut holder, START, passed(1, syn(1, 77)));
-        assert!(matches!(actions[..], [Action::Deliver { .. }]), "{actions:?}");
+        assert!(is_delivered(&actions), "{actions:?}");
     };
 
     handed_flow_is_never_handed_on => {
