Follow a draft from the platform to a revision in a balancer

Cause: nothing read the platform, so no configuration could come into force.

Change: a client of the object service with its protocol, a stand-in of it with faults, the check over the whole set of documents, the publisher as a state machine in core, and the balancer's task that runs it and follows the published index. The state of a draft is read off the index and one report, so that it changes in the same write as the revision.

Ruled out: the lease inside the index, because every renewal would wake every watcher; a status object for each draft, because it costs a write for each draft and can lag behind the index.

The state machine has no tests of its own yet.

--- /dev/null
+++ b/crates/balancer/src/publish/follower.rs
@@ -0,0 +1,122 @@
+//! Takes the published revisions over.
+
+use std::time::Duration;
+
+use citronhollow_core::clock::Millis;
+use citronhollow_core::publisher::{Index, Kind, ONLY};
+use citronhollow_platform::client::decode;
+use citronhollow_platform::published::{PublishedReader, ReadError, read_index};
+use citronhollow_platform::{Changes, Client, PlatformError};
+use log::{info, warn};
+use rand::Rng;
+
+use super::{FleetView, PublishSettings, is_watcher};
+use crate::revisions::RevisionStore;
+
+struct Follower<'a> {
+    cfg: &'a PublishSettings,
+    client: &'a Client,
+    revisions: &'a RevisionStore,
+    reader: PublishedReader,
+    after: u64,
+}
+
+pub(super) async fn run(
+    cfg: &PublishSettings,
+    client: &Client,
+    revisions: &RevisionStore,
+    fleet: &impl Fn() -> FleetView,
+) {
+    let mut follower = Follower {
+        cfg,
+        client,
+        revisions,
+        reader: PublishedReader::default(),
+        after: 0,
+    };
+    loop {
+        if !is_watcher(fleet().rank) {
+            tokio::time::sleep(cfg.poll_every.into()).await;
+            continue;
+        }
+        if let Err(err) = follower.watch_once().await {
+            warn!(
+                "publish: {err}; revision {} stays",
+                revisions.latest().number
+            );
+            tokio::time::sleep(jittered(cfg.poll_every)).await;
+            follower.poll_once().await;
+        }
+    }
+}
+
+impl Follower<'_> {
+    async fn watch_once(&mut self) -> Result<(), ReadError> {
+        let kind = Kind::Published.to_string();
+        let wait = self.cfg.watch_wait;
+        match self.client.watch(&kind, self.after, wait).await {
+            Ok(changes) => self.on_changes(changes).await,
+            Err(PlatformError::TooOld { .. }) => self.list().await,
+            Err(err) => Err(err.into()),
+        }
+    }
+
+    async fn on_changes(&mut self, changes: Changes) -> Result<(), ReadError> {
+        let latest = changes
+            .changes
+            .into_iter()
+            .rfind(|change| change.name == ONLY);
+        if let Some(value) = latest.and_then(|change| change.value) {
+            let index = decode("published", ONLY, value)?;
+            self.take(&index).await?;
+        }
+        // Only what was taken over is skipped by the next watch.
+        self.after = changes.version;
+        Ok(())
+    }
+
+    /// Begins anew after the platform has forgotten what changed since.
+    async fn list(&mut self) -> Result<(), ReadError> {
+        let listing = self.client.list(&Kind::Published.to_string(), "").await?;
+        if let Some(object) = listing
+            .objects
+            .into_iter()
+            .find(|object| object.name == ONLY)
+        {
+            let index = decode("published", ONLY, object.value)?;
+            self.take(&index).await?;
+        }
+        self.after = listing.version;
+        Ok(())
+    }
+
+    /// Reads without a watch, while watches fail.
+    async fn poll_once(&mut self) {
+        let outcome = match read_index(self.client).await {
+            Ok(Some(index)) => self.take(&index).await,
+            Ok(None) => Ok(()),
+            Err(err) => Err(err.into()),
+        };
+        if let Err(err) = outcome {
+            warn!("publish: {err}");
+        }
+    }
+
+    async fn take(&mut self, index: &Index) -> Result<(), ReadError> {
+        if index.number <= self.revisions.latest().number {
+            return Ok(());
+        }
+        let revision = self.reader.load(self.client, index).await?;
+        let number = revision.number;
+        if self.revisions.offer(revision) {
+            info!("publish: revision {number} is in force");
+        }
+        Ok(())
+    }
+}
+
+/// Between half of the span and the whole of it, so that watchers do not come back together.
+fn jittered(span: Millis) -> Duration {
+    let ms = rand::rng().random_range(span.0 / 2..=span.0);
+    Duration::from_millis(ms)
+}
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -1,5 +1,15 @@
 //! The operators' documents and the revision made of them.
+//!
+//! [`check`] judges the whole set before any of it is published, [`plan`] tells what a new set
+//! would change, and [`Revision::slice_for`] cuts out what the agents of one group must know.
 
+mod check;
 mod documents;
+mod plan;
+mod problem;
+mod slice;
 
+pub use check::{HeldAddress, check, check_names, colliding};
 pub use documents::{Documents, Pool, Refusal, Revision, Rule, Service};
+pub use plan::{Action, Change, plan};
+pub use problem::{CheckError, DocumentKind, DocumentRef, Problem};
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod hash;
 pub mod id;
 pub mod members;
+pub mod publisher;
 pub mod routes;
--- /dev/null
+++ b/crates/core/src/publisher/publication/parts.rs
@@ -0,0 +1,108 @@
+//! Writing and removing the parts of a large set.
+//!
+//! A part that exists already is written again over its version. A former holder of the lease may
+//! have its removal still on the way, and that removal asks for the version that it saw. A sweep
+//! in turn removes only what is older than the index that it goes by, so that the sweep of a former
+//! holder spares whatever its successor has written since.
+
+use crate::config::Documents;
+use crate::publisher::index::Parts;
+use crate::publisher::objects::{Answer, Call, Key, Kind};
+
+/// Writes parts one after the other.
+#[derive(Clone, Debug)]
+pub(super) struct PartWriter {
+    left: Vec<(String, Documents)>,
+    if_version: u64,
+}
+
+impl PartWriter {
+    pub(super) fn new(parts: Parts) -> Self {
+        Self {
+            left: parts.into_iter().collect(),
+            if_version: 0,
+        }
+    }
+
+    pub(super) const fn is_done(&self) -> bool {
+        self.left.is_empty()
+    }
+
+    pub(super) fn call(&self) -> Call {
+        let (name, part) = self.left.last().cloned().unwrap_or_default();
+        Call::Put {
+            key: Key::named(Kind::Part, name),
+            if_version: self.if_version,
+            value: super::to_value(&part),
+        }
+    }
+
+    /// Takes the answer to the last call, and says whether the next call may be made at once.
+    pub(super) fn on_answer(&mut self, answer: &Answer) -> bool {
+        match answer {
+            Answer::Written { .. } => {
+                self.left.pop();
+                self.if_version = 0;
+                true
+            }
+            Answer::Conflict { version } => {
+                self.if_version = *version;
+                true
+            }
+            // A write that did take effect shows as a conflict when it is made again.
+            _ => false,
+        }
+    }
+}
+
+/// Removes parts that the index does not name.
+#[derive(Clone, Debug)]
+pub(super) struct Sweep {
+    kept: Vec<String>,
+    index_version: u64,
+    unused: Option<Vec<(String, u64)>>,
+}
+
+impl Sweep {
+    pub(super) const fn new(kept: Vec<String>, index_version: u64) -> Self {
+        Self {
+            kept,
+            index_version,
+            unused: None,
+        }
+    }
+
+    pub(super) fn call(&self) -> Call {
+        match self.unused.as_ref().and_then(|unused| unused.last()) {
+            Some((name, if_version)) => Call::Delete {
+                key: Key::named(Kind::Part, name.clone()),
+                if_version: *if_version,
+            },
+            None => Call::List(Kind::Part),
+        }
+    }
+
+    /// The rest of the work. Whatever fails is left to the next sweep.
+    pub(super) fn on_answer(mut self, answer: Answer) -> Option<Self> {
+        match (answer, &mut self.unused) {
+            (Answer::Listing(listing), None) => {
+                let unused = listing
+                    .objects
+                    .into_iter()
+                    .filter(|part| part.version < self.index_version)
+                    .filter(|part| !self.kept.contains(&part.name))
+                    .map(|part| (part.name, part.version));
+                self.unused = Some(unused.collect());
+            }
+            (Answer::Written { .. } | Answer::Conflict { .. }, Some(unused)) => {
+                unused.pop();
+            }
+            _ => return None,
+        }
+        let has_more = self
+            .unused
+            .as_ref()
+            .is_some_and(|unused| !unused.is_empty());
+        has_more.then_some(self)
+    }
+}
--- /dev/null
+++ b/crates/core/src/publisher/write.rs
@@ -0,0 +1,129 @@
+//! A conditional write that is certain of its outcome.
+//!
+//! When the answer is lost, or says that the object has another version, the object is read back
+//! and the write is recognised by the stamp inside the value. A read that shows the old version
+//! proves nothing, since the write may still be on its way or the read may be stale: the same
+//! write is then sent again under the same condition, so that at most one of the copies takes
+//! effect and either is recognised.
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use super::objects::{Answer, Call, Key, Object};
+
+/// Attempts after which the outcome is left to whoever reads the object next.
+const MAX_ATTEMPTS: u32 = 16;
+
+/// Who wrote a value.
+#[derive(Clone, Debug, Default, Deserialize, Display, Eq, PartialEq, Serialize)]
+#[display("{writer} #{sequence}")]
+#[serde(deny_unknown_fields)]
+pub struct Stamp {
+    /// Unique for each run of a process.
+    pub writer: String,
+    /// Grows with every write of that run.
+    pub sequence: u64,
+}
+
+/// The stamp of a value, if it has one.
+#[must_use]
+pub fn stamp_of(value: &Value) -> Option<Stamp> {
+    let stamp = value.get("stamp")?;
+    serde_json::from_value(stamp.clone()).ok()
+}
+
+/// A write under way.
+#[derive(Clone, Debug)]
+pub struct Write {
+    key: Key,
+    if_version: u64,
+    value: Value,
+    stamp: Stamp,
+    is_reading_back: bool,
+    attempts: u32,
+}
+
+/// What follows from an answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    /// The write took effect as this version.
+    Done {
+        /// Number of the change.
+        version: u64,
+    },
+    /// Another write came first, or the outcome cannot be found out. This is the object now.
+    Overtaken(Option<Object>),
+    /// Make the next [`Write::call`] at once.
+    Next,
+    /// Make the next [`Write::call`] after a while.
+    Wait,
+    /// The platform will never take the value.
+    Refused,
+}
+
+impl Write {
+    /// A write of a value that carries `stamp` to an object that has version `if_version`.
+    #[must_use]
+    pub const fn new(key: Key, if_version: u64, value: Value, stamp: Stamp) -> Self {
+        Self {
+            key,
+            if_version,
+            value,
+            stamp,
+            is_reading_back: false,
+            attempts: 0,
+        }
+    }
+
+    /// The call to make now.
+    #[must_use]
+    pub fn call(&self) -> Call {
+        if self.is_reading_back {
+            return Call::Get(self.key.clone());
+        }
+        Call::Put {
+            key: self.key.clone(),
+            if_version: self.if_version,
+            value: self.value.clone(),
+        }
+    }
+
+    /// Takes the answer to the last [`Self::call`].
+    #[must_use]
+    pub fn on_answer(&mut self, answer: Answer) -> Step {
+        self.attempts += 1;
+        if self.attempts > MAX_ATTEMPTS {
+            return Step::Overtaken(None);
+        }
+        match answer {
+            Answer::Written { version } => Step::Done { version },
+            // Versions never repeat, so an object that is gone cannot be had any more.
+            Answer::Conflict { version: 0 } if self.if_version > 0 => Step::Overtaken(None),
+            Answer::Conflict { .. } => self.read_back(Step::Next),
+            Answer::Lost => self.read_back(Step::Wait),
+            Answer::Object(object) => self.on_read_back(object),
+            Answer::NotRun | Answer::Listing(_) => Step::Wait,
+            Answer::Refused if self.is_reading_back => Step::Wait,
+            Answer::Refused => Step::Refused,
+        }
+    }
+
+    const fn read_back(&mut self, step: Step) -> Step {
+        self.is_reading_back = true;
+        step
+    }
+
+    fn on_read_back(&mut self, object: Option<Object>) -> Step {
+        let version = object.as_ref().map_or(0, |object| object.version);
+        let stamp = object.as_ref().and_then(|object| stamp_of(&object.value));
+        if stamp.as_ref() == Some(&self.stamp) {
+            return Step::Done { version };
+        }
+        if version > self.if_version {
+            return Step::Overtaken(object);
+        }
+        self.is_reading_back = false;
+        Step::Wait
+    }
+}
--- /dev/null
+++ b/crates/platform/src/counters.rs
@@ -0,0 +1,73 @@
+//! Counts of calls, so that the load on the platform is a measured figure.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+/// Kind of a call.
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CallKind {
+    /// Reads one object.
+    #[display("get")]
+    Get,
+    /// Reads all objects of a kind.
+    #[display("list")]
+    List,
+    /// Writes an object.
+    #[display("put")]
+    Put,
+    /// Removes an object.
+    #[display("delete")]
+    Delete,
+    /// Waits for changes.
+    #[display("watch")]
+    Watch,
+}
+
+impl CallKind {
+    /// Every kind, for tables.
+    pub const ALL: [Self; 5] = [Self::Get, Self::List, Self::Put, Self::Delete, Self::Watch];
+
+    const fn index(self) -> usize {
+        self as usize
+    }
+}
+
+/// Calls sent, repeated ones included.
+#[derive(Debug, Default)]
+pub struct CallCounters {
+    sent: [AtomicU64; CallKind::ALL.len()],
+    retries: AtomicU64,
+}
+
+impl CallCounters {
+    /// Counts a request.
+    pub fn count(&self, kind: CallKind) {
+        self.sent[kind.index()].fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts a repetition. The request itself is counted too.
+    pub fn count_retry(&self) {
+        self.retries.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Requests of this kind so far.
+    #[must_use]
+    pub fn sent(&self, kind: CallKind) -> u64 {
+        self.sent[kind.index()].load(Ordering::Relaxed)
+    }
+
+    /// Requests of all kinds so far.
+    #[must_use]
+    pub fn total(&self) -> u64 {
+        CallKind::ALL.iter().map(|kind| self.sent(*kind)).sum()
+    }
+
+    /// Repetitions so far.
+    #[must_use]
+    pub fn retries(&self) -> u64 {
+        self.retries.load(Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/crates/platform/src/published.rs
@@ -0,0 +1,78 @@
+//! Reading the published set.
+
+use citronhollow_core::config::Revision;
+use citronhollow_core::publisher::{Index, Kind, LoadError, ONLY, Parts};
+use thiserror::Error;
+
+use crate::client::{Client, decode};
+use crate::error::PlatformError;
+
+/// Why the published set could not be read. The last good revision stays.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum ReadError {
+    /// A call failed.
+    #[error("{0}")]
+    Platform(#[from] PlatformError),
+    /// The parts do not make up the set.
+    #[error("{0}")]
+    Load(#[from] LoadError),
+}
+
+/// Puts published sets together, and keeps the parts that the last one had.
+#[derive(Clone, Debug, Default)]
+pub struct PublishedReader {
+    parts: Parts,
+}
+
+impl PublishedReader {
+    /// The revision of an index.
+    ///
+    /// # Errors
+    ///
+    /// [`ReadError`] if a part cannot be read or is not what the index says.
+    pub async fn load(&mut self, client: &Client, index: &Index) -> Result<Revision, ReadError> {
+        let names = index.part_names();
+        self.parts.retain(|name, _| names.contains(name));
+        let kind = Kind::Part.to_string();
+        for name in names {
+            if self.parts.contains_key(name) {
+                continue;
+            }
+            let Some(object) = client.get(&kind, name).await? else {
+                return Err(LoadError::Missing(name.clone()).into());
+            };
+            let part = decode(&kind, name, object.value)?;
+            self.parts.insert(name.clone(), part);
+        }
+        let revision = index.assemble(&self.parts);
+        if revision.is_err() {
+            self.parts.clear();
+        }
+        Ok(revision?)
+    }
+}
+
+/// The index, none before the first publisher.
+///
+/// # Errors
+///
+/// [`PlatformError`] if it cannot be read.
+pub async fn read_index(client: &Client) -> Result<Option<Index>, PlatformError> {
+    let kind = Kind::Published.to_string();
+    let object = client.get(&kind, ONLY).await?;
+    object
+        .map(|object| decode(&kind, ONLY, object.value))
+        .transpose()
+}
+
+/// The revision in force, number zero before the first.
+///
+/// # Errors
+///
+/// [`ReadError`] if it cannot be read.
+pub async fn read_published(client: &Client) -> Result<Revision, ReadError> {
+    match read_index(client).await? {
+        Some(index) => PublishedReader::default().load(client, &index).await,
+        None => Ok(Revision::default()),
+    }
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Stand-ins for what surrounds the load balancer.
+
+pub mod platform;
