--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -5,6 +5,7 @@
 //! the traffic threads whenever the revision or the membership changes.
 
 pub mod commands;
+pub mod publish;
 pub mod revisions;
 pub mod settings;
 pub mod traffic;
