Answer operators over HTTP and show status and drains

Cause: a balancer had no way to be asked anything, and the command line knew only how to check settings.

The HTTP side and the control thread meet in one channel of requests with replies, so each runs against a fake of the other. Whatever changes something needs the bearer token, compared in constant time and checked before the body is read; a body needs a stated length within 1 MiB. An error is the same Failure on the wire and on the command line, under the status and exit code of its kind.

Ruled out: the token as an option, since other users of a machine read the arguments of a process; a body limit by layer, which lets chunked bodies pass.

Conclusion: stands against fakes; the control loop does not answer yet.

--- a/crates/balancer/src/commands.rs
+++ b/crates/balancer/src/commands.rs
@@ -12,6 +12,9 @@
 use crate::settings::Checked;
 
 mod balancer;
+mod drain;
+mod remote;
+mod status;
 
 const PROGRAM: Program = Program {
     name: "citronhollow",
@@ -21,7 +24,17 @@
   citronhollow balancer --settings balancer.json --check-settings
       checks a settings file and does nothing else
   citronhollow balancer --settings balancer.json
-      runs the balancer until it gets SIGTERM",
+      runs the balancer until it gets SIGTERM
+  citronhollow status --balancer 127.0.0.1:7980
+      shows the fleet, the revisions, drains and the platform
+  citronhollow drain match-desk-3 --wait 600
+      takes a target out of service and waits until it holds no flow
+  citronhollow undrain match-desk-3
+      gives it new flows again
+
+Environment:
+  CITRONHOLLOW_BALANCER  address of a balancer's operator HTTP, 127.0.0.1:7980 if unset
+  CITRONHOLLOW_TOKEN     the balancer's operator_token, for what changes something",
 };
 
 #[derive(Debug, Options)]
@@ -38,6 +51,12 @@
 enum Command {
     #[options(help = "run the process of an entry VM")]
     Balancer(balancer::BalancerOptions),
+    #[options(help = "show what a balancer knows of the fleet")]
+    Status(status::StatusOptions),
+    #[options(help = "take a target out of service without breaking a flow")]
+    Drain(drain::DrainOptions),
+    #[options(help = "put a drained target back into service")]
+    Undrain(drain::UndrainOptions),
 }
 
 /// Runs the command that the arguments name. `start` runs a balancer until it has stopped.
@@ -59,6 +78,9 @@
         }
         match self.command {
             Some(Command::Balancer(options)) => balancer::run(&options, start),
+            Some(Command::Status(options)) => status::run(&options),
+            Some(Command::Drain(options)) => drain::run(&options.into()),
+            Some(Command::Undrain(options)) => drain::run(&options.into()),
             None => Ok(PROGRAM.help(&self)),
         }
     }
--- /dev/null
+++ b/crates/balancer/src/commands/drain.rs
@@ -0,0 +1,157 @@
+//! `citronhollow drain` and `citronhollow undrain`.
+//!
+//! The request is idempotent, so waiting means to send it again until the target's agent reports
+//! that it is done. This also asks the agent itself each time, whichever balancer hears its
+//! heartbeats.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use citronhollow_core::error::ErrorKind;
+use citronhollow_operator::cli;
+use citronhollow_operator::client::Client;
+use citronhollow_operator::failure::Failure;
+use citronhollow_operator::status::TargetStatus;
+use gumdrop::Options;
+use tokio::time::Instant;
+
+use super::remote::{self, Remote};
+
+/// Time between two requests of a command that waits.
+const POLL_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Takes a target out of service: it gets no new flow and finishes those that it has.
+#[derive(Debug, Options)]
+pub struct DrainOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, required, help = "name of the target, or its identity")]
+    target: String,
+    #[options(help = "address of the balancer's operator HTTP", meta = "ADDRESS")]
+    balancer: Option<SocketAddr>,
+    #[options(help = "file with the operator's token", meta = "FILE")]
+    token_file: Option<String>,
+    #[options(help = "wait until no flow is left", meta = "SECONDS")]
+    wait: Option<u64>,
+    #[options(help = "print JSON")]
+    json: bool,
+}
+
+/// Puts a target back into service: it gets new flows again.
+#[derive(Debug, Options)]
+pub struct UndrainOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, required, help = "name of the target, or its identity")]
+    target: String,
+    #[options(help = "address of the balancer's operator HTTP", meta = "ADDRESS")]
+    balancer: Option<SocketAddr>,
+    #[options(help = "file with the operator's token", meta = "FILE")]
+    token_file: Option<String>,
+    #[options(help = "wait until the target takes new flows", meta = "SECONDS")]
+    wait: Option<u64>,
+    #[options(help = "print JSON")]
+    json: bool,
+}
+
+/// What either command asks for.
+#[derive(Debug)]
+pub struct Drain {
+    target: String,
+    on: bool,
+    balancer: Option<SocketAddr>,
+    token_file: Option<String>,
+    wait: Option<u64>,
+    json: bool,
+}
+
+impl From<DrainOptions> for Drain {
+    fn from(options: DrainOptions) -> Self {
+        Self {
+            target: options.target,
+            on: true,
+            balancer: options.balancer,
+            token_file: options.token_file,
+            wait: options.wait,
+            json: options.json,
+        }
+    }
+}
+
+impl From<UndrainOptions> for Drain {
+    fn from(options: UndrainOptions) -> Self {
+        Self {
+            target: options.target,
+            on: false,
+            balancer: options.balancer,
+            token_file: options.token_file,
+            wait: options.wait,
+            json: options.json,
+        }
+    }
+}
+
+/// Asks a balancer for the drain, and waits for its end if that is wanted.
+pub fn run(drain: &Drain) -> Result<String, Failure> {
+    let remote = Remote {
+        balancer: drain.balancer,
+        token_file: drain.token_file.as_deref(),
+    };
+    let client = remote.client()?;
+    let status = remote::block_on(drain.request(&client))?;
+    if drain.json {
+        return Ok(cli::to_json(&status));
+    }
+    Ok(format!("{}: {}\n", drain.target, progress(&status)))
+}
+
+impl Drain {
+    async fn request(&self, client: &Client) -> Result<TargetStatus, Failure> {
+        let limit_s = self.wait.unwrap_or(0);
+        let deadline = Instant::now() + Duration::from_secs(limit_s);
+        let mut told = String::new();
+        loop {
+            let outcome = client.drain(&self.target, self.on).await;
+            let is_last = Instant::now() >= deadline;
+            let news = match outcome {
+                Ok(status) if self.wait.is_none() || self.is_done(&status) => return Ok(status),
+                Ok(status) if is_last => return Err(self.timed_out(limit_s, &status)),
+                Ok(status) => progress(&status),
+                Err(failure) if is_last || failure.kind != ErrorKind::Timeout => {
+                    return Err(failure);
+                }
+                Err(failure) => failure.to_string(),
+            };
+            if news != told {
+                eprintln!("{}: {news}", self.target);
+                told = news;
+            }
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    fn is_done(&self, status: &TargetStatus) -> bool {
+        if self.on {
+            !status.state.takes_new() && status.open == Some(0)
+        } else {
+            status.state.takes_new()
+        }
+    }
+
+    fn timed_out(&self, limit_s: u64, status: &TargetStatus) -> Failure {
+        let message = format!(
+            "{}: {} after {limit_s} s; the request stays in force, wait longer or look at its flows",
+            self.target,
+            progress(status)
+        );
+        Failure::new(ErrorKind::Timeout, message)
+    }
+}
+
+fn progress(status: &TargetStatus) -> String {
+    let state = format!("{:?}", status.state).to_lowercase();
+    match status.open {
+        Some(open) => format!("{state}, {open} flows"),
+        None => format!("{state}, flows not known"),
+    }
+}
--- /dev/null
+++ b/crates/balancer/tests/command_line.rs
@@ -0,0 +1,185 @@
+//! The program `citronhollow` as an operator calls it.
+
+use std::net::SocketAddr;
+use std::process::Output;
+
+use citronhollow_core::clock::Millis;
+use citronhollow_core::error::ErrorKind;
+use citronhollow_core::id::TargetId;
+use citronhollow_core::members::TargetState;
+use citronhollow_operator::control::{self, Request};
+use citronhollow_operator::failure::Failure;
+use citronhollow_operator::http;
+use citronhollow_operator::status::{
+    FleetStatus, PublishStatus, Status, TargetStatus, TrafficStatus,
+};
+use citronhollow_operator::token::Token;
+use tokio::net::TcpListener;
+use tokio::process::Command;
+use tokio::sync::mpsc;
+
+const TOKEN: &str = "token-of-the-test";
+
+/// A balancer whose one target loses a flow with each request to drain it.
+struct FakeBalancer {
+    addr: SocketAddr,
+}
+
+impl FakeBalancer {
+    async fn start(flows: u32) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        let (handle, requests) = control::channel();
+        tokio::spawn(answer(requests, flows));
+        let token = Token::from(String::from(TOKEN));
+        tokio::spawn(http::serve(listener, token, handle));
+        Self { addr }
+    }
+
+    async fn run(&self, args: &[&str], token: &str) -> Output {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_citronhollow"));
+        command.args(args);
+        command.env("CITRONHOLLOW_BALANCER", self.addr.to_string());
+        command.env("CITRONHOLLOW_TOKEN", token);
+        command.output().await.expect("the program runs")
+    }
+}
+
+async fn answer(mut requests: mpsc::Receiver<Request>, mut flows: u32) {
+    while let Some(request) = requests.recv().await {
+        match request {
+            Request::Status(reply) => {
+                let _ = reply.send(Ok(status()));
+            }
+            Request::Drain { target, on, reply } => {
+                flows = flows.saturating_sub(1);
+                let outcome = if target == TargetId::of("desk-1") {
+                    Ok(drained(target, on, flows))
+                } else {
+                    Err(Failure::from(ErrorKind::NotFound))
+                };
+                let _ = reply.send(outcome);
+            }
+        }
+    }
+}
+
+fn status() -> Status {
+    Status {
+        balancer: String::from("entry-a1"),
+        domain: String::from("a"),
+        version: String::from("0.1.0"),
+        uptime_ms: Millis::from_secs(5),
+        fleet: FleetStatus::default(),
+        publish: PublishStatus::default(),
+        traffic: TrafficStatus::default(),
+    }
+}
+
+fn drained(target: TargetId, on: bool, flows: u32) -> TargetStatus {
+    TargetStatus {
+        id: target.to_string(),
+        group: String::new(),
+        domain: String::new(),
+        agent: SocketAddr::from(([127, 0, 0, 1], 9_000)),
+        slots: 2,
+        state: if on {
+            TargetState::Draining
+        } else {
+            TargetState::Ready
+        },
+        revision: Some(1),
+        open: Some(flows),
+        last_seen_ms: None,
+    }
+}
+
+fn code(output: &Output) -> i32 {
+    output.status.code().expect("an exit code")
+}
+
+fn stdout(output: &Output) -> &str {
+    str::from_utf8(&output.stdout).expect("text")
+}
+
+fn stderr(output: &Output) -> &str {
+    str::from_utf8(&output.stderr).expect("text")
+}
+
+macro_rules! cases {
+    ($($name:ident => $body:expr;)*) => {
+        $(#[tokio::test] async fn $name() { $body })*
+    };
+}
+
+/// Arguments, exit code, and what standard output and standard error contain.
+macro_rules! calls {
+    ($($name:ident: $args:expr => $code:literal, out $out:literal, err $err:literal;)*) => {
+        $(#[tokio::test] async fn $name() {
+            let output = FakeBalancer::start(1).await.run(&$args, TOKEN).await;
+            let (out, err) = (stdout(&output), stderr(&output));
+            assert_eq!(code(&output), $code, "{out}{err}");
+            assert!(out.contains($out), "{out}");
+            assert!(err.contains($err), "{err}");
+            assert_eq!(out.is_empty(), $code != 0, "answers go to standard output: {out}");
+            assert_eq!(err.is_empty(), $code == 0, "errors go to standard error: {err}");
+        })*
+    };
+}
+
+calls! {
+    help: ["--help"] => 0, out "Exit codes:", err "";
+    no_command_prints_help: [] => 0, out "Commands:", err "";
+    help_of_a_command: ["drain", "--help"] => 0, out "--wait SECONDS", err "";
+    version: ["--version"] => 0, out "citronhollow 0.", err "";
+    unknown_command: ["juggle"] => 2, out "", err "juggle";
+    unknown_option: ["status", "--loud"] => 2, out "", err "--loud";
+    settings_are_required: ["balancer"] => 2, out "", err "--settings";
+    absent_settings: ["balancer", "-s", "absent.json"] => 4, out "", err "absent.json";
+    status_as_text: ["status"] => 0, out "balancer   entry-a1", err "";
+    status_as_json: ["status", "--json"] => 0, out "\"balancer\": \"entry-a1\"", err "";
+    drain: ["drain", "desk-1"] => 0, out "desk-1: draining, 0 flows", err "";
+    undrain: ["undrain", "desk-1", "--wait", "60"] => 0, out "desk-1: ready", err "";
+    drain_of_an_unknown_target: ["drain", "desk-9"] => 4, out "", err "no such object";
+    error_as_json: ["drain", "desk-9", "--json"] => 4, out "", err "\"kind\": \"not_found\"";
+    absent_token_file: ["drain", "desk-1", "-t", "absent"] => 4, out "", err "absent";
+}
+
+cases! {
+    wrong_token_is_told_by_its_exit_code => {
+        let output = FakeBalancer::start(1).await.run(&["drain", "desk-1"], "wrong").await;
+        assert_eq!(code(&output), 7, "{}", stderr(&output));
+    };
+
+    drain_waits_until_no_flow_is_left => {
+        let balancer = FakeBalancer::start(3).await;
+        let output = balancer.run(&["drain", "desk-1", "--wait", "60"], TOKEN).await;
+        assert_eq!(code(&output), 0, "{}", stderr(&output));
+        assert_eq!(stdout(&output), "desk-1: draining, 0 flows\n");
+        let progress = "desk-1: draining, 2 flows\ndesk-1: draining, 1 flows\n";
+        assert_eq!(stderr(&output), progress);
+    };
+
+    drain_that_takes_too_long_says_what_is_left => {
+        let balancer = FakeBalancer::start(1_000).await;
+        let output = balancer.run(&["drain", "desk-1", "--wait", "0"], TOKEN).await;
+        assert_eq!(code(&output), 8);
+        assert!(stderr(&output).contains("999 flows"), "{}", stderr(&output));
+    };
+
+    silent_balancer_is_told_by_its_exit_code => {
+        let mut balancer = FakeBalancer::start(1).await;
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        balancer.addr = listener.local_addr().expect("an address");
+        drop(listener);
+        let output = balancer.run(&["status"], TOKEN).await;
+        assert_eq!(code(&output), 8, "{}", stderr(&output));
+    };
+
+    example_settings_pass_the_check => {
+        let file = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/settings/balancer.json");
+        let args = ["balancer", "--settings", file, "--check-settings"];
+        let output = FakeBalancer::start(1).await.run(&args, TOKEN).await;
+        assert_eq!(code(&output), 0, "{}", stderr(&output));
+    };
+}
--- a/crates/operator/src/failure.rs
+++ b/crates/operator/src/failure.rs
@@ -12,7 +12,6 @@
 
 /// Why something was not done.
 #[derive(Clone, Debug, Eq, Error, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 #[error("{message}{}", listed(.problems))]
 pub struct Failure {
     /// Kind, which decides status and exit code.
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -5,8 +5,13 @@
 //! every process tells operators the same things in the same words.
 
 pub mod cli;
+pub mod client;
+pub mod control;
 pub mod failure;
+pub mod http;
 pub mod input;
 pub mod problem;
+pub mod report;
 pub mod settings;
 pub mod status;
+pub mod token;
--- a/crates/operator/src/problem.rs
+++ b/crates/operator/src/problem.rs
@@ -6,7 +6,6 @@
 
 /// A problem with one field.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Problem {
     /// The object that the field belongs to, empty where the surrounding error names it.
     #[serde(default, skip_serializing_if = "String::is_empty")]
--- /dev/null
+++ b/crates/operator/src/report.rs
@@ -0,0 +1,169 @@
+//! A status as text that is read at a glance, one topic a line.
+
+use std::collections::BTreeMap;
+use std::fmt::{self, Formatter};
+
+use citronhollow_core::clock::Millis;
+use citronhollow_core::members::TargetState;
+
+use crate::status::{
+    BalancerState, FleetStatus, PublishStatus, Status, TargetStatus, TrafficStatus,
+};
+
+impl fmt::Display for Status {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let Self {
+            balancer,
+            domain,
+            version,
+            ..
+        } = self;
+        let uptime = Span(self.uptime_ms);
+        writeln!(
+            f,
+            "balancer   {balancer} in {domain}, version {version}, up {uptime}"
+        )?;
+        write_revision(f, &self.fleet, &self.publish)?;
+        write_platform(f, &self.publish)?;
+        write_members(f, &self.fleet)?;
+        write_drains(f, &self.fleet)?;
+        write_traffic(f, &self.traffic)
+    }
+}
+
+fn write_revision(
+    f: &mut Formatter<'_>,
+    fleet: &FleetStatus,
+    publish: &PublishStatus,
+) -> fmt::Result {
+    write!(f, "revision   {} in force here", fleet.revision)?;
+    if let Some(published) = publish.published {
+        write!(f, ", {published} published")?;
+    }
+    writeln!(f)?;
+    for (revision, spread) in spread(fleet) {
+        let Spread { balancers, targets } = spread;
+        writeln!(
+            f,
+            "           {revision}: {balancers} balancers, {targets} targets"
+        )?;
+    }
+    for draft in &publish.rejected {
+        writeln!(f, "rejected   {} {}", draft.kind, draft.name)?;
+        for problem in &draft.problems {
+            writeln!(f, "           {problem}")?;
+        }
+    }
+    Ok(())
+}
+
+fn write_platform(f: &mut Formatter<'_>, publish: &PublishStatus) -> fmt::Result {
+    match &publish.publisher {
+        Some(name) => writeln!(f, "publisher  {name}, epoch {}", publish.epoch)?,
+        None => writeln!(f, "publisher  not known")?,
+    }
+    let platform = &publish.platform;
+    let state = if platform.reachable {
+        "reachable"
+    } else {
+        "DOWN"
+    };
+    write!(
+        f,
+        "platform   {state}, {} calls failed",
+        platform.failed_calls
+    )?;
+    if let Some(age) = platform.last_answer_ms {
+        write!(f, ", last answer {} ago", Span(age))?;
+    }
+    writeln!(f)?;
+    match &platform.last_error {
+        Some(error) if !platform.reachable => writeln!(f, "           {error}"),
+        _ => Ok(()),
+    }
+}
+
+fn write_members(f: &mut Formatter<'_>, fleet: &FleetStatus) -> fmt::Result {
+    let balancers = |state| fleet.balancers.iter().filter(|b| b.state == state).count();
+    let alive = balancers(BalancerState::Alive);
+    let leaving = balancers(BalancerState::Leaving);
+    let suspect = balancers(BalancerState::Suspect);
+    writeln!(
+        f,
+        "balancers  {alive} alive, {leaving} leaving, {suspect} suspect"
+    )?;
+    let targets = |state| fleet.targets.iter().filter(|t| t.state == state).count();
+    let ready = targets(TargetState::Ready);
+    let starting = targets(TargetState::Starting);
+    let draining = targets(TargetState::Draining);
+    let dead = targets(TargetState::Dead);
+    writeln!(
+        f,
+        "targets    {ready} ready, {starting} starting, {draining} draining, {dead} dead"
+    )
+}
+
+fn write_drains(f: &mut Formatter<'_>, fleet: &FleetStatus) -> fmt::Result {
+    let is_draining = |target: &&TargetStatus| target.state == TargetState::Draining;
+    for target in fleet.targets.iter().filter(is_draining) {
+        let TargetStatus { id, agent, .. } = target;
+        match target.open {
+            Some(open) => writeln!(f, "draining   {id} at {agent}, {open} flows left")?,
+            None => writeln!(f, "draining   {id} at {agent}, flows not known here")?,
+        }
+    }
+    Ok(())
+}
+
+fn write_traffic(f: &mut Formatter<'_>, traffic: &TrafficStatus) -> fmt::Result {
+    let TrafficStatus {
+        packets,
+        forwarded,
+        malformed,
+        refused,
+    } = traffic;
+    writeln!(
+        f,
+        "packets    {packets} taken, {forwarded} forwarded, {malformed} malformed"
+    )?;
+    for refusal in refused {
+        writeln!(f, "refused    {}, because {}", refusal.count, refusal.kind)?;
+    }
+    Ok(())
+}
+
+/// How many members have reported one revision.
+#[derive(Clone, Copy, Debug, Default)]
+struct Spread {
+    balancers: usize,
+    targets: usize,
+}
+
+/// Members by the revision that they have reported, the highest first.
+fn spread(fleet: &FleetStatus) -> impl Iterator<Item = (u64, Spread)> {
+    let mut by_revision: BTreeMap<u64, Spread> = BTreeMap::new();
+    for revision in fleet.balancers.iter().filter_map(|b| b.revision) {
+        by_revision.entry(revision).or_default().balancers += 1;
+    }
+    for revision in fleet.targets.iter().filter_map(|t| t.revision) {
+        by_revision.entry(revision).or_default().targets += 1;
+    }
+    by_revision.into_iter().rev()
+}
+
+/// A span in the two units that matter.
+struct Span(Millis);
+
+impl fmt::Display for Span {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let ms = self.0.0;
+        let secs = ms / 1_000;
+        let (mins, hours, days) = (secs / 60, secs / 3_600, secs / 86_400);
+        match secs {
+            0..60 => write!(f, "{secs}.{} s", ms % 1_000 / 100),
+            60..3_600 => write!(f, "{mins} min {} s", secs % 60),
+            3_600..86_400 => write!(f, "{hours} h {} min", mins % 60),
+            _ => write!(f, "{days} d {} h", hours % 24),
+        }
+    }
+}
--- a/crates/operator/src/status.rs
+++ b/crates/operator/src/status.rs
@@ -9,9 +9,12 @@
 
 use citronhollow_core::clock::Millis;
 use citronhollow_core::error::ErrorKind;
+use citronhollow_core::id::TargetId;
 use citronhollow_core::members::TargetState;
 use serde::{Deserialize, Serialize};
 
+use crate::problem::Problem;
+
 /// Everything that one balancer reports.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Status {
@@ -43,7 +46,7 @@
 }
 
 /// Whether a balancer takes part.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum BalancerState {
     /// Takes packets.
@@ -120,7 +123,7 @@
     /// Name of the object.
     pub name: String,
     /// What is wrong with it, with the remedy.
-    pub problems: Vec<String>,
+    pub problems: Vec<Problem>,
 }
 
 /// Health of the platform as one balancer sees it.
@@ -157,3 +160,16 @@
     /// Packets since the start.
     pub count: u64,
 }
+
+/// Digits of an identity as text.
+const ID_DIGITS: usize = 16;
+
+/// The target that an operator means by a name, or by an identity in 16 hexadecimal digits.
+#[must_use]
+pub fn target_id(text: &str) -> TargetId {
+    let id = u64::from_str_radix(text, 16).ok();
+    match id.filter(|_| text.len() == ID_DIGITS) {
+        Some(id) => TargetId(id),
+        None => TargetId::of(text),
+    }
+}
--- /dev/null
+++ b/crates/operator/tests/http.rs
@@ -0,0 +1,225 @@
+//! The operator's HTTP against a fake control thread.
+
+use std::net::SocketAddr;
+
+use citronhollow_core::clock::Millis;
+use citronhollow_core::error::ErrorKind;
+use citronhollow_core::id::{GroupId, TargetId};
+use citronhollow_core::members::TargetState;
+use citronhollow_operator::client::Client;
+use citronhollow_operator::control::{self, Request};
+use citronhollow_operator::failure::Failure;
+use citronhollow_operator::http;
+use citronhollow_operator::status::{
+    FleetStatus, PublishStatus, Status, TargetStatus, TrafficStatus,
+};
+use citronhollow_operator::token::Token;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+
+const TOKEN: &str = "token-of-the-test";
+
+fn status(revision: u64) -> Status {
+    Status {
+        balancer: String::from("entry-a1"),
+        domain: String::from("a"),
+        version: String::from("0.1.0"),
+        uptime_ms: Millis::from_secs(5),
+        fleet: FleetStatus {
+            revision,
+            ..FleetStatus::default()
+        },
+        publish: PublishStatus::default(),
+        traffic: TrafficStatus::default(),
+    }
+}
+
+fn target(id: TargetId, on: bool) -> TargetStatus {
+    TargetStatus {
+        id: id.to_string(),
+        group: GroupId::of("desk").to_string(),
+        domain: String::new(),
+        agent: SocketAddr::from(([127, 0, 0, 1], 9_000)),
+        slots: 2,
+        state: if on {
+            TargetState::Draining
+        } else {
+            TargetState::Ready
+        },
+        revision: Some(1),
+        open: Some(3),
+        last_seen_ms: None,
+    }
+}
+
+/// A control thread that knows one target and has this revision in force.
+async fn fake_control(mut requests: mpsc::Receiver<Request>, revision: u64) {
+    while let Some(request) = requests.recv().await {
+        match request {
+            Request::Status(reply) => {
+                let _ = reply.send(Ok(status(revision)));
+            }
+            Request::Drain {
+                target: id,
+                on,
+                reply,
+            } => {
+                let outcome = if id == TargetId::of("desk-1") {
+                    Ok(target(id, on))
+                } else {
+                    Err(Failure::from(ErrorKind::NotFound))
+                };
+                let _ = reply.send(outcome);
+            }
+        }
+    }
+}
+
+async fn start(revision: u64) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    let (handle, requests) = control::channel();
+    tokio::spawn(fake_control(requests, revision));
+    tokio::spawn(http::serve(
+        listener,
+        Token::from(String::from(TOKEN)),
+        handle,
+    ));
+    addr
+}
+
+fn client(addr: SocketAddr) -> Client {
+    Client::new(addr, Some(Token::from(String::from(TOKEN))))
+}
+
+/// Sends a request as it stands and returns status and body.
+async fn raw(addr: SocketAddr, request: &str) -> (u16, String) {
+    let mut stream = TcpStream::connect(addr).await.expect("a connection");
+    stream.write_all(request.as_bytes()).await.expect("sent");
+    let mut text = String::new();
+    stream.read_to_string(&mut text).await.expect("an answer");
+    let status = text
+        .split(' ')
+        .nth(1)
+        .and_then(|status| status.parse().ok());
+    let body = text.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+    (status.expect("a status"), String::from(body))
+}
+
+fn get(path: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+}
+
+fn post(path: &str, headers: &str, body: &str) -> String {
+    format!("POST {path} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n{headers}\r\n{body}")
+}
+
+fn failure(body: &str) -> Failure {
+    serde_json::from_str(body).expect("a failure in JSON")
+}
+
+macro_rules! cases {
+    ($($name:ident => $body:expr;)*) => {
+        $(#[tokio::test] async fn $name() { $body })*
+    };
+}
+
+macro_rules! refused {
+    ($($name:ident: $request:expr => $kind:ident;)*) => {
+        $(#[tokio::test] async fn $name() {
+            let addr = start(1).await;
+            let (status, body) = raw(addr, &$request).await;
+            let failure = failure(&body);
+            assert_eq!(failure.kind, ErrorKind::$kind, "{failure}");
+            assert_eq!(status, ErrorKind::$kind.answer().status);
+            assert!(!body.contains(TOKEN));
+        })*
+    };
+}
+
+refused! {
+    unknown_path: get("/nothing") => NotFound;
+    reading_what_is_to_be_posted: get("/drain") => NotFound;
+    posting_what_is_to_be_read: post("/status", "Content-Length: 0\r\n", "") => NotFound;
+    no_token: post("/drain", "Content-Length: 2\r\n", "{}") => Unauthorized;
+    wrong_token: post("/drain", "Authorization: Bearer token-of-the-tesT\r\n", "") => Unauthorized;
+    shorter_token: post("/drain", "Authorization: Bearer token\r\n", "") => Unauthorized;
+    other_scheme: post("/undrain", "Authorization: Basic token-of-the-test\r\n", "") => Unauthorized;
+    body_without_length:
+        post("/drain", &format!("Authorization: Bearer {TOKEN}\r\n"), "") => Invalid;
+    body_over_the_limit:
+        post("/drain", &format!("Authorization: Bearer {TOKEN}\r\nContent-Length: 1048577\r\n"), "")
+        => Invalid;
+    body_of_another_shape:
+        post("/drain", &format!("Authorization: Bearer {TOKEN}\r\nContent-Length: 2\r\n"), "{}")
+        => Invalid;
+}
+
+cases! {
+    health_needs_no_revision => {
+        let addr = start(0).await;
+        let (status, body) = raw(addr, &get("/health")).await;
+        assert_eq!((status, body.contains("true")), (200, true));
+    };
+
+    ready_follows_the_revision => {
+        let (status, body) = raw(start(0).await, &get("/ready")).await;
+        assert_eq!((status, failure(&body).kind), (503, ErrorKind::NoTarget));
+        let (status, _) = raw(start(1).await, &get("/ready")).await;
+        assert_eq!(status, 200);
+    };
+
+    status_arrives_whole_and_without_token => {
+        let addr = start(7).await;
+        let client = Client::new(addr, None);
+        assert_eq!(client.status().await.expect("a status"), status(7));
+    };
+
+    drain_and_undrain_name_a_target_either_way => {
+        let client = client(start(1).await);
+        let id = TargetId::of("desk-1");
+        for name in [String::from("desk-1"), id.to_string()] {
+            let drained = client.drain(&name, true).await.expect("drained");
+            assert_eq!(drained, target(id, true));
+            let back = client.drain(&name, false).await.expect("back");
+            assert_eq!(back, target(id, false));
+        }
+    };
+
+    failure_of_the_control_thread_arrives_as_it_is => {
+        let client = client(start(1).await);
+        let failure = client.drain("desk-9", true).await.expect_err("unknown");
+        assert_eq!(failure, Failure::from(ErrorKind::NotFound));
+    };
+
+    stopped_control_thread_is_told => {
+        let (handle, requests) = control::channel();
+        drop(requests);
+        let failure = handle.status().await.expect_err("nobody there");
+        assert_eq!(failure.kind, ErrorKind::Timeout);
+    };
+
+    reply_that_is_dropped_is_told => {
+        let (handle, mut requests) = control::channel();
+        tokio::spawn(async move { drop(requests.recv().await) });
+        let failure = handle.status().await.expect_err("no reply");
+        assert_eq!(failure.kind, ErrorKind::Timeout);
+    };
+
+    silent_balancer_is_named => {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        drop(listener);
+        let failure = client(addr).status().await.expect_err("nobody there");
+        assert_eq!(failure.kind, ErrorKind::Timeout);
+        assert!(failure.message.contains(&addr.to_string()), "{failure}");
+    };
+}
+
+#[tokio::test(start_paused = true)]
+async fn busy_control_thread_is_not_waited_for_without_end() {
+    let (handle, _requests) = control::channel();
+    let failure = handle.status().await.expect_err("no reply");
+    assert_eq!(failure.kind, ErrorKind::Timeout);
+}
