--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,11 +1,11 @@
-
+//! Stand-ins for what the load balancer meets: platform, fabric, callers, targets, and processes.
 //!
-//! Stand-ins for what surrounds the load balancer.
-//! Stand-ins for what the load balancer meets: fabric, callers, targets, and processes to kill.
 //! They speak the published protocols of the outside systems, keep no more state than a test
-//! [`fabric`] that sprays their packets over the balancers; [`target`] records what it ran, so
 //! needs to judge an outcome, and model no cluster. [`load`] drives real TCP flows through a
-//! that a request that ran twice or at the wrong service is seen.
+//! [`fabric`] that sprays their packets over the balancers; [`target`] records what it ran, so
+//! that a request that ran twice or at the wrong service is seen. [`fleet`] and [`mod@process`] start
+//! the real programs, to be stopped, frozen and ended in the middle of their work.
+
 pub mod caller;
 pub mod fabric;
 pub mod fleet;
