Tell whose handshake an acknowledgement finishes

Cause: with uneven views two agents may answer one opening packet. Every packet of the flow went to whichever endpoint was met first.

Change: a half-open flow becomes established only by the acknowledgement of the number that its own endpoint chose (`on_isn`, to be told right after `Open`). Any other packet of the flow is passed on or searched for, and never delivered or reset. A caller's reset reaches a half-open endpoint unless it acknowledges another one's number. Half-open flows time out and are bounded, the oldest goes first, with `Close` and in silence. New count `half_open_count`.

Ruled out: closing the half-open flow when a foreign acknowledgement comes. A forged packet could end any handshake.

Conclusion: a flow has one endpoint that gets its bytes.

--- a/crates/core/src/flows.rs
+++ b/crates/core/src/flows.rs
@@ -21,6 +21,7 @@
 use crate::members::{TargetRecord, TargetState};
 
 mod bucket;
+mod connection;
 mod counters;
 mod held;
 mod limits;
@@ -107,7 +108,12 @@
     }
 
     /// The endpoint answers the opening packet with this sequence number.
-    pub fn on_isn(&mut self, _flow: &FlowId, _isn: u32) {}
+    ///
+    /// To be told right after [`Action::Open`]: until then no acknowledgement counts as this
+    /// endpoint's.
+    pub fn on_isn(&mut self, flow: &FlowId, isn: u32) {
+        self.held.set_isn(flow, isn);
+    }
 
     /// The endpoint finished the handshake.
     pub fn on_established(&mut self, _now: Millis, flow: &FlowId) {
@@ -204,6 +210,7 @@
     /// Does what is due. To be called at least every 50 ms.
     pub fn on_tick(&mut self, now: Millis, out: &mut Vec<Action<B>>) {
         let before = out.len();
+        self.close_timed_out(now, out);
         self.tick_searches(now, out);
         self.counters.count(&out[before..]);
     }
@@ -226,6 +233,12 @@
         self.held.len() == 0
     }
 
+    /// Half-open flows among those held here.
+    #[must_use]
+    pub fn half_open_count(&self) -> usize {
+        self.held.half_open_len()
+    }
+
     /// Flows at peers that are remembered.
     #[must_use]
     pub fn redirect_count(&self) -> usize {
@@ -275,6 +288,13 @@
         out.push(Action::Deliver { packet });
     }
 
+    fn close_timed_out(&mut self, now: Millis, out: &mut Vec<Action<B>>) {
+        let reason = CloseReason::HalfOpenTimeout;
+        while let Some(flow) = self.held.pop_timed_out(now) {
+            out.push(Action::Close { flow, reason });
+        }
+    }
+
     /// The service that owns the address, if this target serves it.
     fn served(&self, address: SocketAddr) -> Option<ServiceKey> {
         let service = self.services.at(address)?;
--- a/crates/core/src/flows/held.rs
+++ b/crates/core/src/flows/held.rs
@@ -2,7 +2,8 @@
 //!
 //! A flow is half-open until the caller acknowledges the sequence number that this agent chose.
 //! Another agent may have answered the same opening packet with a number of its own, so the
-//! acknowledgement, and nothing else, tells whose flow it is.
+//! acknowledgement, and nothing else, tells whose flow it is. Half-open flows may be pushed out by
+//! newer ones; an established flow stays until its endpoint is gone.
 
 use std::collections::HashMap;
 
@@ -11,20 +12,14 @@
 use crate::id::TargetId;
 
 use super::FlowLimits;
-use super::notice::LastNotice;
+use super::connection::Connection;
 use super::recent::Recent;
 
-/// One connection of a caller.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Connection {
-    busy: bool,
-    notice: LastNotice,
-}
-
 /// Half-open and established flows.
 #[derive(Debug)]
 pub(super) struct Held {
     half_open: Recent<FlowId, Connection>,
+    half_open_life: Millis,
     established: HashMap<FlowId, Connection>,
     busy: u32,
 }
@@ -33,6 +28,7 @@
     pub(super) fn new(limits: &FlowLimits) -> Self {
         Self {
             half_open: Recent::new(limits.half_open),
+            half_open_life: limits.half_open_life,
             established: HashMap::new(),
             busy: 0,
         }
@@ -42,6 +38,10 @@
         self.half_open.len() + self.established.len()
     }
 
+    pub(super) fn half_open_len(&self) -> usize {
+        self.half_open.len()
+    }
+
     pub(super) fn contains(&self, flow: &FlowId) -> bool {
         self.half_open.contains(flow) || self.established.contains_key(flow)
     }
@@ -52,18 +52,25 @@
         self.busy.saturating_add(half_open)
     }
 
-    /// Whether the segment belongs to a flow's endpoint here.
-    pub(super) fn takes(&self, flow: &FlowId, _segment: &Segment) -> bool {
-        self.contains(flow)
-    }
-
-    /// Whether a peer should be told now that the flow is here, which counts as done.
+    /// Whether the segment belongs to a flow's endpoint here, which is noted.
     ///
-    /// A half-open flow may turn out to be another agent's.
-    pub(super) fn is_notice_due(&mut self, now: Millis, flow: &FlowId, peer: TargetId) -> bool {
-        self.established
-            .get_mut(flow)
-            .is_some_and(|connection| connection.notice.is_due(now, peer))
+    /// A flow becomes established by the acknowledgement of its endpoint's number.
+    pub(super) fn takes(&mut self, flow: &FlowId, segment: &Segment) -> bool {
+        if let Some(connection) = self.established.get_mut(flow) {
+            let is_taken = segment.opens() || connection.is_continued_by(segment);
+            if is_taken && !segment.opens() {
+                connection.advance(segment);
+            }
+            return is_taken;
+        }
+        let Some(connection) = self.half_open.get(flow) else {
+            return false;
+        };
+        if connection.is_acknowledged_by(segment) && !segment.rst {
+            self.establish(flow);
+            return true;
+        }
+        segment.opens() || connection.is_given_up_by(segment)
     }
 
     /// Adds a half-open flow, and returns the one that had to go.
@@ -77,32 +84,53 @@
         evicted.map(|(flow, _)| flow)
     }
 
+    pub(super) fn set_isn(&mut self, flow: &FlowId, isn: u32) {
+        if let Some(connection) = self.half_open.get_mut(flow) {
+            connection.set_isn(isn);
+        }
+    }
+
     pub(super) fn establish(&mut self, flow: &FlowId) {
         if let Some(connection) = self.half_open.remove(flow) {
             self.established.insert(*flow, connection);
         }
     }
 
-    pub(super) fn set_busy(&mut self, flow: &FlowId, busy: bool) {
+    pub(super) fn set_busy(&mut self, flow: &FlowId, is_busy: bool) {
         let Some(connection) = self.established.get_mut(flow) else {
             return;
         };
-        if connection.busy == busy {
+        if connection.is_busy == is_busy {
             return;
         }
-        connection.busy = busy;
-        if busy {
+        connection.is_busy = is_busy;
+        if is_busy {
             self.busy += 1;
         } else {
             self.busy -= 1;
         }
     }
 
+    /// Whether a peer should be told now that the flow is here, which counts as done.
+    ///
+    /// A half-open flow may turn out to be another agent's.
+    pub(super) fn is_notice_due(&mut self, now: Millis, flow: &FlowId, peer: TargetId) -> bool {
+        self.established
+            .get_mut(flow)
+            .is_some_and(|connection| connection.notice.is_due(now, peer))
+    }
+
     pub(super) fn close(&mut self, flow: &FlowId) {
         self.half_open.remove(flow);
         let closed = self.established.remove(flow);
-        if closed.is_some_and(|connection| connection.busy) {
+        if closed.is_some_and(|connection| connection.is_busy) {
             self.busy -= 1;
         }
     }
+
+    /// Removes a half-open flow whose time is up.
+    pub(super) fn pop_timed_out(&mut self, now: Millis) -> Option<FlowId> {
+        let timed_out = self.half_open.pop_unused(now, self.half_open_life);
+        timed_out.map(|(flow, _)| flow)
+    }
 }
--- a/crates/core/src/flows/opening.rs
+++ b/crates/core/src/flows/opening.rs
@@ -12,11 +12,11 @@
 use crate::id::TargetId;
 
 use super::Flows;
-use super::held::Connection;
+use super::connection::Connection;
 use super::load::{Estimate, JITTER_MILLI};
 use super::notice::LastNotice;
 use super::ongoing::may_pass;
-use super::packet::{Action, Arrival, Packet, Relay};
+use super::packet::{Action, Arrival, CloseReason, Packet, Relay};
 use super::peers::Peer;
 use super::redirects::Redirect;
 use super::services::{PoolKey, ServiceKey};
@@ -168,7 +168,11 @@
     }
 
     fn open(&mut self, now: Millis, packet: Packet<B>, out: &mut Vec<Action<B>>) {
-        self.held.open(now, packet.flow, Connection::default());
+        let connection = Connection::new(packet.segment.seq);
+        if let Some(flow) = self.held.open(now, packet.flow, connection) {
+            let reason = CloseReason::HalfOpenLimit;
+            out.push(Action::Close { flow, reason });
+        }
         self.redirects.remove(&packet.flow);
         out.push(Action::Open { packet });
     }
--- a/crates/core/tests/flows/main.rs
+++ b/crates/core/tests/flows/main.rs
@@ -7,5 +7,6 @@
 }
 
 mod fixture;
+mod handshake;
 mod search;
 mod steering;
