Measure how evenly policies spread load, on the decisions alone

Cause: imbalance weighs most for one user, and nothing measured it yet.

Change: the measure example feeds generated arrivals (Poisson, bursts with heavy-tailed requests, sessions, mass reconnect) to the agents' decisions under the users' delays, and to four baselines in the same run.

--- /dev/null
+++ b/crates/testkit/examples/measure/agents.rs
@@ -0,0 +1,312 @@
+//! The agents of one pool, fed by hand.
+
+use std::collections::HashMap;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+use citronhollow_core::clock::Millis;
+use citronhollow_core::config::{Documents, Pool, Refusal, Revision, Service};
+use citronhollow_core::flow::{FlowId, Segment};
+use citronhollow_core::flows::{Action, Arrival, FlowLimits, Flows, LoadReport, Packet, Relay};
+use citronhollow_core::id::{DomainId, GroupId, TargetId};
+use citronhollow_core::members::{TargetRecord, TargetState};
+use citronhollow_core::routes::Routes;
+
+use crate::model::Fleet;
+
+/// The address that every flow of a run uses.
+pub const SERVICE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 1, 0, 1)), 443);
+
+/// Time between two reports of an agent, in microseconds.
+const REPORT_EVERY_US: u64 = 250_000;
+
+/// A load report with envelope, tag, UDP and IP headers, in bytes.
+const REPORT_BYTES: u32 = 96;
+
+/// Something that reaches an agent after a delay.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Step {
+    /// An opening packet that a peer handed over.
+    Hand {
+        /// The flow's number.
+        flow: usize,
+        /// The agent that handed it over.
+        from: usize,
+        /// The agent that gets it.
+        to: usize,
+    },
+    /// A report, by its number.
+    Report {
+        /// Position among the reports of the run.
+        report: usize,
+        /// The agent that gets it.
+        to: usize,
+    },
+}
+
+/// All agents of the pool.
+pub struct Agents<'a> {
+    fleet: &'a Fleet,
+    routes: Routes,
+    ids: Vec<TargetId>,
+    flows: Vec<Flows<usize>>,
+    numbers: HashMap<usize, FlowId>,
+    reports: Vec<LoadReport>,
+    next_report_us: Vec<u64>,
+    steps: Vec<(u64, Step)>,
+    opened: Vec<(usize, usize)>,
+    refused: u32,
+    handed: u32,
+    sent: u32,
+}
+
+impl<'a> Agents<'a> {
+    /// Agents that know one another and the service, with no flow.
+    pub fn new(fleet: &'a Fleet, seed: u64) -> Self {
+        let records: Vec<_> = fleet
+            .slots
+            .iter()
+            .enumerate()
+            .map(|(at, slots)| record(at, *slots, at % fleet.domains))
+            .collect();
+        let revision = revision();
+        let ids: Vec<_> = records.iter().map(|record| record.id).collect();
+        let flows = (0_u64..)
+            .zip(&records)
+            .map(|(at, record)| agent(record, &records, &revision, seed * 1_000 + at))
+            .collect();
+        // Agents start at different moments, so their reports do not come together.
+        let count = records.len() as u64;
+        let next_report_us = (0..count).map(|at| at * REPORT_EVERY_US / count).collect();
+        Self {
+            fleet,
+            routes: Routes::build(&revision, &records, None),
+            ids,
+            flows,
+            numbers: HashMap::new(),
+            reports: Vec::new(),
+            next_report_us,
+            steps: Vec::new(),
+            opened: Vec::new(),
+            refused: 0,
+            handed: 0,
+            sent: 0,
+        }
+    }
+
+    /// The table's first choice for a flow.
+    pub fn table_choice(&self, flow: &FlowId) -> usize {
+        let choice = self.routes.choose(flow, &opening(flow)).ok();
+        let id = choice.map(|choice| self.routes.target(choice.target).id);
+        id.and_then(|id| self.position(id)).unwrap_or(0)
+    }
+
+    /// A new flow's opening packet comes from a balancer.
+    pub fn on_arrival(&mut self, now: u64, number: usize, flow: FlowId) {
+        self.numbers.insert(number, flow);
+        let at = self.table_choice(&flow);
+        self.feed(now, at, number, Arrival::Balancer);
+    }
+
+    /// A message arrives.
+    pub fn on_step(&mut self, now: u64, step: Step) {
+        match step {
+            Step::Hand { flow, from, to } => {
+                let arrival = Arrival::Handed(self.ids[from]);
+                self.feed(now, to, flow, arrival);
+            }
+            Step::Report { report, to } => {
+                let report = self.reports[report];
+                self.flows[to].on_load(millis(now), report);
+            }
+        }
+    }
+
+    /// Time passes.
+    pub fn on_tick(&mut self, now: u64) {
+        for at in 0..self.flows.len() {
+            let mut out = Vec::new();
+            self.flows[at].on_tick(millis(now), &mut out);
+            self.carry_out(now, at, out);
+            if now >= self.next_report_us[at] {
+                self.next_report_us[at] += REPORT_EVERY_US;
+                self.report(now, at);
+            }
+        }
+    }
+
+    /// A request begins or ends.
+    pub fn on_busy(&mut self, target: usize, number: usize, is_busy: bool) {
+        if let Some(flow) = self.numbers.get(&number) {
+            self.flows[target].on_busy(flow, is_busy);
+        }
+    }
+
+    /// A flow ends.
+    pub fn on_closed(&mut self, now: u64, target: usize, number: usize) {
+        if let Some(flow) = self.numbers.remove(&number) {
+            self.flows[target].on_closed(millis(now), &flow);
+        }
+    }
+
+    /// Messages on their way, with the time of their arrival.
+    pub fn take_steps(&mut self) -> Vec<(u64, Step)> {
+        std::mem::take(&mut self.steps)
+    }
+
+    /// Flows that were opened, and at which target.
+    pub fn take_opened(&mut self) -> Vec<(usize, usize)> {
+        std::mem::take(&mut self.opened)
+    }
+
+    /// Flows refused.
+    pub const fn refused(&self) -> u32 {
+        self.refused
+    }
+
+    /// Flows that went over a second agent.
+    pub const fn handed(&self) -> u32 {
+        self.handed
+    }
+
+    /// Control traffic that one agent sends, in bytes a second.
+    pub fn control_bytes_per_s(&self, length_us: u64) -> f64 {
+        let count = u32::try_from(self.flows.len()).unwrap_or(1);
+        let secs = u32::try_from(length_us / 1_000_000).unwrap_or(1);
+        f64::from(self.sent) * f64::from(REPORT_BYTES) / f64::from(count) / f64::from(secs)
+    }
+
+    fn feed(&mut self, now: u64, at: usize, number: usize, arrival: Arrival) {
+        let Some(flow) = self.numbers.get(&number).copied() else {
+            return;
+        };
+        let packet = Packet {
+            flow,
+            segment: opening(&flow),
+            arrival,
+            chain: Vec::new(),
+            hops: 0,
+            trace: 0,
+            bytes: number,
+        };
+        let mut out = Vec::new();
+        self.flows[at].on_packet(millis(now), packet, &mut out);
+        self.carry_out(now, at, out);
+    }
+
+    fn carry_out(&mut self, now: u64, at: usize, actions: Vec<Action<usize>>) {
+        for action in actions {
+            match action {
+                Action::Open { packet } => self.open(now, at, &packet),
+                Action::Send {
+                    to,
+                    relay: Relay::Hand,
+                    packet,
+                } => self.hand(now, at, to, packet.bytes),
+                Action::Refuse { .. } => self.refused += 1,
+                _ => {}
+            }
+        }
+    }
+
+    fn open(&mut self, now: u64, at: usize, packet: &Packet<usize>) {
+        self.flows[at].on_isn(&packet.flow, 1);
+        self.flows[at].on_established(millis(now), &packet.flow);
+        self.opened.push((packet.bytes, at));
+    }
+
+    fn hand(&mut self, now: u64, from: usize, to: TargetId, flow: usize) {
+        let Some(to) = self.position(to) else {
+            return;
+        };
+        self.handed += 1;
+        let arrives = now + self.fleet.delay_us(from, to);
+        self.steps.push((arrives, Step::Hand { flow, from, to }));
+    }
+
+    fn report(&mut self, now: u64, from: usize) {
+        let report = self.flows[from].load_report(millis(now));
+        self.reports.push(report);
+        let number = self.reports.len() - 1;
+        for to in (0..self.flows.len()).filter(|to| *to != from) {
+            self.sent += 1;
+            let arrives = now + self.fleet.delay_us(from, to);
+            self.steps
+                .push((arrives, Step::Report { report: number, to }));
+        }
+    }
+
+    fn position(&self, id: TargetId) -> Option<usize> {
+        self.ids.iter().position(|other| *other == id)
+    }
+}
+
+fn agent(
+    record: &TargetRecord,
+    records: &[TargetRecord],
+    revision: &Revision,
+    seed: u64,
+) -> Flows<usize> {
+    // The cold start is over when the run begins.
+    let limits = FlowLimits {
+        ramp: Millis::ZERO,
+        ..FlowLimits::default()
+    };
+    let mut flows = Flows::new(record.id, limits, seed);
+    flows.set_group(record.group);
+    flows.set_incarnation(record.incarnation);
+    flows.set_services(revision);
+    flows.set_slots(Millis::ZERO, record.slots);
+    flows.set_state(Millis::ZERO, TargetState::Ready);
+    flows.set_peers(Millis::ZERO, records);
+    flows
+}
+
+fn opening(flow: &FlowId) -> Segment {
+    Segment {
+        syn: true,
+        seq: u32::from(flow.caller.port()),
+        ..Segment::default()
+    }
+}
+
+const fn millis(micros: u64) -> Millis {
+    Millis(micros / 1_000)
+}
+
+fn record(at: usize, slots: u16, domain: usize) -> TargetRecord {
+    TargetRecord {
+        id: TargetId::of(&format!("target-{at}")),
+        group: GroupId::of("targets"),
+        domain: DomainId::of(&format!("domain-{domain}")),
+        agent: SocketAddr::from((Ipv4Addr::LOCALHOST, 9_000)),
+        slots,
+        state: TargetState::Ready,
+        incarnation: 1,
+        sequence: 1,
+    }
+}
+
+fn revision() -> Revision {
+    let service = Service {
+        name: String::from("service"),
+        addresses: vec![SERVICE],
+        pool: String::from("pool"),
+        refusal: Refusal::Reset,
+        new_flows_per_s: None,
+        new_flows_per_s_per_caller: None,
+    };
+    let pool = Pool {
+        name: String::from("pool"),
+        groups: vec![String::from("targets")],
+        flows_per_target: None,
+    };
+    Revision {
+        number: 1,
+        epoch: 1,
+        documents: Documents {
+            services: vec![service],
+            pools: vec![pool],
+            rules: Vec::new(),
+        },
+    }
+}
--- /dev/null
+++ b/crates/testkit/examples/measure/arrivals.rs
@@ -0,0 +1,154 @@
+//! Arrivals of flows and the requests in them.
+
+use derive_more::Display;
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+/// Mean time that a request keeps a slot busy, in milliseconds.
+const REQUEST_MEAN_MS: f64 = 200.0;
+
+/// Shape of the heavy-tailed durations; the variance is infinite at this value.
+const TAIL_SHAPE: f64 = 1.5;
+
+/// Longest duration, in milliseconds.
+const TAIL_MAX_MS: f64 = 20_000.0;
+
+/// Mean time between two requests of a session, in milliseconds.
+const THINK_MEAN_MS: f64 = 1_800.0;
+
+/// Requests of a session on the average.
+const SESSION_REQUESTS: f64 = 15.0;
+
+/// Share of the slots that are busy on the average.
+const UTILIZATION: f64 = 0.7;
+
+/// How much faster flows come in a burst than on the average.
+const BURST_FACTOR: f64 = 2.0;
+
+/// Length of a burst and of a quiet time, in milliseconds.
+const BURST_MS: f64 = 5_000.0;
+
+/// A kind of arrivals.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum Workload {
+    /// Poisson arrivals of flows with one request each.
+    #[display("poisson")]
+    Poisson,
+    /// Match day: bursts and quiet times in turn, heavy-tailed requests.
+    #[display("bursts, tailed")]
+    Bursts,
+    /// Sessions with many short requests.
+    #[display("sessions")]
+    Sessions,
+    /// A third of all flows come back at the same moment, every ten seconds.
+    #[display("mass reconnect")]
+    Reconnect,
+}
+
+/// One flow to come.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// When it opens, in milliseconds.
+    pub at: f64,
+    /// Start after the opening and duration of each request, in milliseconds.
+    pub requests: Vec<(f64, f64)>,
+}
+
+impl Workload {
+    /// All of them.
+    pub const ALL: [Self; 4] = [Self::Poisson, Self::Bursts, Self::Sessions, Self::Reconnect];
+
+    /// The flows of a run of `length` milliseconds at targets with `slots` slots in all.
+    pub fn arrivals(self, slots: u32, length: f64, rng: &mut SmallRng) -> Vec<Arrival> {
+        let requests_per_ms = f64::from(slots) * UTILIZATION / REQUEST_MEAN_MS;
+        match self {
+            Self::Poisson => poisson(requests_per_ms, length, rng, |_| 1.0, one_request),
+            Self::Bursts => {
+                let burst = |at: f64| {
+                    if at % (2.0 * BURST_MS) < BURST_MS {
+                        BURST_FACTOR
+                    } else {
+                        0.5
+                    }
+                };
+                poisson(
+                    requests_per_ms / 1.25,
+                    length,
+                    rng,
+                    burst,
+                    one_tailed_request,
+                )
+            }
+            Self::Sessions => {
+                let rate = requests_per_ms / SESSION_REQUESTS;
+                poisson(rate, length, rng, |_| 1.0, session)
+            }
+            Self::Reconnect => {
+                let mut arrivals =
+                    poisson(requests_per_ms / 1.5, length, rng, |_| 1.0, one_request);
+                synchronize(&mut arrivals);
+                arrivals
+            }
+        }
+    }
+}
+
+fn poisson(
+    rate: f64,
+    length: f64,
+    rng: &mut SmallRng,
+    factor: impl Fn(f64) -> f64,
+    requests: impl Fn(&mut SmallRng) -> Vec<(f64, f64)>,
+) -> Vec<Arrival> {
+    let mut arrivals = Vec::new();
+    let mut at = 0.0;
+    loop {
+        at += exponential(rng, 1.0 / (rate * factor(at)));
+        if at >= length {
+            return arrivals;
+        }
+        let requests = requests(rng);
+        arrivals.push(Arrival { at, requests });
+    }
+}
+
+/// Moves the last third of every ten seconds' flows to the end of them.
+fn synchronize(arrivals: &mut [Arrival]) {
+    const PERIOD_MS: f64 = 10_000.0;
+    for arrival in arrivals.iter_mut() {
+        let phase = arrival.at % PERIOD_MS;
+        if phase > PERIOD_MS * 2.0 / 3.0 {
+            // A few milliseconds apart, as the network spreads them.
+            arrival.at += PERIOD_MS - phase + phase % 20.0;
+        }
+    }
+}
+
+fn one_request(rng: &mut SmallRng) -> Vec<(f64, f64)> {
+    vec![(0.0, exponential(rng, REQUEST_MEAN_MS))]
+}
+
+fn one_tailed_request(rng: &mut SmallRng) -> Vec<(f64, f64)> {
+    let least = REQUEST_MEAN_MS * (TAIL_SHAPE - 1.0) / TAIL_SHAPE;
+    let uniform: f64 = 1.0 - rng.random::<f64>();
+    let duration = least * uniform.powf(-1.0 / TAIL_SHAPE);
+    vec![(0.0, duration.min(TAIL_MAX_MS))]
+}
+
+fn session(rng: &mut SmallRng) -> Vec<(f64, f64)> {
+    let mut requests = Vec::new();
+    let mut start = 0.0;
+    loop {
+        let duration = exponential(rng, REQUEST_MEAN_MS);
+        requests.push((start, duration));
+        start += duration + exponential(rng, THINK_MEAN_MS);
+        if rng.random_bool(1.0 / SESSION_REQUESTS) {
+            return requests;
+        }
+    }
+}
+
+fn exponential(rng: &mut SmallRng, mean: f64) -> f64 {
+    let uniform: f64 = 1.0 - rng.random::<f64>();
+    -uniform.ln() * mean
+}
