Remember ended flows for a short time

Cause: the last packets of a finished flow come late or twice, and each of them started a search among all peers.

An opening packet with another number and packets with far numbers belong to a newer connection. Nothing is remembered of a handshake that did not finish. New count `ended_count`.

Ruled out: remembering the two ends alone, which cuts a caller that uses its port again. Passing late packets to the old endpoint, which is gone.

Conclusion: a finished flow asks nobody.

--- a/crates/core/src/flows.rs
+++ b/crates/core/src/flows.rs
@@ -131,8 +131,8 @@
     }
 
     /// The endpoint is gone.
-    pub fn on_closed(&mut self, _now: Millis, flow: &FlowId) {
-        self.held.close(flow);
+    pub fn on_closed(&mut self, now: Millis, flow: &FlowId) {
+        self.held.close(now, flow);
     }
 
     /// A peer asks for a flow.
@@ -211,6 +211,7 @@
     pub fn on_tick(&mut self, now: Millis, out: &mut Vec<Action<B>>) {
         let before = out.len();
         self.close_timed_out(now, out);
+        self.held.forget_ended(now);
         self.tick_searches(now, out);
         self.counters.count(&out[before..]);
     }
@@ -239,6 +240,12 @@
         self.held.half_open_len()
     }
 
+    /// Ended flows that are remembered.
+    #[must_use]
+    pub fn ended_count(&self) -> usize {
+        self.held.ended_len()
+    }
+
     /// Flows at peers that are remembered.
     #[must_use]
     pub fn redirect_count(&self) -> usize {
@@ -268,6 +275,10 @@
             self.deliver(now, packet, out);
             return;
         }
+        if self.held.has_ended(&packet.flow, &packet.segment) {
+            drop_for(DropReason::Stale, out);
+            return;
+        }
         let Some(service) = self.served(packet.flow.service) else {
             drop_for(DropReason::WrongService, out);
             return;
--- a/crates/core/src/flows/connection.rs
+++ b/crates/core/src/flows/connection.rs
@@ -46,6 +46,11 @@
         self.ack_seq = isn.wrapping_add(1);
     }
 
+    /// Whether the packet opens this connection, perhaps once more.
+    pub(super) const fn is_opened_by(&self, segment: &Segment) -> bool {
+        segment.opens() && segment.seq == self.caller_isn
+    }
+
     /// Whether the caller acknowledges the number that this agent's endpoint chose.
     pub(super) fn is_acknowledged_by(&self, segment: &Segment) -> bool {
         let acknowledges = segment.ack && !segment.syn;
--- a/crates/core/src/flows/held.rs
+++ b/crates/core/src/flows/held.rs
@@ -21,6 +21,9 @@
     half_open: Recent<FlowId, Connection>,
     half_open_life: Millis,
     established: HashMap<FlowId, Connection>,
+    /// Flows that were established. They explain packets that come late.
+    ended: Recent<FlowId, Connection>,
+    ended_life: Millis,
     busy: u32,
 }
 
@@ -30,6 +33,8 @@
             half_open: Recent::new(limits.half_open),
             half_open_life: limits.half_open_life,
             established: HashMap::new(),
+            ended: Recent::new(limits.ended),
+            ended_life: limits.ended_life,
             busy: 0,
         }
     }
@@ -120,12 +125,41 @@
             .is_some_and(|connection| connection.notice.is_due(now, peer))
     }
 
-    pub(super) fn close(&mut self, flow: &FlowId) {
+    /// Whether the packet belongs to a connection that has ended here.
+    ///
+    /// An opening packet with another number and a packet with far numbers belong to a newer
+    /// connection between the same two ends.
+    pub(super) fn has_ended(&self, flow: &FlowId, segment: &Segment) -> bool {
+        self.ended.get(flow).is_some_and(|connection| {
+            if segment.opens() {
+                connection.is_opened_by(segment)
+            } else {
+                connection.is_continued_by(segment)
+            }
+        })
+    }
+
+    /// Flows that have ended and are remembered.
+    pub(super) fn ended_len(&self) -> usize {
+        self.ended.len()
+    }
+
+    /// Removes a flow. Nothing is remembered of a handshake that did not finish, because the
+    /// caller may repeat its opening packet and mean it.
+    pub(super) fn close(&mut self, now: Millis, flow: &FlowId) {
         self.half_open.remove(flow);
-        let closed = self.established.remove(flow);
-        if closed.is_some_and(|connection| connection.is_busy) {
+        let Some(connection) = self.established.remove(flow) else {
+            return;
+        };
+        if connection.is_busy {
             self.busy -= 1;
         }
+        self.ended.insert(now, *flow, connection);
+    }
+
+    /// Forgets ended flows whose time is up.
+    pub(super) fn forget_ended(&mut self, now: Millis) {
+        while self.ended.pop_unused(now, self.ended_life).is_some() {}
     }
 
     /// Removes a half-open flow whose time is up.
--- a/crates/core/tests/flows/main.rs
+++ b/crates/core/tests/flows/main.rs
@@ -6,6 +6,7 @@
     };
 }
 
+mod ended;
 mod fixture;
 mod handshake;
 mod search;
