Keep packets of one service away from the targets of another

Cause: an agent opened, passed and searched for flows of any address that it knew, and flows lived on when their address was given to another service.

Change: a packet of a flow that is not held here counts only if its address belongs, by this agent's own revision, to a service one of whose pools contains this target's group; else it is dropped as for the wrong service. Flows keep the service that they were opened for: they outlive a move of the service to other targets and the release of the address. When the address is given to another service, `Close` with `Reassigned` comes before anything else, the caller gets a reset, and late packets are stale. A redirect counts only for its own service, and outlives the move too. An agent without a group or a revision serves nothing.

Ruled out: closing the flows of a released address at once. The release may be half of a planned change, and no other service can get the packets yet.

--- a/crates/core/src/flows.rs
+++ b/crates/core/src/flows.rs
@@ -9,8 +9,6 @@
 //! an agent is opened or refused there, so it does not wander. A flow is reset only when every
 //! peer that may hold it has said that it does not.
 
-use std::net::SocketAddr;
-
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -62,6 +60,8 @@
     services: Services,
     peers: Peers,
     held: Held,
+    /// Flows to close because their address belongs to another service.
+    reassigned: Vec<FlowId>,
     redirects: Redirects,
     searches: Searches<B>,
     /// When a flow was first claimed by nobody.
@@ -88,6 +88,7 @@
             services: Services::default(),
             peers: Peers::default(),
             held: Held::new(&limits),
+            reassigned: Vec::new(),
             redirects: Redirects::new(limits.redirects),
             searches: Searches::new(),
             suspects: Recent::new(limits.suspects),
@@ -103,6 +104,7 @@
     /// Decides about a packet.
     pub fn on_packet(&mut self, now: Millis, packet: Packet<B>, out: &mut Vec<Action<B>>) {
         let before = out.len();
+        self.close_reassigned(now, out);
         self.decide(now, packet, out);
         self.counters.count(&out[before..]);
     }
@@ -190,11 +192,15 @@
     }
 
     /// The configuration in force. A lower number than the last one is ignored.
+    ///
+    /// Flows whose address was given to another service get no packet from now on, and the next
+    /// packet or tick closes their endpoints.
     pub fn set_services(&mut self, revision: &Revision) {
         if revision.number < self.services.number() {
             return;
         }
         self.services = Services::build(revision);
+        self.reassigned.extend(self.held.reassigned(&self.services));
     }
 
     /// What this target can take.
@@ -210,6 +216,7 @@
     /// Does what is due. To be called at least every 50 ms.
     pub fn on_tick(&mut self, now: Millis, out: &mut Vec<Action<B>>) {
         let before = out.len();
+        self.close_reassigned(now, out);
         self.close_timed_out(now, out);
         self.held.forget_ended(now);
         self.tick_searches(now, out);
@@ -279,10 +286,14 @@
             drop_for(DropReason::Stale, out);
             return;
         }
-        let Some(service) = self.served(packet.flow.service) else {
+        let Some(service) = self.services.at(packet.flow.service) else {
             drop_for(DropReason::WrongService, out);
             return;
         };
+        if !self.serves(service) {
+            self.on_unserved(now, service, packet, out);
+            return;
+        }
         if packet.segment.opens() {
             self.on_opening(now, service, packet, out);
         } else {
@@ -299,6 +310,17 @@
         out.push(Action::Deliver { packet });
     }
 
+    fn close_reassigned(&mut self, now: Millis, out: &mut Vec<Action<B>>) {
+        let reason = CloseReason::Reassigned;
+        for flow in std::mem::take(&mut self.reassigned) {
+            // Its endpoint may be gone by itself since.
+            if self.held.contains(&flow) {
+                self.held.close(now, &flow);
+                out.push(Action::Close { flow, reason });
+            }
+        }
+    }
+
     fn close_timed_out(&mut self, now: Millis, out: &mut Vec<Action<B>>) {
         let reason = CloseReason::HalfOpenTimeout;
         while let Some(flow) = self.held.pop_timed_out(now) {
@@ -306,11 +328,10 @@
         }
     }
 
-    /// The service that owns the address, if this target serves it.
-    fn served(&self, address: SocketAddr) -> Option<ServiceKey> {
-        let service = self.services.at(address)?;
-        let group = self.group?;
-        self.services.serves(service, group).then_some(service)
+    /// Whether this target's group belongs to a pool of the service.
+    fn serves(&self, service: ServiceKey) -> bool {
+        self.group
+            .is_some_and(|group| self.services.serves(service, group))
     }
 
     fn report(&self) -> LoadReport {
--- a/crates/core/src/flows/connection.rs
+++ b/crates/core/src/flows/connection.rs
@@ -6,6 +6,7 @@
 //! and only chooses the endpoint, which then checks every number exactly.
 
 use crate::flow::Segment;
+use crate::id::ServiceId;
 
 use super::notice::LastNotice;
 
@@ -16,6 +17,8 @@
 /// One connection of a caller.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Connection {
+    /// The service that it was opened for.
+    pub(super) service: ServiceId,
     /// The caller's opening sequence number.
     pub(super) caller_isn: u32,
     /// The endpoint's opening sequence number, none until it has answered.
@@ -30,8 +33,9 @@
 }
 
 impl Connection {
-    pub(super) fn new(caller_isn: u32) -> Self {
+    pub(super) fn new(service: ServiceId, caller_isn: u32) -> Self {
         Self {
+            service,
             caller_isn,
             isn: None,
             is_busy: false,
--- a/crates/core/src/flows/held.rs
+++ b/crates/core/src/flows/held.rs
@@ -14,6 +14,7 @@
 use super::FlowLimits;
 use super::connection::Connection;
 use super::recent::Recent;
+use super::services::Services;
 
 /// Half-open and established flows.
 #[derive(Debug)]
@@ -157,6 +158,26 @@
         self.ended.insert(now, *flow, connection);
     }
 
+    /// Flows whose address belongs to another service than the one they were opened for.
+    ///
+    /// An address without a service keeps its flows. They are in the order of flows, so that
+    /// decisions repeat under one seed.
+    pub(super) fn reassigned(&self, services: &Services) -> Vec<FlowId> {
+        let is_reassigned = |flow: &FlowId, connection: &Connection| {
+            let owner = services.at(flow.service);
+            owner.is_some_and(|owner| services.id(owner) != connection.service)
+        };
+        let mut reassigned: Vec<_> = self
+            .half_open
+            .newest_first()
+            .chain(&self.established)
+            .filter(|(flow, connection)| is_reassigned(flow, connection))
+            .map(|(flow, _)| *flow)
+            .collect();
+        reassigned.sort_unstable();
+        reassigned
+    }
+
     /// Forgets ended flows whose time is up.
     pub(super) fn forget_ended(&mut self, now: Millis) {
         while self.ended.pop_unused(now, self.ended_life).is_some() {}
--- a/crates/core/src/flows/ongoing.rs
+++ b/crates/core/src/flows/ongoing.rs
@@ -50,6 +50,24 @@
         self.search(now, service, holder_is_gone, packet, out);
     }
 
+    /// Decides about a packet for a service that this target does not serve, perhaps any more.
+    ///
+    /// A flow that was handed to a peer before the pools changed still finds its way.
+    pub(super) fn on_unserved(
+        &mut self,
+        now: Millis,
+        service: ServiceKey,
+        packet: Packet<B>,
+        out: &mut Vec<Action<B>>,
+    ) {
+        let is_running = !packet.segment.opens();
+        if is_running && let Some(redirect) = self.usable_redirect(service, &packet) {
+            self.follow(now, redirect, packet, out);
+        } else {
+            drop_for(DropReason::WrongService, out);
+        }
+    }
+
     /// Sends a packet to a peer, its chain without the two agents.
     pub(super) fn send(
         &self,
--- a/crates/core/src/flows/opening.rs
+++ b/crates/core/src/flows/opening.rs
@@ -65,7 +65,7 @@
     ) {
         let pool = self.services.pool_for(service, &packet.flow);
         if self.has_room(pool) {
-            self.open(now, packet, out);
+            self.open(now, service, packet, out);
         } else if self.state.takes_new() {
             refuse(packet, ErrorKind::Overloaded, out);
         } else {
@@ -81,7 +81,7 @@
         out: &mut Vec<Action<B>>,
     ) {
         match self.place(now, service, &packet) {
-            Place::Here => self.open(now, packet, out),
+            Place::Here => self.open(now, service, packet, out),
             Place::Peer(to) => self.hand(now, service, to, packet, out),
             Place::Full => refuse(packet, ErrorKind::Overloaded, out),
             Place::Nobody => refuse(packet, ErrorKind::NoTarget, out),
@@ -167,8 +167,15 @@
         self.state.takes_new() && self.held.len() < limit
     }
 
-    fn open(&mut self, now: Millis, packet: Packet<B>, out: &mut Vec<Action<B>>) {
-        let connection = Connection::new(packet.segment.seq);
+    fn open(
+        &mut self,
+        now: Millis,
+        service: ServiceKey,
+        packet: Packet<B>,
+        out: &mut Vec<Action<B>>,
+    ) {
+        let service = self.services.id(service);
+        let connection = Connection::new(service, packet.segment.seq);
         if let Some(flow) = self.held.open(now, packet.flow, connection) {
             let reason = CloseReason::HalfOpenLimit;
             out.push(Action::Close { flow, reason });
--- a/crates/core/src/flows/recent.rs
+++ b/crates/core/src/flows/recent.rs
@@ -107,6 +107,15 @@
         Some((entry.key, entry.value))
     }
 
+    /// Entries from the newest to the oldest.
+    pub(super) fn newest_first(&self) -> impl Iterator<Item = (&K, &V)> {
+        let older = |at: &EntryKey| self.entry(*at).older;
+        std::iter::successors(self.newest, older).map(|at| {
+            let entry = self.entry(at);
+            (&entry.key, &entry.value)
+        })
+    }
+
     fn make_room(&mut self) -> Option<(K, V)> {
         if self.by_key.len() < self.bound {
             return None;
--- a/crates/core/tests/flows/main.rs
+++ b/crates/core/tests/flows/main.rs
@@ -10,4 +10,5 @@
 mod fixture;
 mod handshake;
 mod search;
+mod services;
 mod steering;
