--- a/crates/core/src/flows/connection.rs
+++ b/crates/core/src/flows/connection.rs
@@ -6,6 +6,7 @@
 //! and only chooses the endpoint, which then checks every number exactly.
 
 use crate::flow::Segment;
+use crate::id::ServiceId;
 
 use super::notice::LastNotice;
 
@@ -16,6 +17,8 @@
 /// One connection of a caller.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Connection {
+    /// The service that it was opened for.
+    pub(super) service: ServiceId,
     /// The caller's opening sequence number.
     pub(super) caller_isn: u32,
     /// The endpoint's opening sequence number, none until it has answered.
@@ -30,8 +33,9 @@
 }
 
 impl Connection {
-    pub(super) fn new(caller_isn: u32) -> Self {
+    pub(super) fn new(service: ServiceId, caller_isn: u32) -> Self {
         Self {
+            service,
             caller_isn,
             isn: None,
             is_busy: false,
@@ -46,6 +50,11 @@
         self.ack_seq = isn.wrapping_add(1);
     }
 
+    /// Whether the packet opens this connection, perhaps once more.
+    pub(super) const fn is_opened_by(&self, segment: &Segment) -> bool {
+        segment.opens() && segment.seq == self.caller_isn
+    }
+
     /// Whether the caller acknowledges the number that this agent's endpoint chose.
     pub(super) fn is_acknowledged_by(&self, segment: &Segment) -> bool {
         let acknowledges = segment.ack && !segment.syn;
--- a/crates/core/tests/flows/main.rs
+++ b/crates/core/tests/flows/main.rs
@@ -6,7 +6,9 @@
     };
 }
 
+mod ended;
 mod fixture;
 mod handshake;
 mod search;
+mod services;
 mod steering;
