Add membership, spreading and both control threads

Cause: targets must come and go without a list, and what one balancer learns must reach the others and their agents without the platform.

Change: a view of members that merges records by version, with suspicion, verdicts, damping, panic threshold and digests; news pushed to a few peers a round within a budget and repaired by digests; the balancer's control thread (UDP and TCP on one port, routes rebuilt at most every 50 ms, an operator's drain straight to the agent); the target's announcements on loopback under a lease; the agent's control thread, which reports to three balancers.

Ruled out: accusations between balancers as news. A cut between two regions would make hundreds of them and as many refutations, so each process keeps for itself who does not answer. Ruled out: telling an agent only its three best balancers. When one of them had died, the agent was told the same three again and reported to two for ever (seen in a test with five balancers, which waited 60 s in vain); it is now told six when it lacks one.

--- /dev/null
+++ b/crates/agent/src/control/peers.rs
@@ -0,0 +1,77 @@
+//! Peers of the target, as balancers tell them.
+//!
+//! Balancers have uneven views, so what they tell is merged by version and a late reply undoes
+//! nothing. A peer leaves the list when it is told dead, or when a newer revision no longer
+//! counts it among the peers.
+
+use std::collections::HashMap;
+
+use citronhollow_core::id::TargetId;
+use citronhollow_core::members::{TargetNews, TargetRecord, TargetState, Verdict};
+use citronhollow_peer::message::Target;
+use citronhollow_peer::target_from_message;
+
+/// Peers by identity.
+#[derive(Debug, Default)]
+pub struct Peers {
+    by_id: HashMap<TargetId, Peer>,
+}
+
+#[derive(Debug)]
+struct Peer {
+    news: TargetNews,
+    /// Revision under which it was last told.
+    revision: u64,
+}
+
+impl Peers {
+    /// Takes over what is newer, and says whether anything was.
+    pub fn merge(&mut self, told: &[Target], revision: u64) -> bool {
+        let mut changed = false;
+        for target in told {
+            match target_from_message(target) {
+                Ok(news) => changed |= self.merge_one(news, revision),
+                Err(error) => log::debug!("control: peer refused: {error}"),
+            }
+        }
+        let before = self.by_id.len();
+        self.by_id.retain(|_, peer| peer.revision >= revision);
+        changed || self.by_id.len() != before
+    }
+
+    /// The records for the traffic thread, sorted by identity.
+    #[must_use]
+    pub fn records(&self) -> Vec<TargetRecord> {
+        let mut records: Vec<TargetRecord> =
+            self.by_id.values().map(|peer| served(&peer.news)).collect();
+        records.sort_unstable_by_key(|record| record.id);
+        records
+    }
+
+    fn merge_one(&mut self, news: TargetNews, revision: u64) -> bool {
+        let old = self.by_id.get_mut(&news.record.id);
+        let Some(old) = old else {
+            self.by_id.insert(news.record.id, Peer { news, revision });
+            return true;
+        };
+        old.revision = old.revision.max(revision);
+        let is_newer = news.is_newer_than(&old.news);
+        if is_newer {
+            old.news = news;
+        }
+        is_newer
+    }
+}
+
+/// A suspect gets no new flow from a peer, but may hold some.
+fn served(news: &TargetNews) -> TargetRecord {
+    let state = match news.verdict {
+        _ if news.is_gone() => TargetState::Dead,
+        Verdict::Suspect if news.record.state == TargetState::Ready => TargetState::Draining,
+        _ => news.record.state,
+    };
+    TargetRecord {
+        state,
+        ..news.record
+    }
+}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -4,5 +4,6 @@
 //! announcements, sends heartbeats and learns of peers and services. [`link`] is all that passes
 //! between the two.
 
+pub mod control;
 pub mod link;
 pub mod settings;
--- /dev/null
+++ b/crates/balancer/src/control.rs
@@ -0,0 +1,299 @@
+//! The balancer's control thread.
+//!
+//! One loop owns all control state, so nothing in it needs a lock. [`node`] decides, without
+//! sockets: messages and the time go in, messages and fetches come out. The loop does what it
+//! says, serves requests over TCP, and builds new routes for the traffic threads whenever the
+//! revision or the membership changed, at most once in [`REBUILD_AFTER`].
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use arc_swap::ArcSwap;
+use bytes::BytesMut;
+use citronhollow_core::clock::Millis;
+use citronhollow_core::id::{BalancerId, DomainId};
+use citronhollow_core::members::BalancerRecord;
+use citronhollow_core::routes::Routes;
+use citronhollow_peer::message::Envelope;
+use citronhollow_peer::{Body, Codec, Keyring, MAX_DATAGRAM};
+use thiserror::Error;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::revisions::RevisionStore;
+use crate::settings::Settings;
+
+mod drain;
+mod handle;
+mod node;
+mod pool;
+mod socket;
+mod streams;
+
+pub use drain::{DRAIN_RETRY, DRAIN_TIMEOUT};
+pub use handle::{ControlHandle, DrainStatus, Status};
+pub use node::{Effect, Node};
+pub use pool::slice_digest;
+pub use streams::CONNECTIONS_MAX;
+
+use drain::Drains;
+use handle::Command;
+use streams::{Fetched, Query};
+
+/// Time for which changes are gathered before routes are built.
+pub const REBUILD_AFTER: Millis = Millis(50);
+
+/// Time for which a leaving balancer goes on forwarding, so that the fabric can take it out.
+pub const LEAVE_FOR: Millis = Millis::from_secs(5);
+
+/// Resolution of the control thread's timers.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Commands, queries and fetches that wait for the loop.
+const QUEUE_LEN: usize = 64;
+
+/// A balancer whose control thread cannot run.
+#[derive(Debug, Error)]
+pub enum ControlError {
+    /// A socket cannot be bound.
+    #[error("control socket {addr}: {error}")]
+    Bind {
+        /// Address of the settings.
+        addr: SocketAddr,
+        /// What the system said.
+        error: std::io::Error,
+    },
+}
+
+/// The control thread's state.
+#[derive(Debug)]
+pub struct Control {
+    start: Instant,
+    keys: Keyring,
+    codec: Codec,
+    socket: UdpSocket,
+    node: Node,
+    routes: Arc<ArcSwap<Routes>>,
+    revisions: RevisionStore,
+    built: Built,
+    drains: Drains,
+    commands: mpsc::Receiver<Command>,
+    queries: mpsc::Receiver<Query>,
+    fetched: mpsc::Receiver<Fetched>,
+    fetched_tx: mpsc::Sender<Fetched>,
+    stop_at: Option<Millis>,
+}
+
+/// From what the routes in force were built.
+#[derive(Clone, Copy, Debug, Default)]
+struct Built {
+    changes: u64,
+    revision: u64,
+    due_at: Option<Millis>,
+}
+
+impl Control {
+    /// Binds the sockets of the settings and gives the handle for the rest of the process.
+    ///
+    /// # Errors
+    ///
+    /// [`ControlError`] if the address cannot be bound.
+    pub async fn bind(
+        settings: &Settings,
+        keys: Keyring,
+        revisions: RevisionStore,
+        routes: Arc<ArcSwap<Routes>>,
+    ) -> Result<(Self, ControlHandle), ControlError> {
+        let addr = settings.control_listen;
+        let (socket, listener) = socket::bind(addr)
+            .await
+            .map_err(|error| ControlError::Bind { addr, error })?;
+        let control = listener
+            .local_addr()
+            .map_err(|error| ControlError::Bind { addr, error })?;
+        let incarnation = incarnation_of_now();
+        let me = BalancerRecord {
+            id: BalancerId::of(&settings.name),
+            domain: DomainId::of(&settings.domain),
+            control,
+            leaving: false,
+            incarnation,
+            sequence: 1,
+        };
+        let (handle, commands) = handle::channel(control);
+        let (queries_tx, queries) = mpsc::channel(QUEUE_LEN);
+        let (fetched_tx, fetched) = mpsc::channel(QUEUE_LEN);
+        tokio::spawn(streams::serve(listener, keys.clone(), queries_tx));
+        let this = Self {
+            start: Instant::now(),
+            codec: Codec::new(keys.clone()),
+            keys,
+            socket,
+            node: Node::new(me, settings.seeds.clone(), revisions.clone()),
+            routes,
+            revisions,
+            built: Built::default(),
+            drains: Drains::default(),
+            commands,
+            queries,
+            fetched,
+            fetched_tx,
+            stop_at: None,
+        };
+        Ok((this, handle))
+    }
+
+    /// Runs until a leave is complete.
+    pub async fn run(mut self) {
+        let mut tick = interval(TICK);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Skip);
+        let mut revisions = self.revisions.subscribe();
+        let mut buf = vec![0; MAX_DATAGRAM];
+        let mut effects = Vec::new();
+        loop {
+            tokio::select! {
+                _ = tick.tick() => self.on_tick(&mut effects),
+                received = self.socket.recv_from(&mut buf) => {
+                    // An error reports an earlier send that nobody took.
+                    if let Ok((len, from)) = received {
+                        self.on_datagram(&buf[..len], from, &mut effects);
+                    }
+                }
+                Ok(()) = revisions.changed() => self.node.on_revision(),
+                Some(fetched) = self.fetched.recv() => {
+                    self.node.on_fetched(self.now(), fetched.from, fetched.body);
+                }
+                Some(query) = self.queries.recv() => self.on_query(query),
+                Some(command) = self.commands.recv() => self.on_command(command),
+            }
+            self.carry_out(&mut effects).await;
+            self.rebuild_if_due();
+            if self.stop_at.is_some_and(|at| self.now() >= at) {
+                return;
+            }
+        }
+    }
+
+    fn now(&self) -> Millis {
+        Millis::from(self.start.elapsed())
+    }
+
+    fn on_tick(&mut self, effects: &mut Vec<Effect>) {
+        let now = self.now();
+        self.node.on_tick(now, effects);
+        self.drains.on_tick(now, self.node.view(), effects);
+    }
+
+    fn on_datagram(&mut self, frame: &[u8], from: SocketAddr, effects: &mut Vec<Effect>) {
+        let now = self.now();
+        match self.codec.open(frame) {
+            Ok(Envelope { body: Some(body) }) => {
+                if let Body::Heartbeat(heartbeat) = &body {
+                    self.drains.on_heartbeat(heartbeat);
+                }
+                self.node.on_message(now, from, body, effects);
+            }
+            Ok(_) => {}
+            Err(error) => self.node.on_refused(from, &error),
+        }
+    }
+
+    fn on_query(&mut self, query: Query) {
+        let now = self.now();
+        let reply = self.node.answer(now, &query.body);
+        // The asker may have given up meanwhile.
+        let _ = query.reply.send(reply);
+    }
+
+    fn on_command(&mut self, command: Command) {
+        let now = self.now();
+        match command {
+            Command::Drain { name, on, done } => {
+                self.drains.start(now, self.node.view(), &name, on, done);
+            }
+            Command::Status(reply) => {
+                let status = self.status();
+                let _ = reply.send(status);
+            }
+            Command::Leave => {
+                log::info!("control: leaving");
+                self.node.leave();
+                self.stop_at = self.stop_at.or(Some(now.after(LEAVE_FOR)));
+            }
+        }
+    }
+
+    fn status(&self) -> Status {
+        let view = self.node.view();
+        Status {
+            targets: view.counts(),
+            reporting: view.reporting(),
+            balancers: view.balancers().present().count(),
+            revision: self.revisions.latest().number,
+            refused_frames: self.node.refused_frames(),
+            is_isolated: view.is_isolated(self.now()),
+            is_leaving: self.stop_at.is_some(),
+            drains: self.drains.status(view, self.now()),
+        }
+    }
+
+    async fn carry_out(&self, effects: &mut Vec<Effect>) {
+        for effect in effects.drain(..) {
+            match effect {
+                Effect::Send { to, body } => self.send(to, body).await,
+                Effect::Fetch { from, request } => self.fetch(from, request),
+            }
+        }
+    }
+
+    async fn send(&self, to: SocketAddr, body: Body) {
+        let mut buf = BytesMut::new();
+        self.codec.seal(&Envelope::from(body), &mut buf);
+        if let Err(error) = self.socket.send_to(&buf, to).await {
+            log::debug!("control: send to {to} failed: {error}");
+        }
+    }
+
+    fn fetch(&self, from: SocketAddr, request: Body) {
+        let keys = self.keys.clone();
+        let tx = self.fetched_tx.clone();
+        tokio::spawn(async move {
+            let result = citronhollow_peer::exchange::request(from, keys, request).await;
+            let body = result
+                .inspect_err(|error| log::debug!("control: fetch from {from} failed: {error}"))
+                .ok();
+            // The loop is gone only when the process stops.
+            let _ = tx.send(Fetched { from, body }).await;
+        });
+    }
+
+    fn rebuild_if_due(&mut self) {
+        let now = self.now();
+        let changes = self.node.view().changes();
+        let revision = self.revisions.latest();
+        if changes == self.built.changes && revision.number == self.built.revision {
+            return;
+        }
+        let due_at = *self.built.due_at.get_or_insert(now.after(REBUILD_AFTER));
+        if now < due_at {
+            return;
+        }
+        let records = self.node.view().records_for_routes(now);
+        let previous = self.routes.load();
+        let routes = Routes::build(&revision, &records, Some(&previous));
+        self.routes.store(Arc::new(routes));
+        self.built = Built {
+            changes,
+            revision: revision.number,
+            due_at: None,
+        };
+    }
+}
+
+/// Wall-clock time of the start. It orders starts of one balancer and enters no other decision.
+fn incarnation_of_now() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.map_or(1, |span| Millis::from(span).0)
+}
--- /dev/null
+++ b/crates/balancer/src/control/handle.rs
@@ -0,0 +1,119 @@
+//! What the rest of the process asks of the control thread.
+
+use std::net::SocketAddr;
+
+use citronhollow_core::error::ErrorKind;
+use citronhollow_core::members::{Counts, TargetState};
+use serde::{Deserialize, Serialize};
+use tokio::sync::{mpsc, oneshot};
+
+/// Commands that wait for the loop.
+const COMMANDS_MAX: usize = 64;
+
+/// What an operator sees of the control thread.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Status {
+    /// Targets by what the routes do with them.
+    pub targets: Counts,
+    /// Agents that report to this balancer.
+    pub reporting: usize,
+    /// Balancers known, this one not counted.
+    pub balancers: usize,
+    /// Revision in force here.
+    pub revision: u64,
+    /// Frames refused since the start: a wrong key, a wrong version or a message that is invalid.
+    pub refused_frames: u64,
+    /// Whether this balancer hears from nobody.
+    pub is_isolated: bool,
+    /// Whether this balancer is about to exit.
+    pub is_leaving: bool,
+    /// Drains asked for at this balancer.
+    pub drains: Vec<DrainStatus>,
+}
+
+/// One drain and what is left of it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct DrainStatus {
+    /// Name of the target.
+    pub target: String,
+    /// Its state as known here, none if it is not known any more.
+    pub state: Option<TargetState>,
+    /// Flows that it still holds, none if it has not said.
+    pub open: Option<u32>,
+}
+
+/// To the loop.
+#[derive(Debug)]
+pub enum Command {
+    /// Drain a target, or stop doing so.
+    Drain {
+        /// Name of the target.
+        name: String,
+        /// Whether it drains.
+        on: bool,
+        /// Takes the outcome.
+        done: oneshot::Sender<Result<(), ErrorKind>>,
+    },
+    /// Tell the status.
+    Status(oneshot::Sender<Status>),
+    /// Leave the fleet.
+    Leave,
+}
+
+/// The rest of the process's side of the control thread.
+#[derive(Clone, Debug)]
+pub struct ControlHandle {
+    addr: SocketAddr,
+    commands: mpsc::Sender<Command>,
+}
+
+/// A handle and the loop's end of it.
+pub(super) fn channel(addr: SocketAddr) -> (ControlHandle, mpsc::Receiver<Command>) {
+    let (commands, receiver) = mpsc::channel(COMMANDS_MAX);
+    (ControlHandle { addr, commands }, receiver)
+}
+
+impl ControlHandle {
+    /// Address of the control sockets.
+    #[must_use]
+    pub const fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Drains a target or stops doing so, and waits until its agent shows it.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::NotFound`] if no target has the name, [`ErrorKind::Timeout`] if the agent does
+    /// not show the state in time. It may then still come to it: the request is idempotent and may
+    /// be repeated.
+    pub async fn send_drain(&self, name: &str, on: bool) -> Result<(), ErrorKind> {
+        let (done, outcome) = oneshot::channel();
+        let command = Command::Drain {
+            name: String::from(name),
+            on,
+            done,
+        };
+        self.send(command).await;
+        outcome.await.unwrap_or(Err(ErrorKind::Timeout))
+    }
+
+    /// What the control thread knows, none if it has ended.
+    pub async fn status(&self) -> Option<Status> {
+        let (reply, status) = oneshot::channel();
+        self.send(Command::Status(reply)).await;
+        status.await.ok()
+    }
+
+    /// Starts to leave the fleet. The control thread ends after [`super::LEAVE_FOR`].
+    pub async fn leave(&self) {
+        self.send(Command::Leave).await;
+    }
+
+    /// A loop that has ended drops the command, and whoever waits for the answer sees that.
+    async fn send(&self, command: Command) {
+        let _ = self.commands.send(command).await;
+    }
+}
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -4,6 +4,7 @@
 //! control thread runs everything else and hands a new [`citronhollow_core::routes::Routes`] to
 //! the traffic threads whenever the revision or the membership changes.
 
+pub mod control;
 pub mod revisions;
 pub mod settings;
 pub mod traffic;
--- /dev/null
+++ b/crates/balancer/tests/control.rs
@@ -0,0 +1,218 @@
+//! Control threads of balancers and agents together.
+
+use citronhollow_agent::link::ControlCommand;
+use citronhollow_balancer::revisions::RevisionStore;
+use citronhollow_core::error::ErrorKind;
+use citronhollow_core::id::TargetId;
+use citronhollow_core::members::TargetState;
+use citronhollow_target::announce::AnnouncedState;
+use tokio::net::UdpSocket;
+use volo_http::http::StatusCode;
+
+mod fleet;
+
+use fleet::{Agent, Balancer, any_port, eventually, keyring, revision};
+
+macro_rules! cases {
+    ($($name:ident => $body:expr;)*) => {
+        $(#[tokio::test] async fn $name() { $body.await })*
+    };
+}
+
+async fn until_chosen(balancer: &Balancer, name: &str) {
+    let id = TargetId::of(name);
+    eventually("a route", async || {
+        (balancer.chosen() == Some(id)).then_some(())
+    })
+    .await;
+}
+
+async fn until_none_is_chosen(balancer: &Balancer) {
+    eventually("the end of new flows", async || {
+        balancer.chosen().is_none().then_some(())
+    })
+    .await;
+}
+
+/// Two balancers with a revision and a ready target that reports to the second.
+async fn two_and_a_target() -> (Balancer, Balancer, Agent) {
+    let first = Balancer::start("b1", &[]).await;
+    let second = Balancer::start("b2", &[first.handle.addr()]).await;
+    assert!(first.revisions.offer(revision(1)));
+    let agent = Agent::start("desk-1", &[second.handle.addr()], any_port()).await;
+    agent.announce(AnnouncedState::Ready).await;
+    until_chosen(&first, "desk-1").await;
+    until_chosen(&second, "desk-1").await;
+    (first, second, agent)
+}
+
+async fn reports(fleet: &[Balancer]) -> usize {
+    let mut sum = 0;
+    for balancer in fleet {
+        sum += balancer.reporting().await;
+    }
+    sum
+}
+
+cases! {
+    announced_target_reaches_every_balancer_and_learns_its_services => async {
+        let (first, second, mut agent) = two_and_a_target().await;
+        let third = Balancer::start("b3", &[first.handle.addr()]).await;
+        until_chosen(&third, "desk-1").await;
+        assert_eq!(second.revisions.latest().number, 1);
+        eventually("the agent's services", async || {
+            agent.listen();
+            (agent.services == revision(1)).then_some(())
+        })
+        .await;
+        assert_eq!(agent.peers.len(), 1);
+    };
+
+    later_revision_reaches_agents_and_never_goes_back => async {
+        let (first, second, mut agent) = two_and_a_target().await;
+        assert!(second.revisions.offer(revision(7)));
+        assert!(!second.revisions.offer(revision(6)));
+        eventually("the revision at the other balancer", async || {
+            (first.revisions.latest().number == 7).then_some(())
+        })
+        .await;
+        eventually("the revision at the agent", async || {
+            agent.listen();
+            (agent.services.number == 7).then_some(())
+        })
+        .await;
+    };
+
+    balancer_that_starts_without_the_platform_takes_the_highest_revision => async {
+        let (first, second, _agent) = two_and_a_target().await;
+        assert!(second.revisions.offer(revision(9)));
+        let old = RevisionStore::default();
+        assert!(old.offer(revision(3)));
+        let seeds = [first.handle.addr(), second.handle.addr()];
+        let late = Balancer::start_with("b3", &seeds, keyring("a"), old).await;
+        eventually("the highest revision", async || {
+            (late.revisions.latest().number == 9).then_some(())
+        })
+        .await;
+        until_chosen(&late, "desk-1").await;
+    };
+
+    operators_drain_goes_straight_to_the_agent => async {
+        let socket = UdpSocket::bind(any_port()).await.expect("a free port");
+        let traffic_addr = socket.local_addr().expect("a bound socket");
+        let first = Balancer::start("b1", &[]).await;
+        let second = Balancer::start("b2", &[first.handle.addr()]).await;
+        assert!(first.revisions.offer(revision(1)));
+        let agent = Agent::start("desk-1", &[second.handle.addr()], traffic_addr).await;
+        agent.take_drains(socket);
+        agent.figures.set_open(3);
+        agent.announce(AnnouncedState::Ready).await;
+        until_chosen(&first, "desk-1").await;
+        assert_eq!(first.handle.send_drain("desk-1", true).await, Ok(()));
+        until_none_is_chosen(&first).await;
+        until_none_is_chosen(&second).await;
+        let status = first.handle.status().await.expect("a running balancer");
+        assert_eq!(status.drains[0].state, Some(TargetState::Draining));
+        assert_eq!(status.drains[0].open, Some(3));
+        assert_eq!(first.handle.send_drain("desk-1", false).await, Ok(()));
+        until_chosen(&second, "desk-1").await;
+    };
+
+    drain_of_an_unknown_target_is_an_error => async {
+        let first = Balancer::start("b1", &[]).await;
+        let outcome = first.handle.send_drain("nobody", true).await;
+        assert_eq!(outcome, Err(ErrorKind::NotFound));
+    };
+
+    stop_of_an_agent_waits_for_its_flows_and_tells_everybody => async {
+        let (first, second, agent) = two_and_a_target().await;
+        agent.figures.set_open(1);
+        agent.stop.send_replace(true);
+        until_none_is_chosen(&first).await;
+        until_none_is_chosen(&second).await;
+        assert!(!agent.task.is_finished(), "a flow is still open");
+        let status = second.handle.status().await.expect("a running balancer");
+        assert_eq!(status.targets.draining, 1);
+        agent.figures.set_open(0);
+        agent.task.await.expect("a clean end");
+        eventually("the last word", async || {
+            let status = first.handle.status().await.expect("a running balancer");
+            (status.targets.dead == 1).then_some(())
+        })
+        .await;
+    };
+
+    target_that_refuses_connections_is_not_ready => async {
+        let (first, _second, agent) = two_and_a_target().await;
+        let lost = ControlCommand::TargetReachable(false);
+        agent.commands.send(lost).await.expect("a running agent");
+        until_none_is_chosen(&first).await;
+        let back = ControlCommand::TargetReachable(true);
+        agent.commands.send(back).await.expect("a running agent");
+        until_chosen(&first, "desk-1").await;
+    };
+
+    agent_reports_to_another_balancer_when_its_own_dies => async {
+        let (first, second, agent) = two_and_a_target().await;
+        let mut fleet = vec![first, second];
+        for name in ["b3", "b4", "b5"] {
+            fleet.push(Balancer::start(name, &[fleet[0].handle.addr()]).await);
+        }
+        eventually("three reports", async || (reports(&fleet).await == 3).then_some(())).await;
+        let mut place = 0;
+        while fleet[place].reporting().await == 0 {
+            place += 1;
+        }
+        fleet.swap_remove(place).task.abort();
+        assert_eq!(reports(&fleet).await, 2);
+        eventually("three reports again", async || (reports(&fleet).await == 3).then_some(())).await;
+        agent.announce(AnnouncedState::Draining).await;
+        for balancer in &fleet {
+            until_none_is_chosen(balancer).await;
+        }
+    };
+
+    leaving_balancer_ends_and_is_told_to_the_others => async {
+        let (first, second, _agent) = two_and_a_target().await;
+        second.handle.leave().await;
+        eventually("the others' knowledge", async || {
+            let status = first.handle.status().await.expect("a running balancer");
+            (status.balancers == 0).then_some(())
+        })
+        .await;
+        assert!(!second.task.is_finished(), "it goes on forwarding for a while");
+        second.task.await.expect("a clean end");
+        assert_eq!(first.chosen(), Some(TargetId::of("desk-1")));
+    };
+
+    frames_under_a_wrong_key_are_counted_and_refused => async {
+        let first = Balancer::start("b1", &[]).await;
+        let seeds = [first.handle.addr()];
+        let store = RevisionStore::default();
+        assert!(store.offer(revision(5)));
+        let _stranger = Balancer::start_with("x", &seeds, keyring("b"), store).await;
+        eventually("a refused frame", async || {
+            let status = first.handle.status().await.expect("a running balancer");
+            (status.refused_frames > 0).then_some(())
+        })
+        .await;
+        let status = first.handle.status().await.expect("a running balancer");
+        assert_eq!((status.balancers, status.revision), (0, 0));
+    };
+
+    invalid_announcement_is_refused_and_changes_nothing => async {
+        let (first, _second, agent) = two_and_a_target().await;
+        let invalid = [
+            serde_json::json!({"group": "desk", "address": "127.0.0.1:8080", "slots": 0, "state": "ready"}),
+            serde_json::json!({"group": "", "address": "127.0.0.1:8080", "slots": 1, "state": "ready"}),
+            serde_json::json!({"group": "desk", "address": "127.0.0.1:0", "slots": 1, "state": "ready"}),
+            serde_json::json!({"group": "desk", "address": "127.0.0.1:8080", "slots": 1, "state": "dead"}),
+            serde_json::json!({"group": "desk", "address": "127.0.0.1:8080", "slots": 1, "load": 3}),
+        ];
+        for announcement in invalid {
+            let status = agent.put(&announcement).await;
+            assert_eq!(status, StatusCode::UNPROCESSABLE_ENTITY, "{announcement}");
+        }
+        assert_eq!(first.chosen(), Some(TargetId::of("desk-1")));
+    };
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod id;
 pub mod members;
 pub mod routes;
+pub mod rumour;
--- /dev/null
+++ b/crates/core/src/members/detect.rs
@@ -0,0 +1,188 @@
+//! Detection of silent agents.
+//!
+//! Every agent reports to a few balancers. A balancer that misses heartbeats suspects the target,
+//! which then gets no new flow but may hold some; after a longer silence the target is dead. Each
+//! of the two is reached only on evidence that speaks against the target and not against this
+//! process: time in which it was paused does not count, and while it hears from nobody at all it
+//! concludes nothing. A target is suspected within [`SUSPECT_AFTER`] of its last heartbeat plus
+//! one tick, and that is the bound on detection.
+
+use super::news::{TargetNews, Verdict};
+use super::record::TargetRecord;
+use super::view::{DEAD_KEPT, View};
+use crate::clock::Millis;
+use crate::id::TargetId;
+
+/// Time between two heartbeats of an agent.
+pub const HEARTBEAT: Millis = Millis::from_secs(2);
+
+/// Silence after which a target gets no new flow: two heartbeats missed, and half a third for delay.
+pub const SUSPECT_AFTER: Millis = Millis(5_000);
+
+/// Time under suspicion after which a target is dead.
+pub const DEAD_AFTER: Millis = Millis::from_secs(15);
+
+/// Silence of everybody after which this process holds itself to be cut off.
+pub const ISOLATED_AFTER: Millis = Millis::from_secs(4);
+
+/// Verdicts that one tick reaches at most, so that the loss of a rack does not fill the network.
+pub const VERDICTS_PER_TICK: usize = 16;
+
+/// Time between two sweeps over all members.
+const SWEEP: Millis = Millis::from_secs(1);
+
+/// What a heartbeat brought.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct HeartbeatOutcome {
+    /// The record is news, to be spread.
+    pub is_news: bool,
+    /// The version, incarnation and sequence, that the agent's record must exceed because it is
+    /// under a verdict or behind what is known of the same agent.
+    pub refute_above: Option<(u64, u64)>,
+}
+
+impl View {
+    /// Takes note of any message from another process.
+    pub fn on_contact(&mut self, now: Millis) {
+        self.last_contact = self.clock.awake(now);
+    }
+
+    /// Takes a heartbeat. `is_last` says that the agent reports to another balancer from now on.
+    pub fn on_heartbeat(
+        &mut self,
+        now: Millis,
+        record: TargetRecord,
+        is_last: bool,
+    ) -> HeartbeatOutcome {
+        self.on_contact(now);
+        let news = TargetNews::heard(record);
+        let is_news = self.merge_target(now, news);
+        if is_last {
+            self.heard.remove(&record.id);
+        } else {
+            self.heard.insert(record.id, self.clock.awake(now));
+        }
+        HeartbeatOutcome {
+            is_news,
+            refute_above: self.refute_above(&record),
+        }
+    }
+
+    /// Reaches the verdicts that are due, and returns those to be spread.
+    pub fn on_tick(&mut self, now: Millis) -> Vec<TargetNews> {
+        let pause = self.clock.tick(now);
+        if pause.0 >= DEAD_KEPT.0 / 2 {
+            self.forget_all();
+        }
+        if now.since(self.last_sweep) >= SWEEP {
+            self.sweep(now);
+        }
+        if self.is_isolated(now) {
+            return Vec::new();
+        }
+        self.judge(now)
+    }
+
+    /// Whether this process hears from nobody.
+    #[must_use]
+    pub fn is_isolated(&self, now: Millis) -> bool {
+        self.clock.awake(now).since(self.last_contact) >= ISOLATED_AFTER
+    }
+
+    /// How many agents report to this process.
+    #[must_use]
+    pub fn reporting(&self) -> usize {
+        self.heard.len()
+    }
+
+    /// An agent whose clock went back between two starts is told so too. One at another address
+    /// is not: there the later start replaced it, and it must not fight its replacement.
+    fn refute_above(&self, record: &TargetRecord) -> Option<(u64, u64)> {
+        let known = &self.targets.get(&record.id)?.news;
+        let is_current = known.verdict == Verdict::Alive && known.record == *record;
+        let is_replaced = known.record.agent != record.agent;
+        (!is_current && !is_replaced).then_some(known.record.version())
+    }
+
+    fn judge(&mut self, now: Millis) -> Vec<TargetNews> {
+        let awake = self.clock.awake(now);
+        let due: Vec<TargetNews> = self
+            .heard
+            .iter()
+            .filter(|(_, heard)| awake.since(**heard) >= SUSPECT_AFTER)
+            .filter_map(|(id, _)| self.next_verdict(awake, *id))
+            .take(VERDICTS_PER_TICK)
+            .collect();
+        for news in &due {
+            self.replace(now, *news);
+            if news.verdict == Verdict::Dead {
+                self.heard.remove(&news.record.id);
+            }
+        }
+        due
+    }
+
+    fn next_verdict(&self, awake: Millis, id: TargetId) -> Option<TargetNews> {
+        let entry = self.targets.get(&id)?;
+        match entry.news.verdict {
+            _ if entry.news.is_gone() => None,
+            Verdict::Alive => Some(entry.news.judged(Verdict::Suspect)),
+            Verdict::Suspect if awake.since(entry.judged_at) >= DEAD_AFTER => {
+                Some(entry.news.judged(Verdict::Dead))
+            }
+            Verdict::Suspect | Verdict::Dead => None,
+        }
+    }
+
+    /// What does not hurry: old suspicions, calm targets, the long dead.
+    fn sweep(&mut self, now: Millis) {
+        self.age_suspects(now);
+        self.release_calm(now);
+        self.notice_end_of_panic(now);
+        self.forget_long_gone(now);
+        self.last_sweep = now;
+    }
+
+    /// A suspect whose reporters died with it is dead all the same. Every process concludes this
+    /// for itself, so it is not spread.
+    fn age_suspects(&mut self, now: Millis) {
+        if self.is_isolated(now) {
+            return;
+        }
+        let awake = self.clock.awake(now);
+        let bound = DEAD_AFTER.after(SUSPECT_AFTER);
+        let due: Vec<TargetNews> = self
+            .targets
+            .values()
+            .filter(|entry| entry.news.verdict == Verdict::Suspect && !entry.news.is_gone())
+            .filter(|entry| awake.since(entry.judged_at) >= bound)
+            .map(|entry| entry.news.judged(Verdict::Dead))
+            .collect();
+        for news in due {
+            self.replace(now, news);
+        }
+    }
+
+    fn release_calm(&mut self, now: Millis) {
+        let mut released = 0;
+        for entry in self.targets.values_mut() {
+            released += u64::from(entry.damping.release_if_calm(now));
+        }
+        self.changes += released;
+    }
+
+    fn forget_long_gone(&mut self, now: Millis) {
+        let targets: Vec<TargetId> = self
+            .targets
+            .values()
+            .filter(|entry| entry.news.is_gone() && now >= entry.forget_at)
+            .map(|entry| entry.news.record.id)
+            .collect();
+        for id in targets {
+            self.remove_target(id);
+        }
+        for id in self.balancers.long_gone(now, DEAD_KEPT) {
+            self.remove_balancer(now, id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/members/view.rs
@@ -0,0 +1,226 @@
+//! The view of all members that one process has.
+//!
+//! Whatever arrives is merged by the order of [`TargetNews`], so that a late record never undoes a
+//! newer one. The dead are kept for [`DEAD_KEPT`] and age on the way: whoever learns of a death
+//! late keeps it only for the rest of that time. An old record can come back only from a process
+//! that was out of touch for longer, and such a process forgets its view first.
+
+use std::collections::HashMap;
+
+use super::balancers::Balancers;
+use super::clock::AwakeClock;
+use super::damping::Damping;
+use super::detect::SUSPECT_AFTER;
+use super::digest::{Digests, slice_of};
+use super::news::{TargetNews, Verdict};
+use super::record::{BalancerRecord, TargetRecord, TargetState};
+use crate::clock::Millis;
+use crate::id::{BalancerId, TargetId};
+
+/// Time for which the dead are remembered, so that no older record brings them back.
+pub const DEAD_KEPT: Millis = Millis::from_secs(2 * 60 * 60);
+
+/// Time without a change after which a slice is worth comparing: news on its way has arrived.
+pub const SETTLED_AFTER: Millis = Millis::from_secs(8);
+
+/// One target in the view.
+#[derive(Clone, Debug)]
+pub(super) struct Entry {
+    pub(super) news: TargetNews,
+    /// When its verdict was reached here, in awake time.
+    pub(super) judged_at: Millis,
+    /// When it is forgotten, if it is gone.
+    pub(super) forget_at: Millis,
+    pub(super) damping: Damping,
+}
+
+/// All that one process knows of the members.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    pub(super) targets: HashMap<TargetId, Entry>,
+    pub(super) balancers: Balancers,
+    /// Awake time of the last heartbeat of each agent that reports to this process.
+    pub(super) heard: HashMap<TargetId, Millis>,
+    pub(super) clock: AwakeClock,
+    pub(super) last_contact: Millis,
+    pub(super) last_sweep: Millis,
+    pub(super) changes: u64,
+    digests: Digests,
+    changed_at: HashMap<usize, Millis>,
+}
+
+impl View {
+    /// A view without members.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes over what is newer, and says whether it was.
+    pub fn merge_target(&mut self, now: Millis, news: TargetNews) -> bool {
+        let id = news.record.id;
+        let old = self.targets.get(&id);
+        let is_newer = match old {
+            Some(entry) => news.is_newer_than(&entry.news),
+            None => news.gone_for < DEAD_KEPT,
+        };
+        if is_newer {
+            self.replace(now, news);
+            self.stop_judging_if_heard_elsewhere(now, &news);
+        }
+        is_newer
+    }
+
+    /// Takes over what is newer about a balancer, and says whether it was.
+    pub fn merge_balancer(&mut self, now: Millis, record: BalancerRecord) -> bool {
+        let old = self.balancers.get(record.id).copied();
+        let is_newer = self.balancers.merge(now, record);
+        if is_newer {
+            self.digests.replace_balancer(old.as_ref(), Some(&record));
+            self.touch_slice(now, record.id.0);
+        }
+        is_newer
+    }
+
+    /// Removes a balancer that is known to be gone for good.
+    pub fn remove_balancer(&mut self, now: Millis, id: BalancerId) {
+        if let Some(old) = self.balancers.remove(id) {
+            self.digests.replace_balancer(Some(&old), None);
+            self.touch_slice(now, id.0);
+        }
+    }
+
+    /// What is known of a target, the time since its death brought up to date.
+    #[must_use]
+    pub fn target(&self, now: Millis, id: TargetId) -> Option<TargetNews> {
+        let entry = self.targets.get(&id)?;
+        Some(entry.news_at(now))
+    }
+
+    /// Every target, the dead included.
+    pub fn targets(&self, now: Millis) -> impl Iterator<Item = TargetNews> {
+        self.targets.values().map(move |entry| entry.news_at(now))
+    }
+
+    /// The balancers.
+    #[must_use]
+    pub const fn balancers(&self) -> &Balancers {
+        &self.balancers
+    }
+
+    /// Grows with every change that the routes can see.
+    #[must_use]
+    pub const fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// Digest of every slice.
+    #[must_use]
+    pub const fn digests(&self) -> &Digests {
+        &self.digests
+    }
+
+    /// Whether nothing in the slice changed lately.
+    #[must_use]
+    pub fn is_settled(&self, now: Millis, slice: usize) -> bool {
+        self.changed_at
+            .get(&slice)
+            .is_none_or(|at| now.since(*at) >= SETTLED_AFTER)
+    }
+
+    /// Forgets every member, as a process does that was out of touch for too long.
+    pub fn forget_all(&mut self) {
+        let changes = self.changes + 1;
+        *self = Self {
+            clock: self.clock,
+            last_contact: self.last_contact,
+            last_sweep: self.last_sweep,
+            changes,
+            ..Self::default()
+        };
+    }
+
+    /// Replaces the news of a target, whether newer or not.
+    pub(super) fn replace(&mut self, now: Millis, news: TargetNews) {
+        let awake = self.clock.awake(now);
+        let id = news.record.id;
+        let old = self.targets.get(&id);
+        let old_news = old.map(|entry| entry.news);
+        let mut damping = old.map(|entry| entry.damping).unwrap_or_default();
+        if old_news.is_some_and(|old| is_fall(&old, &news)) {
+            damping.fall(now);
+        }
+        let entry = Entry {
+            news,
+            judged_at: awake,
+            forget_at: now.after(DEAD_KEPT.since(news.gone_for)),
+            damping,
+        };
+        self.digests.replace_target(old_news.as_ref(), Some(&news));
+        self.targets.insert(id, entry);
+        self.touch_slice(now, id.0);
+        self.changes += 1;
+    }
+
+    /// An agent that others hear from and this process does not reports to others by now.
+    fn stop_judging_if_heard_elsewhere(&mut self, now: Millis, news: &TargetNews) {
+        let awake = self.clock.awake(now);
+        let is_silent = self
+            .heard
+            .get(&news.record.id)
+            .is_some_and(|heard| awake.since(*heard) >= SUSPECT_AFTER);
+        if is_silent && news.verdict == Verdict::Alive {
+            self.heard.remove(&news.record.id);
+        }
+    }
+
+    /// Removes a target that has been gone for long enough.
+    pub(super) fn remove_target(&mut self, id: TargetId) {
+        self.heard.remove(&id);
+        if let Some(old) = self.targets.remove(&id) {
+            self.digests.replace_target(Some(&old.news), None);
+        }
+    }
+
+    fn touch_slice(&mut self, now: Millis, id: u64) {
+        self.changed_at.insert(slice_of(id), now);
+    }
+}
+
+impl Entry {
+    fn news_at(&self, now: Millis) -> TargetNews {
+        if !self.news.is_gone() {
+            return self.news;
+        }
+        let gone_for = DEAD_KEPT.since(self.forget_at.since(now));
+        TargetNews {
+            gone_for,
+            ..self.news
+        }
+    }
+
+    /// Whether the record claims to be ready.
+    pub(super) fn claims_ready(&self) -> bool {
+        self.news.record.state == TargetState::Ready
+    }
+
+    /// How long the target has been gone.
+    pub(super) fn gone_for(&self, now: Millis) -> Millis {
+        self.news_at(now).gone_for
+    }
+}
+
+/// Whether a target that was usable stopped being so, other than by draining as asked.
+fn is_fall(old: &TargetNews, new: &TargetNews) -> bool {
+    if !is_usable(old) {
+        return false;
+    }
+    let restarted = new.record.incarnation != old.record.incarnation;
+    let planned = matches!(new.record.state, TargetState::Draining | TargetState::Dead);
+    !planned && (restarted || !is_usable(new))
+}
+
+fn is_usable(news: &TargetNews) -> bool {
+    let TargetRecord { state, .. } = news.record;
+    state == TargetState::Ready && news.verdict == Verdict::Alive
+}
--- /dev/null
+++ b/crates/core/src/rumour/budget.rs
@@ -0,0 +1,42 @@
+//! A token bucket for bytes.
+
+use crate::clock::Millis;
+
+/// Lets through a rate with a burst. A spender may overdraw it once and then waits.
+#[derive(Clone, Copy, Debug)]
+pub struct TokenBucket {
+    per_s: i64,
+    burst: i64,
+    /// Thousandths of a byte, so that short spans lose nothing to rounding.
+    milli_tokens: i64,
+    at: Millis,
+}
+
+impl TokenBucket {
+    /// A full bucket.
+    #[must_use]
+    pub const fn new(per_s: u32, burst: u32) -> Self {
+        Self {
+            per_s: per_s as i64,
+            burst: burst as i64 * 1_000,
+            milli_tokens: burst as i64 * 1_000,
+            at: Millis::ZERO,
+        }
+    }
+
+    /// Bytes that may be spent now.
+    pub fn available(&mut self, now: Millis) -> usize {
+        let span = i64::try_from(now.since(self.at).0).unwrap_or(i64::MAX);
+        let earned = self.per_s.saturating_mul(span);
+        self.milli_tokens = self.milli_tokens.saturating_add(earned).min(self.burst);
+        self.at = self.at.max(now);
+        usize::try_from(self.milli_tokens / 1_000).unwrap_or(0)
+    }
+
+    /// Spends bytes.
+    pub fn spend(&mut self, bytes: usize) {
+        let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
+        let spent = bytes.saturating_mul(1_000);
+        self.milli_tokens = self.milli_tokens.saturating_sub(spent);
+    }
+}
--- /dev/null
+++ b/crates/core/src/rumour/peers.rs
@@ -0,0 +1,42 @@
+//! Choice of the peers that get a push.
+//!
+//! One peer in the own failure domain is cheap to reach, and at least one in another keeps the
+//! domains from becoming islands. The rest is chosen evenly from the fleet.
+
+use rand::Rng;
+use rand::seq::IteratorRandom;
+
+use crate::members::BalancerRecord;
+
+/// Chooses up to `count` different peers.
+pub fn choose_peers<R: Rng>(
+    me: &BalancerRecord,
+    candidates: &[BalancerRecord],
+    count: usize,
+    rng: &mut R,
+) -> Vec<BalancerRecord> {
+    let mut chosen: Vec<BalancerRecord> = Vec::with_capacity(count);
+    let near = pick(candidates, rng, |peer| peer.domain == me.domain);
+    let far = pick(candidates, rng, |peer| peer.domain != me.domain);
+    chosen.extend(near.into_iter().chain(far).take(count));
+    while chosen.len() < count {
+        let is_new = |peer: &BalancerRecord| chosen.iter().all(|other| other.id != peer.id);
+        let Some(peer) = pick(candidates, rng, is_new) else {
+            break;
+        };
+        chosen.push(peer);
+    }
+    chosen
+}
+
+fn pick<R: Rng>(
+    candidates: &[BalancerRecord],
+    rng: &mut R,
+    is_wanted: impl Fn(&BalancerRecord) -> bool,
+) -> Option<BalancerRecord> {
+    candidates
+        .iter()
+        .filter(|peer| is_wanted(peer))
+        .choose(rng)
+        .copied()
+}
--- /dev/null
+++ b/crates/core/src/rumour/repair.rs
@@ -0,0 +1,52 @@
+//! Repair of what pushes left out.
+//!
+//! A slice is compared only where neither side had a change in it lately, because a difference
+//! that is still being pushed needs no repair. A zero stands for a slice that is not compared.
+//! Few slices are fetched at a time: what is fetched is news here and is pushed on.
+
+use rand::Rng;
+use rand::seq::IteratorRandom;
+
+use crate::clock::Millis;
+use crate::members::View;
+
+/// Time between two comparisons that one process starts.
+pub const DIGEST_EVERY: Millis = Millis::from_secs(15);
+
+/// Slices that one comparison fetches at most.
+pub const SLICES_PER_FETCH: usize = 2;
+
+/// The digests of a view, zero where a change is still on its way.
+#[must_use]
+pub fn comparable_digests(view: &View, now: Millis) -> Vec<u64> {
+    let slices = view.digests().slices();
+    slices
+        .iter()
+        .enumerate()
+        .map(|(slice, digest)| {
+            if view.is_settled(now, slice) {
+                *digest
+            } else {
+                0
+            }
+        })
+        .collect()
+}
+
+/// The slices to fetch from a peer that has these digests.
+pub fn slices_to_fetch<R: Rng>(
+    view: &View,
+    now: Millis,
+    theirs: &[u64],
+    rng: &mut R,
+) -> Vec<usize> {
+    let ours = view.digests().slices();
+    ours.iter()
+        .zip(theirs)
+        .enumerate()
+        .filter(|(slice, (ours, theirs))| {
+            **theirs != 0 && ours != theirs && view.is_settled(now, *slice)
+        })
+        .map(|(slice, _)| slice)
+        .choose_multiple(rng, SLICES_PER_FETCH)
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -8,10 +8,16 @@
 
 mod addr;
 mod codec;
+pub mod exchange;
 mod key;
+mod members;
 pub mod message;
 
 pub use addr::{AddrError, addr_from_bytes, addr_to_bytes};
 pub use codec::{Codec, CodecError, MAX_DATAGRAM, MAX_STREAM_FRAME, StreamCodec};
 pub use key::{Key, KeyError, Keyring};
+pub use members::{
+    RecordError, balancer_from_message, balancer_to_message, record_from_message,
+    target_from_message, target_to_message,
+};
 pub use message::{Body, Envelope};
--- /dev/null
+++ b/crates/peer/src/members.rs
@@ -0,0 +1,145 @@
+//! Records of members in messages, checked field by field on the way in.
+
+use citronhollow_core::clock::Millis;
+use citronhollow_core::id::{BalancerId, DomainId, GroupId, TargetId};
+use citronhollow_core::members::{BalancerRecord, TargetNews, TargetRecord, TargetState, Verdict};
+use thiserror::Error;
+
+use crate::addr::{AddrError, addr_from_bytes, addr_to_bytes};
+use crate::message::{Balancer, Target};
+
+/// A record that is no valid one.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum RecordError {
+    /// The record is missing.
+    #[error("record is missing")]
+    Missing,
+    /// The address does not parse.
+    #[error("address of the record: {0}")]
+    Addr(#[from] AddrError),
+    /// No such state.
+    #[error("state {0} is unknown")]
+    State(u32),
+    /// No such verdict.
+    #[error("verdict {0} is unknown")]
+    Verdict(u32),
+    /// More slots than a target can have.
+    #[error("{0} slots are out of range")]
+    Slots(u32),
+}
+
+/// Encodes what is known of a target.
+#[must_use]
+pub fn target_to_message(news: &TargetNews) -> Target {
+    let record = &news.record;
+    let gone_for_s = news.gone_for.0 / 1_000;
+    Target {
+        id: record.id.0,
+        group: record.group.0,
+        domain: record.domain.0,
+        agent: addr_to_bytes(record.agent),
+        slots: u32::from(record.slots),
+        state: state_to_number(record.state),
+        incarnation: record.incarnation,
+        sequence: record.sequence,
+        verdict: verdict_to_number(news.verdict),
+        gone_for_s: u32::try_from(gone_for_s).unwrap_or(u32::MAX),
+    }
+}
+
+/// Decodes what is known of a target.
+///
+/// # Errors
+///
+/// [`RecordError`] names the field that is invalid.
+pub fn target_from_message(target: &Target) -> Result<TargetNews, RecordError> {
+    Ok(TargetNews {
+        record: record_from_message(target)?,
+        verdict: verdict_from_number(target.verdict)?,
+        gone_for: Millis::from_secs(u64::from(target.gone_for_s)),
+    })
+}
+
+/// Decodes only what the agent announced.
+///
+/// # Errors
+///
+/// [`RecordError`] names the field that is invalid.
+pub fn record_from_message(target: &Target) -> Result<TargetRecord, RecordError> {
+    let slots = u16::try_from(target.slots).map_err(|_| RecordError::Slots(target.slots))?;
+    Ok(TargetRecord {
+        id: TargetId(target.id),
+        group: GroupId(target.group),
+        domain: DomainId(target.domain),
+        agent: addr_from_bytes(&target.agent)?,
+        slots,
+        state: state_from_number(target.state)?,
+        incarnation: target.incarnation,
+        sequence: target.sequence,
+    })
+}
+
+/// Encodes a balancer's record.
+#[must_use]
+pub fn balancer_to_message(record: &BalancerRecord) -> Balancer {
+    Balancer {
+        id: record.id.0,
+        domain: record.domain.0,
+        control: addr_to_bytes(record.control),
+        leaving: record.leaving,
+        incarnation: record.incarnation,
+        sequence: record.sequence,
+    }
+}
+
+/// Decodes a balancer's record.
+///
+/// # Errors
+///
+/// [`RecordError`] names the field that is invalid.
+pub fn balancer_from_message(balancer: &Balancer) -> Result<BalancerRecord, RecordError> {
+    Ok(BalancerRecord {
+        id: BalancerId(balancer.id),
+        domain: DomainId(balancer.domain),
+        control: addr_from_bytes(&balancer.control)?,
+        leaving: balancer.leaving,
+        incarnation: balancer.incarnation,
+        sequence: balancer.sequence,
+    })
+}
+
+const fn state_to_number(state: TargetState) -> u32 {
+    match state {
+        TargetState::Starting => 0,
+        TargetState::Ready => 1,
+        TargetState::Draining => 2,
+        TargetState::Dead => 3,
+    }
+}
+
+const fn state_from_number(number: u32) -> Result<TargetState, RecordError> {
+    match number {
+        0 => Ok(TargetState::Starting),
+        1 => Ok(TargetState::Ready),
+        2 => Ok(TargetState::Draining),
+        3 => Ok(TargetState::Dead),
+        other => Err(RecordError::State(other)),
+    }
+}
+
+const fn verdict_to_number(verdict: Verdict) -> u32 {
+    match verdict {
+        Verdict::Alive => 0,
+        Verdict::Suspect => 1,
+        Verdict::Dead => 2,
+    }
+}
+
+const fn verdict_from_number(number: u32) -> Result<Verdict, RecordError> {
+    match number {
+        0 => Ok(Verdict::Alive),
+        1 => Ok(Verdict::Suspect),
+        2 => Ok(Verdict::Dead),
+        other => Err(RecordError::Verdict(other)),
+    }
+}
--- a/crates/peer/src/message/control.rs
+++ b/crates/peer/src/message/control.rs
@@ -29,6 +29,12 @@
     /// Grows with every change within an incarnation.
     #[prost(uint64, tag = "8")]
     pub sequence: u64,
+    /// Verdict of balancers: 0 alive, 1 suspect, 2 dead.
+    #[prost(uint32, tag = "9")]
+    pub verdict: u32,
+    /// Seconds since it is gone, zero if it is not.
+    #[prost(uint32, tag = "10")]
+    pub gone_for_s: u32,
 }
 
 /// A balancer's record.
@@ -66,6 +72,12 @@
     /// Flows the sender holds.
     #[prost(uint32, tag = "3")]
     pub open: u32,
+    /// Whether the sender reports to another balancer from now on.
+    #[prost(bool, tag = "4")]
+    pub is_last: bool,
+    /// Whether the sender reports to fewer balancers than it should.
+    #[prost(bool, tag = "5")]
+    pub wants_balancers: bool,
 }
 
 /// What an agent may have missed.
@@ -74,12 +86,26 @@
     /// Highest revision the balancer knows.
     #[prost(uint64, tag = "1")]
     pub revision: u64,
-    /// Digest of the peers of the agent's group.
+    /// Digest of the peers of the agent's group and of the services that concern it.
     #[prost(fixed64, tag = "2")]
     pub peers_digest: u64,
     /// A few balancers, for the agent's list.
     #[prost(message, repeated, tag = "3")]
     pub balancers: Vec<Balancer>,
+    /// Incarnation and sequence that the agent's record must exceed to refute what is said of it.
+    #[prost(message, optional, tag = "4")]
+    pub refute_above: Option<Version>,
+}
+
+/// Version of a record.
+#[derive(Clone, Copy, Eq, PartialEq, Message)]
+pub struct Version {
+    /// Grows with every start.
+    #[prost(uint64, tag = "1")]
+    pub incarnation: u64,
+    /// Grows with every change within an incarnation.
+    #[prost(uint64, tag = "2")]
+    pub sequence: u64,
 }
 
 /// News, pushed to a few balancers, which push what is new to them.
@@ -171,7 +197,7 @@
     /// Revision that holds only the group's services, pools and rules, as JSON.
     #[prost(bytes = "vec", tag = "2")]
     pub revision_json: Vec<u8>,
-    /// Digest of `peers`, to compare with [`HeartbeatReply`].
+    /// Digest of both, to compare with [`HeartbeatReply`].
     #[prost(fixed64, tag = "3")]
     pub peers_digest: u64,
 }
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -1,1 +1,3 @@
 //! Placeholder.
+
+pub mod announce;
