--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -5,6 +5,7 @@
 //! between the two.
 
 pub mod command;
+pub mod control;
 pub mod link;
 pub mod settings;
 pub mod traffic;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod members;
 pub mod publisher;
 pub mod routes;
+pub mod rumour;
