Run balancers and agents as processes

Cause: every part stood by itself, and neither binary did anything.

Change: one run module for each binary binds all sockets, starts traffic and control threads, publishing and the operator's HTTP, and stops in an orderly way on SIGTERM. The control loop tells its place in the fleet and every member; a desk makes the operators' answers of that. The lowest revision that anybody reports is told as none, so released addresses stay reserved for now.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod command;
 pub mod control;
 pub mod link;
+pub mod run;
 pub mod settings;
 pub mod traffic;
--- /dev/null
+++ b/crates/agent/src/run.rs
@@ -0,0 +1,80 @@
+//! The process beside a target from its start to its end.
+//!
+//! The main thread is the control thread. SIGTERM makes the agent drain its target: it takes no
+//! new flow, waits until those that it holds have ended, says goodbye and exits.
+
+use std::sync::Arc;
+
+use citronhollow_core::error::ErrorKind;
+use citronhollow_operator::failure::Failure;
+use citronhollow_operator::{logging, trace};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, watch};
+
+use crate::control::{Control, Links};
+use crate::link::TrafficFigures;
+use crate::settings::Checked;
+use crate::traffic;
+
+/// Runs an agent until its target has drained.
+///
+/// # Errors
+///
+/// [`Failure`] if an address of the settings cannot be bound.
+pub fn run(checked: &Checked) -> Result<(), Failure> {
+    let settings = checked.settings();
+    logging::init(checked.log_level())?;
+    trace::init(&settings.name, settings.traces)?;
+    let (traffic_tx, traffic_rx) = mpsc::unbounded_channel();
+    let (control_tx, commands) = mpsc::unbounded_channel();
+    let figures = Arc::new(TrafficFigures::default());
+    let keys = checked.keys().clone();
+    let traffic = traffic::spawn(settings, keys, traffic_rx, control_tx, Arc::clone(&figures))
+        .map_err(|err| {
+            failure(&format!(
+                "traffic_listen: {}: {err}",
+                settings.traffic_listen
+            ))
+        })?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|err| failure(&format!("no runtime: {err}")))?;
+    let traffic_addr = traffic.local_addr();
+    runtime.block_on(async {
+        let links = Links {
+            traffic: traffic_tx,
+            commands,
+            figures,
+            traffic_addr,
+            stop: stop_on_signal()?,
+        };
+        let control = Control::bind(settings, checked.keys().clone(), links)
+            .await
+            .map_err(|err| failure(&err.to_string()))?;
+        log::info!("agent: {} is at work", settings.name);
+        control.run().await.map_err(|err| failure(&err.to_string()))
+    })?;
+    if traffic.join().is_err() {
+        log::error!("agent: the traffic thread had panicked");
+    }
+    log::info!("agent: {} has stopped", settings.name);
+    Ok(())
+}
+
+fn stop_on_signal() -> Result<watch::Receiver<bool>, Failure> {
+    let mut terminate = signal(SignalKind::terminate())
+        .map_err(|err| failure(&format!("no signal handler: {err}")))?;
+    let (tx, rx) = watch::channel(false);
+    tokio::spawn(async move {
+        terminate.recv().await;
+        tx.send_replace(true);
+        // The receiver must not see the sender go while the agent drains.
+        tx.closed().await;
+    });
+    Ok(rx)
+}
+
+fn failure(message: &str) -> Failure {
+    Failure::new(ErrorKind::Invalid, message)
+}
--- a/crates/balancer/src/control.rs
+++ b/crates/balancer/src/control.rs
@@ -15,6 +15,7 @@
 use citronhollow_core::id::{BalancerId, DomainId};
 use citronhollow_core::members::BalancerRecord;
 use citronhollow_core::routes::Routes;
+use citronhollow_operator::status::FleetStatus;
 use citronhollow_peer::message::Envelope;
 use citronhollow_peer::{Body, Codec, Keyring, MAX_DATAGRAM};
 use thiserror::Error;
@@ -26,6 +27,7 @@
 use crate::settings::Settings;
 
 mod drain;
+mod fleet;
 mod handle;
 mod node;
 mod pool;
@@ -39,7 +41,7 @@
 pub use streams::CONNECTIONS_MAX;
 
 use drain::Drains;
-use handle::Command;
+use handle::{Command, Seat};
 use streams::{Fetched, Query};
 
 /// Time for which changes are gathered before routes are built.
@@ -79,7 +81,7 @@
     revisions: RevisionStore,
     built: Built,
     drains: Drains,
-    commands: mpsc::Receiver<Command>,
+    seat: Seat,
     queries: mpsc::Receiver<Query>,
     fetched: mpsc::Receiver<Fetched>,
     fetched_tx: mpsc::Sender<Fetched>,
@@ -122,7 +124,7 @@
             incarnation,
             sequence: 1,
         };
-        let (handle, commands) = handle::channel(control);
+        let (handle, seat) = handle::channel(control);
         let (queries_tx, queries) = mpsc::channel(QUEUE_LEN);
         let (fetched_tx, fetched) = mpsc::channel(QUEUE_LEN);
         tokio::spawn(streams::serve(listener, keys.clone(), queries_tx));
@@ -136,7 +138,7 @@
             revisions,
             built: Built::default(),
             drains: Drains::default(),
-            commands,
+            seat,
             queries,
             fetched,
             fetched_tx,
@@ -166,7 +168,7 @@
                     self.node.on_fetched(self.now(), fetched.from, fetched.body);
                 }
                 Some(query) = self.queries.recv() => self.on_query(query),
-                Some(command) = self.commands.recv() => self.on_command(command),
+                Some(command) = self.seat.commands.recv() => self.on_command(command),
             }
             self.carry_out(&mut effects).await;
             self.rebuild_if_due();
@@ -184,6 +186,12 @@
         let now = self.now();
         self.node.on_tick(now, effects);
         self.drains.on_tick(now, self.node.view(), effects);
+        let place = fleet::view_of(self.node.me(), self.node.view());
+        self.seat.place.send_if_modified(|known| {
+            let is_news = *known != place;
+            *known = place;
+            is_news
+        });
     }
 
     fn on_datagram(&mut self, frame: &[u8], from: SocketAddr, effects: &mut Vec<Effect>) {
@@ -213,6 +221,9 @@
             Command::Drain { name, on, done } => {
                 self.drains.start(now, self.node.view(), &name, on, done);
             }
+            Command::Fleet(reply) => {
+                let _ = reply.send(self.fleet());
+            }
             Command::Status(reply) => {
                 let status = self.status();
                 let _ = reply.send(status);
@@ -225,6 +236,14 @@
         }
     }
 
+    fn fleet(&self) -> FleetStatus {
+        let now = self.now();
+        let view = self.node.view();
+        let drains = self.drains.status(view, now);
+        let revision = self.revisions.latest().number;
+        fleet::status(now, self.node.me(), view, revision, &drains)
+    }
+
     fn status(&self) -> Status {
         let view = self.node.view();
         Status {
--- a/crates/balancer/src/control/handle.rs
+++ b/crates/balancer/src/control/handle.rs
@@ -4,8 +4,11 @@
 
 use citronhollow_core::error::ErrorKind;
 use citronhollow_core::members::{Counts, TargetState};
+use citronhollow_operator::status::FleetStatus;
 use serde::{Deserialize, Serialize};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
+
+use crate::publish::FleetView;
 
 /// Commands that wait for the loop.
 const COMMANDS_MAX: usize = 64;
@@ -56,6 +59,8 @@
         /// Takes the outcome.
         done: oneshot::Sender<Result<(), ErrorKind>>,
     },
+    /// Tell of every member.
+    Fleet(oneshot::Sender<FleetStatus>),
     /// Tell the status.
     Status(oneshot::Sender<Status>),
     /// Leave the fleet.
@@ -67,12 +72,30 @@
 pub struct ControlHandle {
     addr: SocketAddr,
     commands: mpsc::Sender<Command>,
+    place: watch::Receiver<FleetView>,
+}
+
+/// The loop's end of a handle.
+#[derive(Debug)]
+pub(super) struct Seat {
+    pub(super) commands: mpsc::Receiver<Command>,
+    pub(super) place: watch::Sender<FleetView>,
 }
 
 /// A handle and the loop's end of it.
-pub(super) fn channel(addr: SocketAddr) -> (ControlHandle, mpsc::Receiver<Command>) {
+pub(super) fn channel(addr: SocketAddr) -> (ControlHandle, Seat) {
     let (commands, receiver) = mpsc::channel(COMMANDS_MAX);
-    (ControlHandle { addr, commands }, receiver)
+    let (place_tx, place) = watch::channel(FleetView::default());
+    let handle = ControlHandle {
+        addr,
+        commands,
+        place,
+    };
+    let seat = Seat {
+        commands: receiver,
+        place: place_tx,
+    };
+    (handle, seat)
 }
 
 impl ControlHandle {
@@ -100,6 +123,19 @@
         outcome.await.unwrap_or(Err(ErrorKind::Timeout))
     }
 
+    /// This balancer's place in the fleet.
+    #[must_use]
+    pub fn place(&self) -> FleetView {
+        *self.place.borrow()
+    }
+
+    /// Every member that the control thread knows, none if it has ended.
+    pub async fn fleet(&self) -> Option<FleetStatus> {
+        let (reply, fleet) = oneshot::channel();
+        self.send(Command::Fleet(reply)).await;
+        fleet.await.ok()
+    }
+
     /// What the control thread knows, none if it has ended.
     pub async fn status(&self) -> Option<Status> {
         let (reply, status) = oneshot::channel();
--- a/crates/balancer/src/control/node.rs
+++ b/crates/balancer/src/control/node.rs
@@ -116,6 +116,12 @@
         }
     }
 
+    /// This balancer's own record.
+    #[must_use]
+    pub const fn me(&self) -> &BalancerRecord {
+        &self.me
+    }
+
     /// All members as known here, this balancer not counted.
     #[must_use]
     pub const fn view(&self) -> &View {
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -6,7 +6,9 @@
 
 pub mod commands;
 pub mod control;
+pub mod desk;
 pub mod publish;
 pub mod revisions;
+pub mod run;
 pub mod settings;
 pub mod traffic;
--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -2,14 +2,9 @@
 
 use std::process::ExitCode;
 
-use citronhollow_balancer::commands;
-use citronhollow_core::error::ErrorKind;
-use citronhollow_operator::failure::Failure;
+use citronhollow_balancer::{commands, run};
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
-    commands::run(&args, |_settings| {
-        let message = "this build has no traffic path; only the operator's commands work";
-        Err(Failure::new(ErrorKind::Invalid, message))
-    })
+    commands::run(&args, |settings| run::run(&settings))
 }
