Check, apply and get documents from the command line

Cause: operators could not bring a document to the platform, nor see what had become of it.

Change: `check` judges files offline as one set. `get` shows states and writers and exports a file that apply takes. On the balancer all requests run side by side on the control thread, and the view of the platform is kept for 5 s, so that a platform that is down holds up neither a status nor a drain.

Ruled out: writing drafts first and leaving the check to the publisher, since one operator's mistake would keep everybody's drafts out until it is mended.

--- a/crates/balancer/src/commands.rs
+++ b/crates/balancer/src/commands.rs
@@ -11,9 +11,13 @@
 
 use crate::settings::Checked;
 
+mod apply;
 mod balancer;
+mod check;
 mod drain;
+mod get;
 mod remote;
+mod set;
 mod status;
 
 const PROGRAM: Program = Program {
@@ -25,6 +29,16 @@
       checks a settings file and does nothing else
   citronhollow balancer --settings balancer.json
       runs the balancer until it gets SIGTERM
+  citronhollow check services.json pools.json
+      checks documents offline as one set
+  citronhollow apply services.json --dry-run
+      shows what would change
+  citronhollow apply services.json --wait 30
+      applies documents and waits until they are in force on every process
+  citronhollow get service match-desk
+      shows where a draft stands
+  citronhollow get --export > set.json
+      writes the drafts as a file that apply takes
   citronhollow status --balancer 127.0.0.1:7980
       shows the fleet, the revisions, drains and the platform
   citronhollow drain match-desk-3 --wait 600
@@ -51,6 +65,12 @@
 enum Command {
     #[options(help = "run the process of an entry VM")]
     Balancer(balancer::BalancerOptions),
+    #[options(help = "check documents without a balancer")]
+    Check(check::CheckOptions),
+    #[options(help = "write documents to the drafts, from where they are published")]
+    Apply(apply::ApplyOptions),
+    #[options(help = "show drafts and their states")]
+    Get(get::GetOptions),
     #[options(help = "show what a balancer knows of the fleet")]
     Status(status::StatusOptions),
     #[options(help = "take a target out of service without breaking a flow")]
@@ -78,6 +98,9 @@
         }
         match self.command {
             Some(Command::Balancer(options)) => balancer::run(&options, start),
+            Some(Command::Check(options)) => check::run(&options),
+            Some(Command::Apply(options)) => apply::run(&options),
+            Some(Command::Get(options)) => get::run(&options),
             Some(Command::Status(options)) => status::run(&options),
             Some(Command::Drain(options)) => drain::run(&options.into()),
             Some(Command::Undrain(options)) => drain::run(&options.into()),
--- a/crates/balancer/src/commands/drain.rs
+++ b/crates/balancer/src/commands/drain.rs
@@ -8,10 +8,11 @@
 use std::time::Duration;
 
 use citronhollow_core::error::ErrorKind;
+use citronhollow_core::members::TargetState;
 use citronhollow_operator::cli;
 use citronhollow_operator::client::Client;
 use citronhollow_operator::failure::Failure;
-use citronhollow_operator::status::TargetStatus;
+use citronhollow_operator::status::DrainStatus;
 use gumdrop::Options;
 use tokio::time::Instant;
 
@@ -102,11 +103,11 @@
     if drain.json {
         return Ok(cli::to_json(&status));
     }
-    Ok(format!("{}: {}\n", drain.target, progress(&status)))
+    Ok(format!("{status}\n"))
 }
 
 impl Drain {
-    async fn request(&self, client: &Client) -> Result<TargetStatus, Failure> {
+    async fn request(&self, client: &Client) -> Result<DrainStatus, Failure> {
         let limit_s = self.wait.unwrap_or(0);
         let deadline = Instant::now() + Duration::from_secs(limit_s);
         let mut told = String::new();
@@ -115,43 +116,35 @@
             let is_last = Instant::now() >= deadline;
             let news = match outcome {
                 Ok(status) if self.wait.is_none() || self.is_done(&status) => return Ok(status),
-                Ok(status) if is_last => return Err(self.timed_out(limit_s, &status)),
-                Ok(status) => progress(&status),
+                Ok(status) if is_last => return Err(timed_out(limit_s, &status)),
+                Ok(status) => status.to_string(),
                 Err(failure) if is_last || failure.kind != ErrorKind::Timeout => {
                     return Err(failure);
                 }
-                Err(failure) => failure.to_string(),
+                Err(failure) => format!("{}: {failure}", self.target),
             };
             if news != told {
-                eprintln!("{}: {news}", self.target);
+                eprintln!("{news}");
                 told = news;
             }
             tokio::time::sleep(POLL_INTERVAL).await;
         }
     }
 
-    fn is_done(&self, status: &TargetStatus) -> bool {
+    fn is_done(&self, status: &DrainStatus) -> bool {
+        let is_gone = matches!(status.state, None | Some(TargetState::Dead));
+        let takes_new = status.state.is_some_and(TargetState::takes_new);
         if self.on {
-            !status.state.takes_new() && status.open == Some(0)
+            is_gone || (!takes_new && status.open == Some(0))
         } else {
-            status.state.takes_new()
+            takes_new
         }
     }
-
-    fn timed_out(&self, limit_s: u64, status: &TargetStatus) -> Failure {
-        let message = format!(
-            "{}: {} after {limit_s} s; the request stays in force, wait longer or look at its flows",
-            self.target,
-            progress(status)
-        );
-        Failure::new(ErrorKind::Timeout, message)
-    }
 }
 
-fn progress(status: &TargetStatus) -> String {
-    let state = format!("{:?}", status.state).to_lowercase();
-    match status.open {
-        Some(open) => format!("{state}, {open} flows"),
-        None => format!("{state}, flows not known"),
-    }
+fn timed_out(limit_s: u64, status: &DrainStatus) -> Failure {
+    let message = format!(
+        "{status} after {limit_s} s; the request stays in force, wait longer or look at its flows"
+    );
+    Failure::new(ErrorKind::Timeout, message)
 }
--- /dev/null
+++ b/crates/balancer/src/documents.rs
@@ -0,0 +1,224 @@
+//! What operators do with documents, done at the platform on their behalf.
+//!
+//! The whole set that an apply would leave is checked before any draft is written, so that one
+//! operator's mistake does not keep everybody's drafts out. The publisher checks again: what it
+//! sees may be newer.
+
+use std::collections::HashMap;
+use std::hash::Hash;
+
+use citronhollow_core::config::{self, Documents, HeldAddress, Revision};
+use citronhollow_core::error::ErrorKind;
+use citronhollow_core::publisher::{
+    DraftChange, DraftStatus, Index, Kind, Listing, ONLY, Report, documents_of, draft_status,
+    stamp_of,
+};
+use citronhollow_operator::documents::{
+    Applied, AppliedDraft, ApplyRequest, DraftState, Drafts, refusal,
+};
+use citronhollow_operator::failure::Failure;
+use citronhollow_platform::client::decode;
+use citronhollow_platform::drafts::{self, DraftsError, Outcome};
+use citronhollow_platform::published::read_index;
+use citronhollow_platform::{Client, PlatformError};
+
+/// What the publisher last said.
+#[derive(Clone, Debug, Default)]
+pub struct Verdicts {
+    /// The index of the published set, none before the first.
+    pub index: Option<Index>,
+    /// What the last check refused, none if nothing yet.
+    pub report: Option<Report>,
+}
+
+impl Verdicts {
+    /// Reads both.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatformError`] if one cannot be read.
+    pub async fn read(client: &Client) -> Result<Self, PlatformError> {
+        let index = read_index(client).await?;
+        let kind = Kind::Report.to_string();
+        let report = client.get(&kind, ONLY).await?;
+        let report = report.map(|object| decode(&kind, ONLY, object.value));
+        Ok(Self {
+            index,
+            report: report.transpose()?,
+        })
+    }
+
+    /// State of a change.
+    #[must_use]
+    pub fn on(&self, change: &DraftChange) -> DraftStatus {
+        draft_status(change, self.index.as_ref(), self.report.as_ref())
+    }
+}
+
+/// What an apply is checked against besides the set itself.
+#[derive(Clone, Copy, Debug)]
+pub struct InForce<'a> {
+    /// The revision in force here.
+    pub revision: &'a Revision,
+    /// Lowest revision that any process known to be alive reports.
+    pub lowest_reported: u64,
+}
+
+/// The drafts with their states.
+///
+/// # Errors
+///
+/// [`Failure`] if the platform does not answer or a draft does not parse.
+pub async fn read(client: &Client) -> Result<Drafts, Failure> {
+    let listing = list(client).await?;
+    let verdicts = Verdicts::read(client)
+        .await
+        .map_err(|error| platform_failure(&error))?;
+    let documents = documents_of(&listing).map_err(|errors| refusal(&errors))?;
+    let states = listing.objects.iter().map(|object| {
+        let change = DraftChange {
+            name: object.name.clone(),
+            version: object.version,
+            is_removal: false,
+        };
+        DraftState {
+            status: verdicts.on(&change),
+            writer: stamp_of(&object.value).map(|stamp| stamp.writer),
+            name: change.name,
+            version: change.version,
+        }
+    });
+    Ok(Drafts {
+        version: listing.version,
+        documents,
+        states: states.collect(),
+    })
+}
+
+/// The states of changes, in their order.
+///
+/// # Errors
+///
+/// [`Failure`] if the platform does not answer.
+pub async fn states(client: &Client, changes: &[DraftChange]) -> Result<Vec<DraftStatus>, Failure> {
+    let verdicts = Verdicts::read(client)
+        .await
+        .map_err(|error| platform_failure(&error))?;
+    Ok(changes.iter().map(|change| verdicts.on(change)).collect())
+}
+
+/// Applies documents as `writer`, which must be unique for each request.
+///
+/// # Errors
+///
+/// [`Failure`] if nothing was written: the set is inconsistent, the drafts have changed since the
+/// operator read them, or the platform does not answer.
+pub async fn apply(
+    client: &Client,
+    request: &ApplyRequest,
+    writer: &str,
+    in_force: InForce<'_>,
+) -> Result<Applied, Failure> {
+    let listing = list(client).await?;
+    check_base(request.base, &listing)?;
+    let standing = documents_of(&listing).map_err(|errors| refusal(&errors))?;
+    let wanted = if request.prune {
+        request.documents.clone()
+    } else {
+        merge(&standing, &request.documents)
+    };
+    let index = read_index(client)
+        .await
+        .map_err(|error| platform_failure(&error))?;
+    let errors = config::check(&wanted, &held(index.as_ref(), in_force));
+    if !errors.is_empty() {
+        return Err(refusal(&errors));
+    }
+    let changes = config::plan(&standing, &wanted);
+    if request.dry_run || changes.is_empty() {
+        let drafts = Vec::new();
+        return Ok(Applied { changes, drafts });
+    }
+    let applied = drafts::apply(client, &request.documents, writer, request.prune).await;
+    let drafts = applied.map_err(drafts_failure)?;
+    Ok(Applied {
+        changes,
+        drafts: drafts.iter().map(applied_draft).collect(),
+    })
+}
+
+async fn list(client: &Client) -> Result<Listing, Failure> {
+    let listing = client.list(&Kind::Draft.to_string(), "").await;
+    listing.map_err(|error| platform_failure(&error))
+}
+
+fn check_base(base: Option<u64>, listing: &Listing) -> Result<(), Failure> {
+    let Some(base) = base.filter(|base| *base < listing.version) else {
+        return Ok(());
+    };
+    let message = format!(
+        "the drafts have changed since version {base} and are at version {}; get them, and apply \
+         your change to what they are now",
+        listing.version
+    );
+    Err(Failure::new(ErrorKind::Conflict, message))
+}
+
+/// The standing set with the given documents in place of those of the same kind and name.
+#[must_use]
+pub fn merge(standing: &Documents, given: &Documents) -> Documents {
+    Documents {
+        services: merge_kind(&standing.services, &given.services, |it| it.name.clone()),
+        pools: merge_kind(&standing.pools, &given.pools, |it| it.name.clone()),
+        rules: merge_kind(&standing.rules, &given.rules, |it| it.name.clone()),
+    }
+}
+
+fn merge_kind<T: Clone, K: Eq + Hash>(standing: &[T], given: &[T], name: fn(&T) -> K) -> Vec<T> {
+    let named: HashMap<K, &T> = given.iter().map(|it| (name(it), it)).collect();
+    let kept = standing.iter().filter(|it| !named.contains_key(&name(it)));
+    kept.chain(given).cloned().collect()
+}
+
+/// Addresses that another service must not take over yet.
+fn held(index: Option<&Index>, in_force: InForce<'_>) -> Vec<HeldAddress> {
+    let reserved = index.into_iter().flat_map(|index| &index.reserved);
+    let reserved = reserved
+        .filter(|reserved| reserved.released_in > in_force.lowest_reported)
+        .map(|reserved| reserved.held.clone());
+    let services = in_force.revision.documents.services.iter();
+    let addresses = services.flat_map(|service| {
+        service.addresses.iter().map(|&address| HeldAddress {
+            address,
+            service: service.name.clone(),
+        })
+    });
+    addresses.chain(reserved).collect()
+}
+
+fn applied_draft(applied: &drafts::Applied) -> AppliedDraft {
+    let failure = match applied.outcome {
+        Outcome::Unchanged | Outcome::Written { .. } | Outcome::Removed { .. } => None,
+        Outcome::Conflict { .. } => Some(ErrorKind::Conflict),
+        Outcome::NotRun => Some(ErrorKind::PlatformUnavailable),
+        Outcome::Unknown => Some(ErrorKind::Timeout),
+        Outcome::Refused => Some(ErrorKind::Invalid),
+    };
+    AppliedDraft {
+        name: applied.name.clone(),
+        outcome: applied.outcome.to_string(),
+        failure,
+        change: applied.change(),
+    }
+}
+
+fn platform_failure(error: &PlatformError) -> Failure {
+    Failure::new(error.kind(), error.to_string())
+}
+
+fn drafts_failure(error: DraftsError) -> Failure {
+    match error {
+        DraftsError::Names(errors) | DraftsError::Unparsable(errors) => refusal(&errors),
+        DraftsError::Platform(error) => platform_failure(&error),
+    }
+}
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -5,6 +5,8 @@
 //! the traffic threads whenever the revision or the membership changes.
 
 pub mod commands;
+pub mod documents;
+pub mod operator_http;
 pub mod publish;
 pub mod revisions;
 pub mod settings;
--- /dev/null
+++ b/crates/balancer/src/operator_http/platform_view.rs
@@ -0,0 +1,143 @@
+//! What the platform says of publishing, as a status shows it.
+//!
+//! It is read when somebody asks for a status and kept for a while, so that monitoring of many
+//! balancers costs the platform little, and so that a status is quick while the platform is down.
+
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use citronhollow_core::clock::Millis;
+use citronhollow_core::config::CheckError;
+use citronhollow_core::publisher::{Kind, Lease, ONLY};
+use citronhollow_operator::problem::Problem;
+use citronhollow_operator::status::{PlatformStatus, PublishStatus, RejectedDraft};
+use citronhollow_platform::client::decode;
+use citronhollow_platform::{Client, PlatformError};
+use tokio::time::Instant;
+
+use crate::documents::Verdicts;
+
+/// Time for which a view is kept.
+const KEEP_FOR: Duration = Duration::from_secs(5);
+
+/// Time within which the platform must answer.
+const DEADLINE: Duration = Duration::from_secs(1);
+
+pub(super) struct PlatformView {
+    client: Client,
+    writer: String,
+    seen: Mutex<Seen>,
+}
+
+/// The latest view.
+#[derive(Clone, Debug, Default)]
+struct Seen {
+    status: PublishStatus,
+    read_at: Option<Instant>,
+    answered_at: Option<Instant>,
+}
+
+impl PlatformView {
+    pub(super) fn new(client: Client, writer: String) -> Self {
+        Self {
+            client,
+            writer,
+            seen: Mutex::default(),
+        }
+    }
+
+    pub(super) async fn status(&self) -> PublishStatus {
+        let mut seen = self
+            .seen
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
+        let is_fresh = seen.read_at.is_some_and(|at| at.elapsed() < KEEP_FOR);
+        if !is_fresh {
+            self.refresh(&mut seen).await;
+            *self.seen.lock().unwrap_or_else(PoisonError::into_inner) = seen.clone();
+        }
+        seen.status.platform.last_answer_ms = seen.answered_at.map(|at| Millis::from(at.elapsed()));
+        seen.status
+    }
+
+    async fn refresh(&self, seen: &mut Seen) {
+        let outcome = tokio::time::timeout(DEADLINE, self.read()).await;
+        let now = Instant::now();
+        seen.read_at = Some(now);
+        match outcome {
+            Ok(Ok(status)) => {
+                seen.status = status;
+                seen.status.platform.reachable = true;
+                seen.answered_at = Some(now);
+            }
+            Ok(Err(error)) => seen.status.platform = down(error.to_string()),
+            Err(_) => {
+                let limit = Millis::from(DEADLINE);
+                seen.status.platform = down(format!("the platform did not answer within {limit}"));
+            }
+        }
+        let counters = self.client.counters();
+        seen.status.platform.calls = counters.total();
+        seen.status.platform.retries = counters.retries();
+    }
+
+    async fn read(&self) -> Result<PublishStatus, PlatformError> {
+        let kind = Kind::Lease.to_string();
+        let lease = self.client.get(&kind, ONLY).await?;
+        let lease = lease.map(|object| decode::<Lease>(&kind, ONLY, object.value));
+        let lease = lease.transpose()?.filter(|lease| !lease.released);
+        let verdicts = Verdicts::read(&self.client).await?;
+        let epoch = lease.as_ref().map_or(0, |lease| lease.epoch);
+        let publisher = lease.map(|lease| lease.stamp.writer);
+        let is_own = |writer: &String| writer.starts_with(&self.writer);
+        Ok(PublishStatus {
+            is_publisher: publisher.as_ref().is_some_and(is_own),
+            publisher,
+            epoch,
+            published: verdicts.index.as_ref().map(|index| index.number),
+            rejected: rejected(&verdicts),
+            platform: PlatformStatus::default(),
+        })
+    }
+}
+
+fn down(error: String) -> PlatformStatus {
+    PlatformStatus {
+        reachable: false,
+        last_error: Some(error),
+        ..PlatformStatus::default()
+    }
+}
+
+/// The drafts that the latest check refused, unless a later set was published.
+fn rejected(verdicts: &Verdicts) -> Vec<RejectedDraft> {
+    let published = verdicts
+        .index
+        .as_ref()
+        .map_or(0, |index| index.drafts_version);
+    let report = verdicts.report.as_ref();
+    let report = report.filter(|report| report.drafts_version > published);
+    let errors = report.map_or(&[][..], |report| &report.errors);
+    let mut rejected: Vec<RejectedDraft> = Vec::new();
+    for error in errors {
+        // The draft around the problem names the object already.
+        let problem = Problem {
+            object: String::new(),
+            ..Problem::from(error)
+        };
+        match rejected.iter_mut().find(|draft| is_about(error, draft)) {
+            Some(draft) => draft.problems.push(problem),
+            None => rejected.push(RejectedDraft {
+                kind: error.object.kind.to_string(),
+                name: error.object.name.clone(),
+                problems: vec![problem],
+            }),
+        }
+    }
+    rejected
+}
+
+fn is_about(error: &CheckError, draft: &RejectedDraft) -> bool {
+    error.object.name == draft.name && error.object.kind.to_string() == draft.kind
+}
--- a/crates/operator/src/client.rs
+++ b/crates/operator/src/client.rs
@@ -4,19 +4,21 @@
 use std::time::Duration;
 
 use citronhollow_core::error::ErrorKind;
+use citronhollow_core::publisher::{DraftChange, DraftStatus};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use volo_http::body::BodyConversion;
 use volo_http::client::Client as HttpClient;
 use volo_http::http::{Method, StatusCode, header};
 
+use crate::documents::{Applied, ApplyRequest, Drafts};
 use crate::failure::Failure;
 use crate::http::DrainRequest;
-use crate::status::{Status, TargetStatus};
+use crate::status::{DrainStatus, Status};
 use crate::token::Token;
 
-/// Time within which a balancer must answer.
-const ANSWER_DEADLINE: Duration = Duration::from_secs(10);
+/// Time within which a balancer must answer. It has shorter limits of its own.
+const ANSWER_DEADLINE: Duration = Duration::from_secs(35);
 
 /// A balancer to talk to.
 #[derive(Clone)]
@@ -51,12 +53,39 @@
     /// # Errors
     ///
     /// What the balancer answers, or [`ErrorKind::Timeout`] if it does not.
-    pub async fn drain(&self, target: &str, on: bool) -> Result<TargetStatus, Failure> {
+    pub async fn drain(&self, target: &str, on: bool) -> Result<DrainStatus, Failure> {
         let path = if on { "/drain" } else { "/undrain" };
         let target = String::from(target);
         self.post(path, &DrainRequest { target }).await
     }
 
+    /// The drafts with their states.
+    ///
+    /// # Errors
+    ///
+    /// What the balancer answers, or [`ErrorKind::Timeout`] if it does not.
+    pub async fn drafts(&self) -> Result<Drafts, Failure> {
+        self.call(Method::GET, "/documents", Vec::new()).await
+    }
+
+    /// Applies documents. To apply the same again is safe.
+    ///
+    /// # Errors
+    ///
+    /// What the balancer answers, or [`ErrorKind::Timeout`] if it does not.
+    pub async fn apply(&self, request: &ApplyRequest) -> Result<Applied, Failure> {
+        self.post("/apply", request).await
+    }
+
+    /// The states of changes, in their order.
+    ///
+    /// # Errors
+    ///
+    /// What the balancer answers, or [`ErrorKind::Timeout`] if it does not.
+    pub async fn states(&self, changes: &[DraftChange]) -> Result<Vec<DraftStatus>, Failure> {
+        self.post("/states", &changes).await
+    }
+
     async fn post<B: Serialize, T: DeserializeOwned>(
         &self,
         path: &str,
--- a/crates/operator/src/http.rs
+++ b/crates/operator/src/http.rs
@@ -5,7 +5,10 @@
 //! | `GET /health` | 200 while the process answers at all |
 //! | `GET /ready` | 200 once a revision is in force here, else 503 |
 //! | `GET /status` | [`crate::status::Status`] |
-//! | `POST /drain`, `POST /undrain` with [`DrainRequest`] | [`crate::status::TargetStatus`] |
+//! | `POST /drain`, `POST /undrain` with [`DrainRequest`] | [`crate::status::DrainStatus`] |
+//! | `GET /documents` | [`crate::documents::Drafts`] |
+//! | `POST /apply` with [`crate::documents::ApplyRequest`] | [`crate::documents::Applied`] |
+//! | `POST /states` with a list of [`DraftChange`] | a list of [`DraftStatus`] |
 //!
 //! Every body is JSON. An error is a [`Failure`] under the status of its kind. Whatever changes
 //! something needs the operator's token as a bearer token, and is refused before its body is read.
@@ -13,6 +16,7 @@
 use std::io;
 
 use citronhollow_core::error::ErrorKind;
+use citronhollow_core::publisher::{DraftChange, DraftStatus};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
@@ -26,8 +30,9 @@
 
 use crate::cli;
 use crate::control::ControlHandle;
+use crate::documents::{Applied, ApplyRequest, Drafts};
 use crate::failure::Failure;
-use crate::status::{self, Status, TargetStatus};
+use crate::status::{DrainStatus, Status};
 use crate::token::Token;
 
 /// Largest body, in bytes: what one value of the platform may hold.
@@ -75,6 +80,9 @@
             .route("/status", self.get(Self::status))
             .route("/drain", self.post(Self::drain))
             .route("/undrain", self.post(Self::undrain))
+            .route("/documents", self.get(Self::drafts))
+            .route("/apply", self.post(Self::apply))
+            .route("/states", self.post(Self::states))
             .fallback(unknown_call)
     }
 
@@ -118,16 +126,24 @@
         self.control.status().await
     }
 
-    async fn drain(self, req: DrainRequest) -> Result<TargetStatus, Failure> {
-        self.control
-            .drain(status::target_id(&req.target), true)
-            .await
+    async fn drain(self, req: DrainRequest) -> Result<DrainStatus, Failure> {
+        self.control.drain(req.target, true).await
     }
 
-    async fn undrain(self, req: DrainRequest) -> Result<TargetStatus, Failure> {
-        self.control
-            .drain(status::target_id(&req.target), false)
-            .await
+    async fn undrain(self, req: DrainRequest) -> Result<DrainStatus, Failure> {
+        self.control.drain(req.target, false).await
+    }
+
+    async fn drafts(self) -> Result<Drafts, Failure> {
+        self.control.drafts().await
+    }
+
+    async fn apply(self, req: ApplyRequest) -> Result<Applied, Failure> {
+        self.control.apply(req).await
+    }
+
+    async fn states(self, changes: Vec<DraftChange>) -> Result<Vec<DraftStatus>, Failure> {
+        self.control.states(changes).await
     }
 
     async fn authorized_body<B: DeserializeOwned>(&self, req: Request) -> Result<B, Failure> {
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cli;
 pub mod client;
 pub mod control;
+pub mod documents;
 pub mod failure;
 pub mod http;
 pub mod input;
--- a/crates/operator/src/report.rs
+++ b/crates/operator/src/report.rs
@@ -7,7 +7,7 @@
 use citronhollow_core::members::TargetState;
 
 use crate::status::{
-    BalancerState, FleetStatus, PublishStatus, Status, TargetStatus, TrafficStatus,
+    BalancerState, DrainStatus, FleetStatus, PublishStatus, Status, TrafficStatus,
 };
 
 impl fmt::Display for Status {
@@ -68,11 +68,8 @@
     } else {
         "DOWN"
     };
-    write!(
-        f,
-        "platform   {state}, {} calls failed",
-        platform.failed_calls
-    )?;
+    let (calls, retries) = (platform.calls, platform.retries);
+    write!(f, "platform   {state}, {calls} calls, {retries} repeated")?;
     if let Some(age) = platform.last_answer_ms {
         write!(f, ", last answer {} ago", Span(age))?;
     }
@@ -100,21 +97,43 @@
     writeln!(
         f,
         "targets    {ready} ready, {starting} starting, {draining} draining, {dead} dead"
-    )
+    )?;
+    if fleet.is_isolated {
+        writeln!(f, "isolated   this balancer hears from nobody")?;
+    }
+    if fleet.is_leaving {
+        writeln!(f, "leaving    this balancer is about to stop")?;
+    }
+    match fleet.refused_frames {
+        0 => Ok(()),
+        frames => writeln!(f, "refused    {frames} frames from other processes"),
+    }
 }
 
 fn write_drains(f: &mut Formatter<'_>, fleet: &FleetStatus) -> fmt::Result {
-    let is_draining = |target: &&TargetStatus| target.state == TargetState::Draining;
-    for target in fleet.targets.iter().filter(is_draining) {
-        let TargetStatus { id, agent, .. } = target;
-        match target.open {
-            Some(open) => writeln!(f, "draining   {id} at {agent}, {open} flows left")?,
-            None => writeln!(f, "draining   {id} at {agent}, flows not known here")?,
-        }
+    for drain in &fleet.drains {
+        writeln!(f, "drain      {drain}")?;
     }
     Ok(())
 }
 
+impl fmt::Display for DrainStatus {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let state = match self.state {
+            Some(TargetState::Starting) => "starting",
+            Some(TargetState::Ready) => "ready",
+            Some(TargetState::Draining) => "draining",
+            Some(TargetState::Dead) => "dead",
+            None => "gone",
+        };
+        write!(f, "{}: {state}", self.target)?;
+        match self.open {
+            Some(open) => write!(f, ", {open} flows left"),
+            None => write!(f, ", flows not known"),
+        }
+    }
+}
+
 fn write_traffic(f: &mut Formatter<'_>, traffic: &TrafficStatus) -> fmt::Result {
     let TrafficStatus {
         packets,
--- a/crates/operator/src/status.rs
+++ b/crates/operator/src/status.rs
@@ -39,10 +39,31 @@
 pub struct FleetStatus {
     /// Revision in force on the balancer that reports, zero if none.
     pub revision: u64,
+    /// Lowest revision that any process known to be alive reports.
+    pub lowest_reported: u64,
     /// Every balancer known, the reporting one included.
     pub balancers: Vec<BalancerStatus>,
     /// Every target known.
     pub targets: Vec<TargetStatus>,
+    /// Drains that this balancer was asked for.
+    pub drains: Vec<DrainStatus>,
+    /// Whether the reporting balancer hears from nobody.
+    pub is_isolated: bool,
+    /// Whether the reporting balancer is about to stop.
+    pub is_leaving: bool,
+    /// Frames from other processes that were refused since the start.
+    pub refused_frames: u64,
+}
+
+/// A drain that an operator asked for.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct DrainStatus {
+    /// The target as the operator named it.
+    pub target: String,
+    /// Its state, none if it is not known any more.
+    pub state: Option<TargetState>,
+    /// Flows that its agent still holds, none if it has not said.
+    pub open: Option<u32>,
 }
 
 /// Whether a balancer takes part.
@@ -133,8 +154,10 @@
     pub reachable: bool,
     /// Time since the latest answer, none if there was none.
     pub last_answer_ms: Option<Millis>,
-    /// Calls that failed since the start.
-    pub failed_calls: u64,
+    /// Calls sent since the start, repeated ones included.
+    pub calls: u64,
+    /// Calls that were repeated because an earlier try failed.
+    pub retries: u64,
     /// The latest failure, none if there was none.
     pub last_error: Option<String>,
 }
