--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod commands;
 pub mod control;
 pub mod desk;
+pub mod documents;
+pub mod operator_http;
 pub mod publish;
 pub mod revisions;
 pub mod run;
