Answer operators from the real control loop

Cause: the operator's HTTP and the control loop each had a shape of their own for drains and fleet. Change: the loop fills the operator's shapes, the second ones are gone. Not run together yet.

--- a/crates/balancer/src/control.rs
+++ b/crates/balancer/src/control.rs
@@ -35,7 +35,7 @@
 mod streams;
 
 pub use drain::{DRAIN_RETRY, DRAIN_TIMEOUT};
-pub use handle::{ControlHandle, DrainStatus, Status};
+pub use handle::{ControlHandle, Status};
 pub use node::{Effect, Node};
 pub use pool::slice_digest;
 pub use streams::CONNECTIONS_MAX;
@@ -237,11 +237,8 @@
     }
 
     fn fleet(&self) -> FleetStatus {
-        let now = self.now();
-        let view = self.node.view();
-        let drains = self.drains.status(view, now);
-        let revision = self.revisions.latest().number;
-        fleet::status(now, self.node.me(), view, revision, &drains)
+        let status = self.status();
+        fleet::status(self.now(), self.node.me(), self.node.view(), status)
     }
 
     fn status(&self) -> Status {
--- a/crates/balancer/src/control/drain.rs
+++ b/crates/balancer/src/control/drain.rs
@@ -11,12 +11,11 @@
 use citronhollow_core::error::ErrorKind;
 use citronhollow_core::id::TargetId;
 use citronhollow_core::members::{TargetState, View};
-use citronhollow_operator::status::target_id;
+use citronhollow_operator::status::{DrainStatus, target_id};
 use citronhollow_peer::message::{Drain, Heartbeat};
 use citronhollow_peer::{Body, record_from_message};
 use tokio::sync::oneshot;
 
-use super::handle::DrainStatus;
 use super::node::Effect;
 
 /// Time between two requests to an agent that has not answered.
--- a/crates/balancer/src/control/fleet.rs
+++ b/crates/balancer/src/control/fleet.rs
@@ -3,34 +3,35 @@
 use citronhollow_core::clock::Millis;
 use citronhollow_core::id::TargetId;
 use citronhollow_core::members::{BalancerRecord, TargetNews, View};
-use citronhollow_operator::status::{BalancerState, BalancerStatus, FleetStatus, TargetStatus};
+use citronhollow_operator::status::{
+    BalancerState, BalancerStatus, DrainStatus, FleetStatus, TargetStatus, target_id,
+};
 
-use super::handle::DrainStatus;
+use super::handle::Status;
 use crate::publish::FleetView;
 
 /// The fleet as an operator sees it.
-pub(super) fn status(
-    now: Millis,
-    me: &BalancerRecord,
-    view: &View,
-    revision: u64,
-    drains: &[DrainStatus],
-) -> FleetStatus {
+pub(super) fn status(now: Millis, me: &BalancerRecord, view: &View, status: Status) -> FleetStatus {
     let own = BalancerStatus {
-        revision: Some(revision),
+        revision: Some(status.revision),
         last_seen_ms: Some(Millis::ZERO),
         ..balancer(me)
     };
     FleetStatus {
-        revision,
+        revision: status.revision,
+        lowest_reported: view_of(me, view).lowest_reported,
         balancers: std::iter::once(own)
             .chain(view.balancers().iter().map(balancer))
             .collect(),
         targets: view
             .targets(now)
             .filter(|news| !news.is_gone())
-            .map(|news| target(&news, drains))
+            .map(|news| target(&news, &status.drains))
             .collect(),
+        drains: status.drains,
+        is_isolated: status.is_isolated,
+        is_leaving: status.is_leaving,
+        refused_frames: status.refused_frames,
     }
 }
 
@@ -79,6 +80,6 @@
 fn open_of(id: TargetId, drains: &[DrainStatus]) -> Option<u32> {
     drains
         .iter()
-        .find(|drain| citronhollow_operator::status::target_id(&drain.target) == id)
+        .find(|drain| target_id(&drain.target) == id)
         .and_then(|drain| drain.open)
 }
--- a/crates/balancer/src/control/handle.rs
+++ b/crates/balancer/src/control/handle.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use citronhollow_core::error::ErrorKind;
-use citronhollow_core::members::{Counts, TargetState};
-use citronhollow_operator::status::FleetStatus;
+use citronhollow_core::members::Counts;
+use citronhollow_operator::status::{DrainStatus, FleetStatus};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot, watch};
 
@@ -35,18 +35,6 @@
     pub drains: Vec<DrainStatus>,
 }
 
-/// One drain and what is left of it.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(deny_unknown_fields)]
-pub struct DrainStatus {
-    /// Name of the target.
-    pub target: String,
-    /// Its state as known here, none if it is not known any more.
-    pub state: Option<TargetState>,
-    /// Flows that it still holds, none if it has not said.
-    pub open: Option<u32>,
-}
-
 /// To the loop.
 #[derive(Debug)]
 pub enum Command {
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -6,7 +6,6 @@
 
 pub mod commands;
 pub mod control;
-pub mod desk;
 pub mod documents;
 pub mod operator_http;
 pub mod publish;
--- a/crates/balancer/src/run.rs
+++ b/crates/balancer/src/run.rs
@@ -12,15 +12,16 @@
 use citronhollow_core::error::ErrorKind;
 use citronhollow_core::routes::Routes;
 use citronhollow_operator::failure::Failure;
+use citronhollow_operator::status::{DrainStatus, FleetStatus};
 use citronhollow_operator::token::Token;
 use citronhollow_operator::{control as seam, http, logging, trace};
 use citronhollow_platform::client::{Client, ClientConfig};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 use crate::control::{Control, ControlHandle};
-use crate::desk::Desk;
+use crate::operator_http::{self, Identity, Sources};
 use crate::publish::{self, PublishSettings};
 use crate::revisions::RevisionStore;
 use crate::settings::{Checked, Settings};
@@ -62,43 +63,80 @@
     let listener = TcpListener::bind(settings.operator_listen)
         .await
         .map_err(|err| cannot_bind("operator_listen", settings.operator_listen, &err))?;
-    let desk = Desk::new(
-        settings,
-        handle.clone(),
-        revisions.clone(),
-        traffic.figures(),
-    );
-    serve_operators(settings, listener, desk);
+    let client = Client::new(ClientConfig::new(settings.platform));
+    let writer = writer_of(settings);
     let stop = leave_on_signal(handle.clone())?;
+    let place = handle.clone();
     let publishing = publish::run(
-        PublishSettings::new(writer_of(settings)),
-        Client::new(ClientConfig::new(settings.platform)),
-        revisions,
-        move || handle.place(),
+        PublishSettings::new(writer.clone()),
+        client.clone(),
+        revisions.clone(),
+        move || place.place(),
         stop,
     );
-    log::info!("balancer: {} is at work", settings.name);
-    // A balancer that left keeps forwarding until its control loop ends.
-    let publishing = async {
-        publishing.await;
-        std::future::pending::<()>().await;
+    let identity = Identity {
+        name: settings.name.clone(),
+        domain: settings.domain.clone(),
+        writer,
     };
+    let figures = traffic.figures();
+    let sources = Sources {
+        fleet: async || fleet(&handle).await,
+        drain: async |target: String, on| drain(&handle, &target, on).await,
+        traffic: || figures.status(),
+    };
+    let requests = serve_operators(settings, listener);
+    let answering = operator_http::run(requests, identity, client, revisions, sources);
+    log::info!("balancer: {} is at work", settings.name);
+    // A balancer that leaves gives its lease back first and forwards until the control loop ends.
     tokio::select! {
         () = control.run() => {}
-        () = publishing => {}
+        () = for_ever_after(publishing) => {}
+        () = for_ever_after(answering) => {}
     }
     Ok(())
 }
 
-fn serve_operators(settings: &Settings, listener: TcpListener, desk: Desk) {
+async fn for_ever_after(work: impl Future<Output = ()>) {
+    work.await;
+    std::future::pending::<()>().await;
+}
+
+async fn fleet(handle: &ControlHandle) -> Result<FleetStatus, Failure> {
+    handle.fleet().await.ok_or_else(stopping)
+}
+
+async fn drain(handle: &ControlHandle, target: &str, on: bool) -> Result<DrainStatus, Failure> {
+    let outcome = handle.send_drain(target, on).await;
+    outcome.map_err(|kind| Failure::new(kind, format!("target {target}: {kind}")))?;
+    let fleet = fleet(handle).await?;
+    let found = fleet
+        .drains
+        .into_iter()
+        .find(|drain| drain.target == target);
+    Ok(found.unwrap_or_else(|| DrainStatus {
+        target: String::from(target),
+        state: None,
+        open: None,
+    }))
+}
+
+fn stopping() -> Failure {
+    Failure::new(
+        ErrorKind::Timeout,
+        "the balancer is stopping; ask another one",
+    )
+}
+
+fn serve_operators(settings: &Settings, listener: TcpListener) -> mpsc::Receiver<seam::Request> {
     let (seam, requests) = seam::channel();
     let token = Token::from(settings.operator_token.clone());
-    tokio::spawn(desk.run(requests));
     tokio::spawn(async move {
         if let Err(err) = http::serve(listener, token, seam).await {
             log::error!("operator: HTTP cannot be served: {err}");
         }
     });
+    requests
 }
 
 fn leave_on_signal(handle: ControlHandle) -> Result<watch::Receiver<bool>, Failure> {
--- a/crates/balancer/src/traffic/figures.rs
+++ b/crates/balancer/src/traffic/figures.rs
@@ -2,6 +2,8 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use citronhollow_core::error::ErrorKind;
+use citronhollow_operator::status::{RefusalCount, TrafficStatus};
 use derive_more::Display;
 
 /// One kind of event on the traffic path.
@@ -66,3 +68,31 @@
         self.counters[figure as usize].load(Ordering::Relaxed)
     }
 }
+
+impl TrafficFigures {
+    /// The counts as an operator sees them.
+    #[must_use]
+    pub fn status(&self) -> TrafficStatus {
+        // A datagram that the socket did not take was counted by its verdict already.
+        let verdicts = Figure::ALL
+            .iter()
+            .filter(|kind| **kind != Figure::SendFailed);
+        let refused = [
+            (ErrorKind::UnknownService, self.get(Figure::UnknownService)),
+            (
+                ErrorKind::NoTarget,
+                self.get(Figure::NoTarget) + self.get(Figure::RefusedNoTarget),
+            ),
+        ];
+        TrafficStatus {
+            packets: verdicts.map(|kind| self.get(*kind)).sum(),
+            forwarded: self.get(Figure::ByTable) + self.get(Figure::ByHint),
+            malformed: self.get(Figure::Malformed) + self.get(Figure::TooLong),
+            refused: refused
+                .into_iter()
+                .filter(|(_, count)| *count > 0)
+                .map(|(kind, count)| RefusalCount { kind, count })
+                .collect(),
+        }
+    }
+}
