Admit new flows by load, limits and a short queue

Cause: a full target refused at once although a flow might end in the next moment, no limit on new flows was enforced, a cold or failing target got as much as a warm one, and every refusal named the same time to come back.

Change: a new flow that finds every target full waits for room, unanswered, for at most 200 ms; if the queue is full or the agent does not take new flows it is refused at once. Limits on new flows a second are token buckets for the service and for one caller; each agent enforces the limit divided by the ready agents of the service, counts a flow where the balancer sent it, and the caller's bucket is not charged when the service's refuses. Slots ramp from a quarter to all in 30 s after a cold start, but not after a drain that was taken back. Failed connects of the last 5 to 10 s are counted at the agent; above half, the target comes last. Peers are skipped by the pool's limit and when the balancers no longer list them. `retry_after` grows by one second for each waiting flow per slot, up to 30 s, and is spread over twice that. New: `FlowLimits::USUAL`, `queue_len`, `caller_count`. `on_established` also counts a started connect.

Ruled out: a rule that no flow overtakes a waiting one of its service. It held flows back that a peer could take; room that is made serves the queue first instead, which the case shows.

How close the spread comes to the best possible is for a measurement to say.

--- a/crates/core/src/flows.rs
+++ b/crates/core/src/flows.rs
@@ -18,6 +18,7 @@
 use crate::id::{GroupId, TargetId};
 use crate::members::{TargetRecord, TargetState};
 
+mod admission;
 mod bucket;
 mod connection;
 mod counters;
@@ -27,8 +28,11 @@
 mod notice;
 mod ongoing;
 mod opening;
+mod own;
 mod packet;
 mod peers;
+mod queue;
+mod rates;
 mod recent;
 mod redirects;
 mod search;
@@ -42,7 +46,10 @@
 
 use bucket::{Bucket, Rate};
 use held::Held;
+use own::Own;
 use peers::Peers;
+use queue::WaitQueue;
+use rates::Rates;
 use recent::Recent;
 use redirects::Redirects;
 use search::Searches;
@@ -55,13 +62,16 @@
     group: Option<GroupId>,
     incarnation: u64,
     limits: FlowLimits,
-    state: TargetState,
-    slots: u16,
+    own: Own,
     services: Services,
     peers: Peers,
     held: Held,
     /// Flows to close because their address belongs to another service.
     reassigned: Vec<FlowId>,
+    queue: WaitQueue<B>,
+    /// Whether a waiting flow may find room that it did not find before.
+    has_new_room: bool,
+    rates: Rates,
     redirects: Redirects,
     searches: Searches<B>,
     /// When a flow was first claimed by nobody.
@@ -83,12 +93,14 @@
             group: None,
             incarnation: 0,
             limits,
-            state: TargetState::Starting,
-            slots: 1,
+            own: Own::new(),
             services: Services::default(),
             peers: Peers::default(),
             held: Held::new(&limits),
             reassigned: Vec::new(),
+            queue: WaitQueue::new(),
+            has_new_room: false,
+            rates: Rates::new(limits.callers),
             redirects: Redirects::new(limits.redirects),
             searches: Searches::new(),
             suspects: Recent::new(limits.suspects),
@@ -105,6 +117,7 @@
     pub fn on_packet(&mut self, now: Millis, packet: Packet<B>, out: &mut Vec<Action<B>>) {
         let before = out.len();
         self.close_reassigned(now, out);
+        self.serve_queue_if_due(now, out);
         self.decide(now, packet, out);
         self.counters.count(&out[before..]);
     }
@@ -117,13 +130,15 @@
         self.held.set_isn(flow, isn);
     }
 
-    /// The endpoint finished the handshake.
-    pub fn on_established(&mut self, _now: Millis, flow: &FlowId) {
+    /// The endpoint finished the handshake, and its target's connection is being opened.
+    pub fn on_established(&mut self, now: Millis, flow: &FlowId) {
         self.held.establish(flow);
+        self.own.on_connect_started(now);
     }
 
     /// The target refused or did not answer the connection for the flow, which is closed by that.
     pub fn on_connect_failed(&mut self, now: Millis, flow: &FlowId) {
+        self.own.on_connect_failed(now);
         self.on_closed(now, flow);
     }
 
@@ -135,6 +150,7 @@
     /// The endpoint is gone.
     pub fn on_closed(&mut self, now: Millis, flow: &FlowId) {
         self.held.close(now, flow);
+        self.has_new_room = true;
     }
 
     /// A peer asks for a flow.
@@ -167,6 +183,7 @@
     /// A peer tells its load.
     pub fn on_load(&mut self, now: Millis, report: LoadReport) {
         self.peers.on_load(now, report);
+        self.has_new_room = true;
     }
 
     /// The targets of the pools that this target belongs to, as the balancers tell them.
@@ -179,6 +196,7 @@
             self.group = Some(own.group);
         }
         self.peers.update(now, self.me, peers);
+        self.has_new_room = true;
     }
 
     /// The group that this target announced. Without it no service is served.
@@ -201,16 +219,19 @@
         }
         self.services = Services::build(revision);
         self.reassigned.extend(self.held.reassigned(&self.services));
+        self.rates.retain(|id| self.services.has(id));
+        self.has_new_room = true;
     }
 
     /// What this target can take.
-    pub fn set_state(&mut self, _now: Millis, state: TargetState) {
-        self.state = state;
+    pub fn set_state(&mut self, now: Millis, state: TargetState) {
+        self.own.set_state(now, state);
+        self.has_new_room = true;
     }
 
     /// Requests that this target can work on at once.
     pub fn set_slots(&mut self, _now: Millis, slots: u16) {
-        self.slots = slots;
+        self.own.set_slots(slots);
     }
 
     /// Does what is due. To be called at least every 50 ms.
@@ -219,14 +240,15 @@
         self.close_reassigned(now, out);
         self.close_timed_out(now, out);
         self.held.forget_ended(now);
+        self.serve_queue(now, out);
         self.tick_searches(now, out);
         self.counters.count(&out[before..]);
     }
 
     /// This target's load, to be sent to the peers.
-    pub fn load_report(&mut self, _now: Millis) -> LoadReport {
+    pub fn load_report(&mut self, now: Millis) -> LoadReport {
         self.sequence += 1;
-        self.report()
+        self.report(now)
     }
 
     /// Flows held here.
@@ -247,6 +269,18 @@
         self.held.half_open_len()
     }
 
+    /// Opening packets that wait for room.
+    #[must_use]
+    pub fn queue_len(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Callers whose rate of new flows is remembered.
+    #[must_use]
+    pub fn caller_count(&self) -> usize {
+        self.rates.callers_len()
+    }
+
     /// Ended flows that are remembered.
     #[must_use]
     pub fn ended_count(&self) -> usize {
@@ -334,17 +368,17 @@
             .is_some_and(|group| self.services.serves(service, group))
     }
 
-    fn report(&self) -> LoadReport {
+    fn report(&mut self, now: Millis) -> LoadReport {
         LoadReport {
             sender: self.me,
             incarnation: self.incarnation,
             sequence: self.sequence,
             open: u32::try_from(self.held.len()).unwrap_or(u32::MAX),
             busy: self.held.busy(),
-            queued: 0,
-            milli_slots: u32::from(self.slots) * 1_000,
-            takes_new: self.state.takes_new() && self.held.len() < self.limits.flows,
-            milli_failures: 0,
+            queued: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
+            milli_slots: self.own.milli_slots(now, self.limits.ramp),
+            takes_new: self.own.takes_new() && self.held.len() < self.limits.flows,
+            milli_failures: self.own.milli_failures(now),
         }
     }
 }
--- a/crates/core/src/flows/bucket.rs
+++ b/crates/core/src/flows/bucket.rs
@@ -2,7 +2,8 @@
 
 use crate::clock::Millis;
 
-/// How fast a bucket fills. It holds one second's worth, and at least one token.
+/// How fast a bucket fills. It holds one second's worth, and at least one token unless it never
+/// fills.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) struct Rate {
     milli_per_s: u64,
@@ -15,13 +16,21 @@
         }
     }
 
+    /// One agent's part of a rate that several agents share.
+    pub(super) fn share(tokens: u32, agents: u32) -> Self {
+        let all = u64::from(tokens) * MILLI;
+        Self {
+            milli_per_s: all / u64::from(agents.max(1)),
+        }
+    }
+
     const fn capacity_micro(self) -> u64 {
-        let milli = if self.milli_per_s > MILLI {
-            self.milli_per_s
-        } else {
-            MILLI
+        let milli = match self.milli_per_s {
+            0 => 0,
+            1..=MILLI => MILLI,
+            more => more,
         };
-        milli * 1_000
+        milli * MILLI
     }
 }
 
@@ -54,6 +63,17 @@
         true
     }
 
+    /// Undoes the taking of one token.
+    pub(super) const fn give_back(&mut self) {
+        self.micro += MICRO;
+    }
+
+    /// Time until one token is there.
+    pub(super) fn time_to_one(&self, rate: Rate) -> Millis {
+        let missing = MICRO.saturating_sub(self.micro);
+        Millis(missing.div_ceil(rate.milli_per_s.max(1)))
+    }
+
     fn fill(&mut self, now: Millis, rate: Rate) {
         let span = now.since(self.filled_at).0;
         let gained = span.saturating_mul(rate.milli_per_s);
--- a/crates/core/src/flows/limits.rs
+++ b/crates/core/src/flows/limits.rs
@@ -53,30 +53,35 @@
     pub load_max_age: Millis,
 }
 
+impl FlowLimits {
+    /// Bounds for an agent with 2,000 connections and a good deal more.
+    pub const USUAL: Self = Self {
+        flows: 65_536,
+        half_open: 4_096,
+        half_open_life: Millis::from_secs(10),
+        redirects: 65_536,
+        ended: 16_384,
+        ended_life: Millis::from_secs(10),
+        searches: 1_024,
+        search_packets: 2_048,
+        search_packets_per_flow: 4,
+        ask_again: Millis(50),
+        ask_rounds: 4,
+        questions_per_s: 400,
+        guesses_per_s: 20_000,
+        suspects: 16_384,
+        peers_settle: Millis::from_secs(3),
+        peer_absence: Millis::from_secs(60),
+        queue: 256,
+        queue_wait: Millis(200),
+        callers: 16_384,
+        ramp: Millis::from_secs(30),
+        load_max_age: Millis::from_secs(3),
+    };
+}
+
 impl Default for FlowLimits {
     fn default() -> Self {
-        Self {
-            flows: 65_536,
-            half_open: 4_096,
-            half_open_life: Millis::from_secs(10),
-            redirects: 65_536,
-            ended: 16_384,
-            ended_life: Millis::from_secs(10),
-            searches: 1_024,
-            search_packets: 2_048,
-            search_packets_per_flow: 4,
-            ask_again: Millis(50),
-            ask_rounds: 4,
-            questions_per_s: 400,
-            guesses_per_s: 20_000,
-            suspects: 16_384,
-            peers_settle: Millis::from_secs(3),
-            peer_absence: Millis::from_secs(60),
-            queue: 256,
-            queue_wait: Millis(200),
-            callers: 16_384,
-            ramp: Millis::from_secs(30),
-            load_max_age: Millis::from_secs(3),
-        }
+        Self::USUAL
     }
 }
--- a/crates/core/src/flows/ongoing.rs
+++ b/crates/core/src/flows/ongoing.rs
@@ -44,6 +44,7 @@
         }
         // The sender of a reset waits for nothing, so nothing is lost without it.
         if packet.segment.rst {
+            self.queue.remove(&packet.flow);
             drop_for(DropReason::Stale, out);
             return;
         }
--- a/crates/core/src/flows/opening.rs
+++ b/crates/core/src/flows/opening.rs
@@ -11,15 +11,15 @@
 use crate::error::ErrorKind;
 use crate::id::TargetId;
 
-use super::Flows;
 use super::connection::Connection;
 use super::load::{Estimate, JITTER_MILLI};
 use super::notice::LastNotice;
 use super::ongoing::may_pass;
-use super::packet::{Action, Arrival, CloseReason, Packet, Relay};
+use super::packet::{Action, Arrival, CloseReason, DropReason, Packet, Relay};
 use super::peers::Peer;
 use super::redirects::Redirect;
 use super::services::{PoolKey, ServiceKey};
+use super::{Flows, drop_for};
 
 /// Where a new flow is to be opened.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -44,54 +44,48 @@
         out: &mut Vec<Action<B>>,
     ) {
         self.suspects.remove(&packet.flow);
-        if let Arrival::Handed(_) = packet.arrival {
-            self.on_handed(now, service, packet, out);
+        if self.queue.contains(&packet.flow) {
+            drop_for(DropReason::Waiting, out);
             return;
         }
         if let Some(redirect) = self.redirect_for_opening(now, service, &packet) {
             self.follow_with_opening(now, redirect, packet, out);
             return;
         }
-        self.steer(now, service, packet, out);
-    }
-
-    /// A peer chose this target. The flow is opened or refused here, whatever other peers could do.
-    fn on_handed(
-        &mut self,
-        now: Millis,
-        service: ServiceKey,
-        packet: Packet<B>,
-        out: &mut Vec<Action<B>>,
-    ) {
-        let pool = self.services.pool_for(service, &packet.flow);
-        if self.has_room(pool) {
-            self.open(now, service, packet, out);
-        } else if self.state.takes_new() {
-            refuse(packet, ErrorKind::Overloaded, out);
-        } else {
-            refuse(packet, ErrorKind::NoTarget, out);
+        if let Err(wait) = self.admit(now, service, &packet) {
+            self.refuse(packet, ErrorKind::RateLimited, wait, out);
+            return;
+        }
+        if let Some(packet) = self.steer(now, service, packet, out) {
+            self.wait_or_refuse(now, service, packet, out);
         }
     }
 
-    fn steer(
+    /// Opens, hands or refuses a new flow, or returns its packet if every target is full.
+    pub(super) fn steer(
         &mut self,
         now: Millis,
         service: ServiceKey,
         packet: Packet<B>,
         out: &mut Vec<Action<B>>,
-    ) {
+    ) -> Option<Packet<B>> {
         match self.place(now, service, &packet) {
             Place::Here => self.open(now, service, packet, out),
             Place::Peer(to) => self.hand(now, service, to, packet, out),
-            Place::Full => refuse(packet, ErrorKind::Overloaded, out),
-            Place::Nobody => refuse(packet, ErrorKind::NoTarget, out),
+            Place::Full => return Some(packet),
+            Place::Nobody => self.refuse(packet, ErrorKind::NoTarget, Millis::ZERO, out),
         }
+        None
     }
 
     /// Chooses the target for a new flow.
     fn place(&mut self, now: Millis, service: ServiceKey, packet: &Packet<B>) -> Place {
         let pool = self.services.pool_for(service, &packet.flow);
-        let here = self.score_here(pool).map(|score| (score, Place::Here));
+        if let Arrival::Handed(_) = packet.arrival {
+            return self.place_handed(pool);
+        }
+        let here = self.score_here(now, pool);
+        let here = here.map(|score| (score, Place::Here));
         let peer = self.best_peer(now, pool, packet.arrival.sender());
         let peer = peer.map(|(score, id)| (score, Place::Peer(id)));
         let best = here.into_iter().chain(peer).min_by_key(|(score, _)| *score);
@@ -105,15 +99,26 @@
         }
     }
 
+    /// A peer chose this target: the flow is opened or refused here, whatever others could do.
+    fn place_handed(&self, pool: PoolKey) -> Place {
+        if self.has_room(pool) {
+            Place::Here
+        } else if self.own.takes_new() {
+            Place::Full
+        } else {
+            Place::Nobody
+        }
+    }
+
     /// Whether any target takes new flows of the pool, full or not.
     fn takes_new(&self, pool: PoolKey) -> bool {
         let peers = self.peers.iter().any(|peer| {
             peer.record.state.takes_new() && self.services.contains(pool, peer.record.group)
         });
-        self.state.takes_new() || peers
+        self.own.takes_new() || peers
     }
 
-    fn score_here(&mut self, pool: PoolKey) -> Option<(bool, u64)> {
+    fn score_here(&mut self, now: Millis, pool: PoolKey) -> Option<(bool, u64)> {
         // By the rule this caller belongs to other targets, if there are any.
         let is_member = self
             .group
@@ -125,8 +130,8 @@
         if !self.has_room(pool) || (!is_member && has_members) {
             return None;
         }
-        let jitter = self.jitter();
-        Some(self.estimate_here().score(jitter))
+        let jitter = self.rng.random_range(0..JITTER_MILLI);
+        Some(Estimate::from(&self.report(now)).score(jitter))
     }
 
     fn best_peer(
@@ -153,18 +158,10 @@
         best
     }
 
-    fn estimate_here(&self) -> Estimate {
-        Estimate::from(&self.report())
-    }
-
-    fn jitter(&mut self) -> u64 {
-        self.rng.random_range(0..JITTER_MILLI)
-    }
-
     /// Whether this target may open another flow of the pool.
     pub(super) fn has_room(&self, pool: PoolKey) -> bool {
         let limit = self.services.flows_per_target(pool).min(self.limits.flows);
-        self.state.takes_new() && self.held.len() < limit
+        self.own.takes_new() && self.held.len() < limit
     }
 
     fn open(
@@ -211,6 +208,9 @@
         service: ServiceKey,
         packet: &Packet<B>,
     ) -> Option<Redirect> {
+        if let Arrival::Handed(_) = packet.arrival {
+            return None;
+        }
         let redirect = self.usable_redirect(service, packet)?;
         let peer = self.peers.get(redirect.to)?;
         // The caller repeats itself because nobody answers, and a peer that is silent towards
@@ -260,11 +260,3 @@
         is_usable.then_some(redirect)
     }
 }
-
-fn refuse<B>(packet: Packet<B>, kind: ErrorKind, out: &mut Vec<Action<B>>) {
-    out.push(Action::Refuse {
-        packet,
-        kind,
-        retry_after: Millis::from_secs(1),
-    });
-}
--- a/crates/core/src/flows/peers.rs
+++ b/crates/core/src/flows/peers.rs
@@ -51,10 +51,14 @@
         (expected as usize) < flows_per_target
     }
 
+    /// Whether the balancers list it as ready.
+    pub(super) fn is_ready(&self) -> bool {
+        self.absent_since.is_none() && self.record.state.takes_new()
+    }
+
     /// Whether record and report both say that it takes new flows.
     pub(super) fn takes_new(&self) -> bool {
-        let is_listed = self.absent_since.is_none() && self.record.state.takes_new();
-        is_listed && self.told.is_none_or(|told| told.report.takes_new)
+        self.is_ready() && self.told.is_none_or(|told| told.report.takes_new)
     }
 
     /// Whether it has reported before but is silent now.
--- a/crates/core/src/flows/services.rs
+++ b/crates/core/src/flows/services.rs
@@ -8,6 +8,8 @@
 use crate::hash;
 use crate::id::{GroupId, ServiceId};
 
+use super::rates::NewFlowLimits;
+
 /// Position of a service in [`Services`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) struct ServiceKey(u32);
@@ -34,6 +36,7 @@
     id: ServiceId,
     pool: PoolKey,
     rules: Vec<RuleView>,
+    new_flows: NewFlowLimits,
 }
 
 impl RuleView {
@@ -103,6 +106,16 @@
         self.pool(pool).groups.contains(&group)
     }
 
+    /// New flows a second that the service allows.
+    pub(super) fn new_flow_limits(&self, service: ServiceKey) -> NewFlowLimits {
+        self.view(service).new_flows
+    }
+
+    /// Whether a service with this identity exists.
+    pub(super) fn has(&self, id: ServiceId) -> bool {
+        self.views.iter().any(|view| view.id == id)
+    }
+
     /// Flows that one target of the pool may hold.
     pub(super) fn flows_per_target(&self, pool: PoolKey) -> usize {
         let limit = self.pool(pool).flows_per_target;
@@ -122,6 +135,10 @@
             id: service.id(),
             pool,
             rules: rules.cloned().unwrap_or_default(),
+            new_flows: NewFlowLimits {
+                per_s: service.new_flows_per_s,
+                per_s_per_caller: service.new_flows_per_s_per_caller,
+            },
         });
     }
 
--- a/crates/core/tests/flows/main.rs
+++ b/crates/core/tests/flows/main.rs
@@ -6,9 +6,12 @@
     };
 }
 
+mod admission;
 mod ended;
 mod fixture;
 mod handshake;
+mod load;
+mod runner;
 mod search;
 mod services;
 mod steering;
