--- a/crates/balancer/src/control.rs
+++ b/crates/balancer/src/control.rs
@@ -29,6 +29,7 @@
 mod handle;
 mod node;
 mod pool;
+mod revision_log;
 mod socket;
 mod streams;
 
--- a/crates/balancer/src/control/node.rs
+++ b/crates/balancer/src/control/node.rs
@@ -1,47 +1,35 @@
-//! Decisions of the control thread, without sockets or clocks.
+//! Between messages and decisions.
 //!
-//! Messages go in with the time at which they came, and effects come out: messages to send and
-//! requests to make. Everything is soft state that the next heartbeats and the next comparison of
-//! digests bring back.
+//! [`Spreader`] decides; this turns messages into what it takes and its actions into messages, and
+//! adds what agents are told. Everything is soft state that the next heartbeats and the next
+//! comparison of digests bring back.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
-use std::sync::Arc;
 
 use citronhollow_core::clock::Millis;
 use citronhollow_core::config::Revision;
 use citronhollow_core::hash;
-use citronhollow_core::id::TargetId;
-use citronhollow_core::members::{BalancerRecord, REPORTERS, View, reporters_for};
-use citronhollow_core::rumour::{
-    DIGEST_EVERY, ROUND, Rumours, Topic, comparable_digests, slices_to_fetch,
+use citronhollow_core::id::{GroupId, TargetId};
+use citronhollow_core::members::{
+    BalancerRecord, REPORTERS, SLICES, View, reporters_for, slice_of,
 };
+use citronhollow_core::rumour::{Action, News, RevisionDelta, Spreader, Summary};
 use citronhollow_peer::message::{
     Balancer, Digest, Heartbeat, HeartbeatReply, MembersReply, MembersRequest, RevisionReply,
     RevisionRequest, Rumour, Version,
 };
 use citronhollow_peer::{
-    Body, CodecError, balancer_from_message, balancer_to_message, record_from_message,
+    Body, CodecError, RecordError, balancer_from_message, balancer_to_message, record_from_message,
     target_from_message, target_to_message,
 };
 use rand::rngs::SmallRng;
-use rand::seq::IteratorRandom;
 use rand::{Rng, SeedableRng};
 
 use super::pool::{self, PoolDigests};
+use super::revision_log::RevisionLog;
 use crate::revisions::RevisionStore;
 
-mod answers;
-mod liveness;
-mod spread;
-
-use liveness::Liveness;
-
-/// Time between two attempts to join through the seeds.
-const JOIN_EVERY: Millis = Millis::from_secs(1);
-
-/// Time after which a fetch that brought nothing may be repeated.
-const FETCH_AGAIN_AFTER: Millis = Millis::from_secs(2);
-
 /// Balancers that an agent is told of: those to report to, and some in case they do not answer.
 const BALANCERS_TOLD: usize = 2 * REPORTERS;
 
@@ -70,56 +58,35 @@
 /// The control thread's decisions and all that they need to know.
 #[derive(Debug)]
 pub struct Node {
-    me: BalancerRecord,
-    seeds: Vec<SocketAddr>,
-    view: View,
-    rumours: Rumours,
+    spreader: Spreader,
     revisions: RevisionStore,
+    log: RevisionLog,
     digests: PoolDigests,
-    liveness: Liveness,
     rng: SmallRng,
-    timers: Timers,
-    has_joined: bool,
     refused: u64,
 }
 
-/// When each is due again.
-#[derive(Debug, Default)]
-struct Timers {
-    round: Millis,
-    digest: Millis,
-    join: Millis,
-    revision_fetch: Millis,
-    members_fetch: Millis,
-}
-
 impl Node {
     /// A node that knows only itself and its seeds.
     #[must_use]
     pub fn new(me: BalancerRecord, seeds: Vec<SocketAddr>, revisions: RevisionStore) -> Self {
         let seed = hash::pair(me.id.0, me.incarnation);
-        let seeds = seeds.into_iter().filter(|it| *it != me.control).collect();
-        let mut rumours = Rumours::new(seed);
-        rumours.add(Topic::Balancer(me.id));
-        Self {
-            me,
-            seeds,
-            view: View::new(),
-            rumours,
+        let mut node = Self {
+            spreader: Spreader::new(me, seeds),
             revisions,
+            log: RevisionLog::default(),
             digests: PoolDigests::default(),
-            liveness: Liveness::default(),
             rng: SmallRng::seed_from_u64(seed),
-            timers: Timers::default(),
-            has_joined: false,
             refused: 0,
-        }
+        };
+        node.on_revision();
+        node
     }
 
     /// All members as known here, this balancer not counted.
     #[must_use]
     pub const fn view(&self) -> &View {
-        &self.view
+        self.spreader.view()
     }
 
     /// Frames and records refused since the start.
@@ -134,17 +101,21 @@
         log::debug!("control: frame from {from} refused: {error}");
     }
 
-    /// A revision came into force, whoever brought it.
+    /// A revision may have come into force, whoever brought it.
     pub fn on_revision(&mut self) {
         let revision = self.revisions.latest();
+        if revision.number <= self.spreader.revision() {
+            return;
+        }
         log::info!("control: revision {} is in force", revision.number);
-        self.add_revision_news(&revision);
+        self.log.push(&revision);
+        let length = self.log.newest().map_or(usize::MAX, <[u8]>::len);
+        self.spreader.on_revision(revision.number, length);
     }
 
     /// This balancer is about to exit.
     pub fn leave(&mut self) {
-        self.me.leaving = true;
-        self.announce_self();
+        self.spreader.leave();
     }
 
     /// Takes a message.
@@ -155,7 +126,6 @@
         body: Body,
         effects: &mut Vec<Effect>,
     ) {
-        self.view.on_contact(now);
         match body {
             Body::Heartbeat(heartbeat) => self.on_heartbeat(now, from, &heartbeat, effects),
             Body::Rumour(rumour) => self.on_rumour(now, from, &rumour, effects),
@@ -166,21 +136,55 @@
 
     /// Does what is due.
     pub fn on_tick(&mut self, now: Millis, effects: &mut Vec<Effect>) {
-        for news in self.view.on_tick(now) {
+        // A revision that came before the loop began has woken nobody.
+        self.on_revision();
+        let mut actions = Vec::new();
+        for news in self.spreader.on_tick(now, &mut actions) {
             log::info!("members: target {} is {:?}", news.record.id, news.verdict);
-            self.rumours.add(Topic::Target(news.record.id));
         }
-        if now >= self.timers.round {
-            self.timers.round = now.after(ROUND);
-            self.push(now, effects);
+        self.carry_over(actions, effects);
+    }
+
+    /// The reply to a request, none if it is no request.
+    #[must_use]
+    pub fn answer(&self, now: Millis, request: &Body) -> Option<Body> {
+        match request {
+            Body::MembersRequest(request) => Some(Body::MembersReply(self.members(now, request))),
+            Body::RevisionRequest(request) => {
+                let revision = self.revisions.latest();
+                Some(Body::RevisionReply(
+                    self.log.reply(request.known, &revision),
+                ))
+            }
+            Body::PoolRequest(request) => {
+                let revision = self.revisions.latest();
+                let group = GroupId(request.group);
+                Some(Body::PoolReply(pool::reply(
+                    now,
+                    self.view(),
+                    &revision,
+                    group,
+                )))
+            }
+            _ => None,
         }
-        if now >= self.timers.digest {
-            let jitter = self.rng.random_range(0..DIGEST_EVERY.0 / 2);
-            self.timers.digest = now.after(Millis(DIGEST_EVERY.0 * 3 / 4 + jitter));
-            self.probe(now, effects);
+    }
+
+    /// A fetch ended, with a reply or without.
+    pub fn on_fetched(&mut self, now: Millis, from: SocketAddr, body: Option<Body>) {
+        match body {
+            Some(Body::MembersReply(reply)) => {
+                let targets = self.parse(&reply.targets, target_from_message);
+                let balancers = self.parse(&reply.balancers, balancer_from_message);
+                self.spreader.on_members(now, &targets, &balancers);
+            }
+            Some(Body::RevisionReply(reply)) => {
+                self.spreader.on_revision_fetched(now);
+                self.on_revision_reply(&reply);
+            }
+            Some(_) => log::debug!("control: {from} answered something else"),
+            None => {}
         }
-        self.retry_probes(now, effects);
-        self.join(now, effects);
     }
 
     fn on_heartbeat(
@@ -195,23 +199,22 @@
             self.refused += 1;
             return;
         };
-        let outcome = self.view.on_heartbeat(now, record, heartbeat.is_last);
-        if outcome.is_news {
-            self.rumours.add(Topic::Target(record.id));
-        }
-        if heartbeat.is_last {
+        let is_last = heartbeat.is_last;
+        let outcome = self.spreader.on_heartbeat(now, record, is_last);
+        if is_last {
             return;
         }
         let revision = self.revisions.latest();
-        let peers_digest = self.digests.of(now, &self.view, &revision, record.group);
+        let view = self.spreader.view();
+        let refute_above = outcome.refute_above.map(|(incarnation, sequence)| Version {
+            incarnation,
+            sequence,
+        });
         let reply = HeartbeatReply {
             revision: revision.number,
-            peers_digest,
+            peers_digest: self.digests.of(now, view, &revision, record.group),
             balancers: self.balancers_for(record.id, heartbeat.wants_balancers),
-            refute_above: outcome.refute_above.map(|(incarnation, sequence)| Version {
-                incarnation,
-                sequence,
-            }),
+            refute_above,
         };
         effects.push(Effect::Send {
             to: from,
@@ -219,28 +222,176 @@
         });
     }
 
+    fn on_rumour(
+        &mut self,
+        now: Millis,
+        from: SocketAddr,
+        rumour: &Rumour,
+        effects: &mut Vec<Effect>,
+    ) {
+        if !rumour.delta_json.is_empty() {
+            self.offer_delta(&rumour.delta_json);
+        }
+        let news = News {
+            targets: self.parse(&rumour.targets, target_from_message),
+            balancers: self.parse(&rumour.balancers, balancer_from_message),
+            revision: rumour.revision,
+            carries_revision: false,
+        };
+        let mut actions = Vec::new();
+        self.spreader.on_news(now, from, &news, &mut actions);
+        self.carry_over(actions, effects);
+    }
+
+    fn on_digest(&mut self, now: Millis, digest: &Digest, effects: &mut Vec<Effect>) {
+        let Some(Ok(sender)) = digest.sender.as_ref().map(balancer_from_message) else {
+            self.refused += 1;
+            return;
+        };
+        let summary = Summary {
+            sender,
+            revision: digest.revision,
+            members: digest.members.clone(),
+            wants_answer: digest.wants_answer,
+        };
+        let mut actions = Vec::new();
+        self.spreader.on_summary(now, &summary, &mut actions);
+        self.carry_over(actions, effects);
+    }
+
+    /// Turns actions into messages and requests.
+    fn carry_over(&self, actions: Vec<Action>, effects: &mut Vec<Effect>) {
+        effects.extend(actions.into_iter().map(|action| match action {
+            Action::Push { to, news } => Effect::Send {
+                to,
+                body: Body::Rumour(self.rumour(&news)),
+            },
+            Action::Compare { to, summary } => Effect::Send {
+                to,
+                body: Body::Digest(digest_message(summary)),
+            },
+            Action::FetchMembers { from, slices } => Effect::Fetch {
+                from,
+                request: Body::MembersRequest(members_request(&slices)),
+            },
+            Action::FetchRevision { from } => Effect::Fetch {
+                from,
+                request: Body::RevisionRequest(RevisionRequest {
+                    known: self.spreader.revision(),
+                }),
+            },
+        }));
+    }
+
+    fn rumour(&self, news: &News) -> Rumour {
+        let delta = self.log.newest().filter(|_| news.carries_revision);
+        Rumour {
+            targets: news.targets.iter().map(target_to_message).collect(),
+            balancers: news.balancers.iter().map(balancer_to_message).collect(),
+            delta_json: delta.unwrap_or_default().to_vec(),
+            revision: news.revision,
+        }
+    }
+
+    fn on_revision_reply(&mut self, reply: &RevisionReply) {
+        for json in &reply.deltas_json {
+            self.offer_delta(json);
+        }
+        if !reply.json.is_empty() {
+            let revision = serde_json::from_slice(&reply.json);
+            self.offer(revision.map(Some));
+        }
+    }
+
+    fn offer_delta(&mut self, json: &[u8]) {
+        let known = self.revisions.latest();
+        let delta = serde_json::from_slice::<RevisionDelta>(json);
+        self.offer(delta.map(|delta| delta.apply(&known)));
+    }
+
+    /// Takes a revision over if it parses and is higher. None is a difference that does not apply
+    /// here: the number tells that there is something to fetch.
+    fn offer(&mut self, revision: serde_json::Result<Option<Revision>>) {
+        match revision {
+            Ok(Some(revision)) => {
+                if self.revisions.offer(revision) {
+                    self.on_revision();
+                }
+            }
+            Ok(None) => {}
+            Err(error) => {
+                self.refused += 1;
+                log::warn!("control: revision refused: {error}");
+            }
+        }
+    }
+
+    fn members(&self, now: Millis, request: &MembersRequest) -> MembersReply {
+        let slices: HashSet<usize> = if request.slices.is_empty() {
+            (0..SLICES).collect()
+        } else {
+            request.slices.iter().map(|slice| *slice as usize).collect()
+        };
+        let view = self.view();
+        let targets = view
+            .targets(now)
+            .filter(|news| slices.contains(&slice_of(news.record.id.0)));
+        let balancers = view
+            .balancers()
+            .iter()
+            .chain(std::iter::once(self.spreader.me()))
+            .filter(|record| slices.contains(&slice_of(record.id.0)));
+        MembersReply {
+            targets: targets.map(|news| target_to_message(&news)).collect(),
+            balancers: balancers.map(balancer_to_message).collect(),
+        }
+    }
+
     /// The balancers that an agent is to report to, unless it does so already.
     fn balancers_for(&mut self, target: TargetId, is_wanted: bool) -> Vec<Balancer> {
-        let mut fleet: Vec<BalancerRecord> = self.view.balancers().present().copied().collect();
-        fleet.push(self.me);
+        let me = *self.spreader.me();
+        let mut fleet: Vec<BalancerRecord> = self.view().balancers().present().copied().collect();
+        fleet.push(me);
         let mut best = reporters_for(target, &fleet, BALANCERS_TOLD);
-        let is_best = best
-            .iter()
-            .take(REPORTERS)
-            .any(|balancer| balancer.id == self.me.id);
+        let is_best = best.iter().take(REPORTERS).any(|it| it.id == me.id);
         let is_told = is_wanted || !is_best || self.rng.random_ratio(1, BALANCERS_ONE_IN);
         if !is_told {
             return Vec::new();
         }
-        if self.me.leaving {
-            best.push(self.me);
+        if me.leaving {
+            best.push(me);
         }
         best.iter().map(balancer_to_message).collect()
     }
 
-    /// Makes the own record newer than anything that is said about it.
-    fn announce_self(&mut self) {
-        self.me.sequence += 1;
-        self.rumours.add(Topic::Balancer(self.me.id));
+    /// Keeps the records that are valid and counts the others.
+    fn parse<M, R>(&mut self, messages: &[M], parse: fn(&M) -> Result<R, RecordError>) -> Vec<R> {
+        let mut records = Vec::with_capacity(messages.len());
+        for message in messages {
+            match parse(message) {
+                Ok(record) => records.push(record),
+                Err(error) => {
+                    self.refused += 1;
+                    log::debug!("members: record refused: {error}");
+                }
+            }
+        }
+        records
+    }
+}
+
+fn digest_message(summary: Summary) -> Digest {
+    Digest {
+        sender: Some(balancer_to_message(&summary.sender)),
+        revision: summary.revision,
+        members: summary.members,
+        wants_answer: summary.wants_answer,
+    }
+}
+
+fn members_request(slices: &[usize]) -> MembersRequest {
+    let slices = slices.iter().filter_map(|slice| u32::try_from(*slice).ok());
+    MembersRequest {
+        slices: slices.collect(),
     }
 }
--- a/crates/core/src/members/view.rs
+++ b/crates/core/src/members/view.rs
@@ -5,7 +5,7 @@
 //! late keeps it only for the rest of that time. An old record can come back only from a process
 //! that was out of touch for longer, and such a process forgets its view first.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use super::balancers::Balancers;
 use super::clock::AwakeClock;
@@ -37,16 +37,16 @@
 /// All that one process knows of the members.
 #[derive(Clone, Debug, Default)]
 pub struct View {
-    pub(super) targets: HashMap<TargetId, Entry>,
+    pub(super) targets: BTreeMap<TargetId, Entry>,
     pub(super) balancers: Balancers,
     /// Awake time of the last heartbeat of each agent that reports to this process.
-    pub(super) heard: HashMap<TargetId, Millis>,
+    pub(super) heard: BTreeMap<TargetId, Millis>,
     pub(super) clock: AwakeClock,
     pub(super) last_contact: Millis,
     pub(super) last_sweep: Millis,
     pub(super) changes: u64,
     digests: Digests,
-    changed_at: HashMap<usize, Millis>,
+    changed_at: BTreeMap<usize, Millis>,
 }
 
 impl View {
--- a/crates/core/src/rumour.rs
+++ b/crates/core/src/rumour.rs
@@ -7,13 +7,19 @@
 //! the rest waits for its turn or for the repair.
 
 mod budget;
+mod delta;
+mod liveness;
 mod peers;
 mod queue;
 mod repair;
+mod spreader;
 
 pub use budget::TokenBucket;
+pub use delta::RevisionDelta;
+pub use liveness::{GONE_AFTER, Liveness, PROBE_RETRY, PROBE_SILENT_EVERY, PROBES_MAX};
 pub use peers::choose_peers;
 pub use queue::{
     BUDGET_BURST, BUDGET_PER_S, FAN_OUT, Push, ROUND, Rumours, Topic, copies_for, rounds_for,
 };
 pub use repair::{DIGEST_EVERY, SLICES_PER_FETCH, comparable_digests, slices_to_fetch};
+pub use spreader::{Action, FETCH_AGAIN_AFTER, INLINE_MAX, JOIN_EVERY, News, Spreader, Summary};
--- a/crates/balancer/src/control/node/liveness.rs
+++ b/crates/core/src/rumour/liveness.rs
@@ -4,11 +4,11 @@
 //! and is probed from time to time, so that two regions find each other when the cut between them
 //! heals. Only a peer that has been silent for longer than a cut lasts is called gone to others.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
-use citronhollow_core::clock::Millis;
-use citronhollow_core::id::BalancerId;
-use citronhollow_core::members::BalancerRecord;
+use crate::clock::Millis;
+use crate::id::BalancerId;
+use crate::members::{BalancerRecord, Balancers};
 
 /// Time without an answer after which a probe is repeated.
 pub const PROBE_RETRY: Millis = Millis::from_secs(1);
@@ -33,7 +33,7 @@
 /// Probes without an answer.
 #[derive(Debug, Default)]
 pub struct Liveness {
-    probes: HashMap<BalancerId, Probe>,
+    probes: BTreeMap<BalancerId, Probe>,
 }
 
 impl Liveness {
@@ -57,7 +57,7 @@
 
     /// Whether a peer answers, as far as is known.
     #[must_use]
-    pub fn is_reachable(&self, _now: Millis, id: BalancerId) -> bool {
+    pub fn is_reachable(&self, id: BalancerId) -> bool {
         self.probes
             .get(&id)
             .is_none_or(|probe| probe.sent < PROBES_MAX)
@@ -65,11 +65,13 @@
 
     /// A silent peer that is due for another probe.
     #[must_use]
-    pub fn next_probe(&self, now: Millis, present: &[BalancerRecord]) -> Option<BalancerRecord> {
-        let due = self.probes.values().find(|probe| {
-            probe.sent >= PROBES_MAX && now.since(probe.last_at) >= PROBE_SILENT_EVERY
-        })?;
-        present.iter().find(|peer| peer.id == due.peer.id).copied()
+    pub fn next_probe(&self, now: Millis, known: &Balancers) -> Option<BalancerRecord> {
+        self.probes
+            .values()
+            .filter(|probe| probe.sent >= PROBES_MAX)
+            .filter(|probe| now.since(probe.last_at) >= PROBE_SILENT_EVERY)
+            .find_map(|probe| known.get(probe.peer.id).copied())
+            .filter(|peer| !peer.leaving)
     }
 
     /// Peers whose probe is to be repeated now.
--- a/crates/core/src/rumour/queue.rs
+++ b/crates/core/src/rumour/queue.rs
@@ -117,11 +117,13 @@
         Some(Push { to, topics })
     }
 
-    /// Takes the newest topics that fit and drops those that had all their rounds.
+    /// Takes the topics that fit, a revision first and then the newest, and drops those that had
+    /// all their rounds.
     fn take(&mut self, bytes_max: usize, fleet: usize) -> (Vec<Topic>, usize) {
         let rounds_max = rounds_for(fleet);
         let mut bytes = PUSH_OVERHEAD;
         let mut topics = Vec::new();
+        self.hot.sort_by_key(|hot| is_revision(hot.topic));
         for hot in self.hot.iter_mut().rev() {
             let size = size_of(hot.topic);
             if bytes + size > bytes_max {
@@ -151,10 +153,11 @@
 }
 
 fn is_same(a: Topic, b: Topic) -> bool {
-    match (a, b) {
-        (Topic::Revision(_), Topic::Revision(_)) => true,
-        _ => a == b,
-    }
+    a == b || is_revision(a) && is_revision(b)
+}
+
+const fn is_revision(topic: Topic) -> bool {
+    matches!(topic, Topic::Revision(_))
 }
 
 const fn size_of(topic: Topic) -> usize {
--- /dev/null
+++ b/crates/core/src/rumour/spreader.rs
@@ -0,0 +1,409 @@
+//! One balancer's part in spreading: its view, its queue of news and its timers.
+//!
+//! Messages of other balancers go in with the time at which they came, and actions come out. The
+//! content of a revision is not looked at here: its number and length are enough to decide how it
+//! travels.
+
+use std::net::SocketAddr;
+
+use rand::rngs::SmallRng;
+use rand::seq::IteratorRandom;
+use rand::{Rng, SeedableRng};
+
+use super::liveness::Liveness;
+use super::queue::{ROUND, Rumours, Topic};
+use super::repair::{DIGEST_EVERY, comparable_digests, slices_to_fetch};
+use crate::clock::Millis;
+use crate::hash;
+use crate::members::{BalancerRecord, HeartbeatOutcome, SLICES, TargetNews, TargetRecord, View};
+
+/// Time between two attempts to join through the seeds.
+pub const JOIN_EVERY: Millis = Millis::from_secs(1);
+
+/// Time after which a fetch that brought nothing may be repeated.
+pub const FETCH_AGAIN_AFTER: Millis = Millis::from_secs(2);
+
+/// Longest content of a revision that a push carries, in bytes. A longer one is fetched.
+pub const INLINE_MAX: usize = 400;
+
+/// Bytes that a push takes for the number of a revision.
+const NUMBER_BYTES: usize = 12;
+
+/// News, pushed from one balancer to another.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct News {
+    /// Targets that changed.
+    pub targets: Vec<TargetNews>,
+    /// Balancers that changed.
+    pub balancers: Vec<BalancerRecord>,
+    /// Highest revision that the sender has.
+    pub revision: u64,
+    /// Whether the push carries the revision's content.
+    pub carries_revision: bool,
+}
+
+/// What one balancer has, for another to compare.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Summary {
+    /// The sender.
+    pub sender: BalancerRecord,
+    /// Highest revision that the sender has.
+    pub revision: u64,
+    /// Digest of each slice, zero where a change is on its way.
+    pub members: Vec<u64>,
+    /// Whether the receiver is to answer with its own.
+    pub wants_answer: bool,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Action {
+    /// Push news.
+    Push {
+        /// To whom.
+        to: SocketAddr,
+        /// What.
+        news: News,
+    },
+    /// Send a summary.
+    Compare {
+        /// To whom.
+        to: SocketAddr,
+        /// What.
+        summary: Summary,
+    },
+    /// Fetch members and hand them to [`Spreader::on_members`].
+    FetchMembers {
+        /// From whom.
+        from: SocketAddr,
+        /// Which slices, none for all.
+        slices: Vec<usize>,
+    },
+    /// Fetch the revision.
+    FetchRevision {
+        /// From whom.
+        from: SocketAddr,
+    },
+}
+
+/// One balancer's part in spreading.
+#[derive(Debug)]
+pub struct Spreader {
+    me: BalancerRecord,
+    seeds: Vec<SocketAddr>,
+    view: View,
+    rumours: Rumours,
+    liveness: Liveness,
+    rng: SmallRng,
+    revision: u64,
+    has_joined: bool,
+    timers: Timers,
+}
+
+/// When each is due again.
+#[derive(Debug, Default)]
+struct Timers {
+    round: Millis,
+    compare: Millis,
+    join: Millis,
+    fetch_revision: Millis,
+    fetch_members: Millis,
+}
+
+impl Spreader {
+    /// Knows only itself and its seeds.
+    #[must_use]
+    pub fn new(me: BalancerRecord, seeds: Vec<SocketAddr>) -> Self {
+        let seed = hash::pair(me.id.0, me.incarnation);
+        let seeds = seeds.into_iter().filter(|it| *it != me.control).collect();
+        let mut rumours = Rumours::new(seed);
+        rumours.add(Topic::Balancer(me.id));
+        Self {
+            me,
+            seeds,
+            view: View::new(),
+            rumours,
+            liveness: Liveness::default(),
+            rng: SmallRng::seed_from_u64(seed),
+            revision: 0,
+            has_joined: false,
+            timers: Timers::default(),
+        }
+    }
+
+    /// This balancer as it announces itself.
+    #[must_use]
+    pub const fn me(&self) -> &BalancerRecord {
+        &self.me
+    }
+
+    /// All members as known here, this balancer not counted.
+    #[must_use]
+    pub const fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// Highest revision known here.
+    #[must_use]
+    pub const fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// A revision came into force here, `length` bytes of content are spread with it.
+    pub fn on_revision(&mut self, number: u64, length: usize) {
+        if number <= self.revision {
+            return;
+        }
+        self.revision = number;
+        let content = if length <= INLINE_MAX { length } else { 0 };
+        self.rumours.add(Topic::Revision(content + NUMBER_BYTES));
+    }
+
+    /// This balancer is about to exit.
+    pub fn leave(&mut self) {
+        self.me.leaving = true;
+        self.announce_self();
+    }
+
+    /// An agent's heartbeat.
+    pub fn on_heartbeat(
+        &mut self,
+        now: Millis,
+        record: TargetRecord,
+        is_last: bool,
+    ) -> HeartbeatOutcome {
+        let outcome = self.view.on_heartbeat(now, record, is_last);
+        if outcome.is_news {
+            self.rumours.add(Topic::Target(record.id));
+        }
+        outcome
+    }
+
+    /// Takes what is new from a push and pushes it on.
+    pub fn on_news(&mut self, now: Millis, from: SocketAddr, news: &News, out: &mut Vec<Action>) {
+        self.view.on_contact(now);
+        for target in &news.targets {
+            self.merge_target(now, *target);
+        }
+        for balancer in &news.balancers {
+            self.merge_balancer(now, *balancer);
+        }
+        self.fetch_revision(now, news.revision, from, out);
+    }
+
+    /// Compares, and answers if the sender wants that.
+    pub fn on_summary(&mut self, now: Millis, summary: &Summary, out: &mut Vec<Action>) {
+        self.view.on_contact(now);
+        let from = summary.sender.control;
+        self.liveness.on_answer(summary.sender.id);
+        self.merge_balancer(now, summary.sender);
+        if summary.wants_answer {
+            out.push(self.compare(now, from, false));
+        }
+        self.fetch_revision(now, summary.revision, from, out);
+        self.fetch_members(now, &summary.members, from, out);
+    }
+
+    /// Members that were fetched. They are news here and are pushed on, except by a process that
+    /// joins: there they are news to nobody else.
+    pub fn on_members(
+        &mut self,
+        now: Millis,
+        targets: &[TargetNews],
+        balancers: &[BalancerRecord],
+    ) {
+        self.timers.fetch_members = now;
+        if self.has_joined {
+            for target in targets {
+                self.merge_target(now, *target);
+            }
+            for balancer in balancers {
+                self.merge_balancer(now, *balancer);
+            }
+            return;
+        }
+        self.has_joined = true;
+        for target in targets {
+            self.view.merge_target(now, *target);
+        }
+        for balancer in balancers.iter().filter(|it| it.id != self.me.id) {
+            self.view.merge_balancer(now, *balancer);
+        }
+        self.announce_self();
+    }
+
+    /// A fetch of a revision ended.
+    pub const fn on_revision_fetched(&mut self, now: Millis) {
+        self.timers.fetch_revision = now;
+    }
+
+    /// Does what is due, and returns the verdicts that were reached.
+    pub fn on_tick(&mut self, now: Millis, out: &mut Vec<Action>) -> Vec<TargetNews> {
+        let verdicts = self.view.on_tick(now);
+        for news in &verdicts {
+            self.rumours.add(Topic::Target(news.record.id));
+        }
+        if now >= self.timers.round {
+            self.timers.round = now.after(ROUND);
+            self.push(now, out);
+        }
+        if now >= self.timers.compare {
+            let jitter = self.rng.random_range(0..DIGEST_EVERY.0 / 2);
+            self.timers.compare = now.after(Millis(DIGEST_EVERY.0 * 3 / 4 + jitter));
+            self.probe(now, out);
+        }
+        self.retry_probes(now, out);
+        self.join(now, out);
+        verdicts
+    }
+
+    fn push(&mut self, now: Millis, out: &mut Vec<Action>) {
+        if self.rumours.is_empty() {
+            return;
+        }
+        let peers = self.reachable_peers();
+        let Some(push) = self.rumours.round(now, &self.me, &peers) else {
+            return;
+        };
+        let news = self.news(now, &push.topics);
+        out.extend(push.to.iter().map(|peer| Action::Push {
+            to: peer.control,
+            news: news.clone(),
+        }));
+    }
+
+    fn news(&self, now: Millis, topics: &[Topic]) -> News {
+        let mut news = News {
+            revision: self.revision,
+            ..News::default()
+        };
+        for topic in topics {
+            match topic {
+                Topic::Target(id) => news.targets.extend(self.view.target(now, *id)),
+                Topic::Balancer(id) if *id == self.me.id => news.balancers.push(self.me),
+                Topic::Balancer(id) => news.balancers.extend(self.view.balancers().get(*id)),
+                Topic::Revision(bytes) => news.carries_revision = *bytes > NUMBER_BYTES,
+            }
+        }
+        news
+    }
+
+    /// Asks a peer what it has: a silent one that is due, or else any.
+    fn probe(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let silent = self.liveness.next_probe(now, self.view.balancers());
+        let peer = silent.or_else(|| {
+            let reachable = self.reachable_peers();
+            reachable.into_iter().choose(&mut self.rng)
+        });
+        if let Some(peer) = peer {
+            self.liveness.on_probe(now, peer);
+            out.push(self.compare(now, peer.control, true));
+        }
+    }
+
+    fn retry_probes(&mut self, now: Millis, out: &mut Vec<Action>) {
+        for peer in self.liveness.retries(now) {
+            out.push(self.compare(now, peer.control, true));
+        }
+        for gone in self.liveness.gone(now) {
+            let leaving = true;
+            self.merge_balancer(now, BalancerRecord { leaving, ..gone });
+        }
+    }
+
+    /// Asks the seeds until somebody has told what there is.
+    fn join(&mut self, now: Millis, out: &mut Vec<Action>) {
+        if self.has_joined || now < self.timers.join {
+            return;
+        }
+        self.timers.join = now.after(JOIN_EVERY);
+        for seed in self.seeds.clone() {
+            out.push(self.compare(now, seed, true));
+        }
+    }
+
+    fn reachable_peers(&self) -> Vec<BalancerRecord> {
+        self.view
+            .balancers()
+            .present()
+            .filter(|peer| self.liveness.is_reachable(peer.id))
+            .copied()
+            .collect()
+    }
+
+    fn merge_target(&mut self, now: Millis, news: TargetNews) {
+        if self.view.merge_target(now, news) {
+            self.rumours.add(Topic::Target(news.record.id));
+        }
+    }
+
+    /// What others say about this balancer is refuted rather than merged.
+    fn merge_balancer(&mut self, now: Millis, record: BalancerRecord) {
+        if record.id == self.me.id {
+            self.refute(&record);
+        } else if self.view.merge_balancer(now, record) {
+            self.rumours.add(Topic::Balancer(record.id));
+        }
+    }
+
+    fn refute(&mut self, record: &BalancerRecord) {
+        let mine = (self.me.incarnation, self.me.sequence);
+        let theirs = (record.incarnation, record.sequence);
+        let is_contradicted = theirs == mine && record.leaving != self.me.leaving;
+        if theirs > mine || is_contradicted {
+            self.me.incarnation = record.incarnation;
+            self.me.sequence = record.sequence;
+            self.announce_self();
+        }
+    }
+
+    /// Makes the own record newer than anything that is said about it.
+    fn announce_self(&mut self) {
+        self.me.sequence += 1;
+        self.rumours.add(Topic::Balancer(self.me.id));
+    }
+
+    fn compare(&self, now: Millis, to: SocketAddr, wants_answer: bool) -> Action {
+        let summary = Summary {
+            sender: self.me,
+            revision: self.revision,
+            members: comparable_digests(&self.view, now),
+            wants_answer,
+        };
+        Action::Compare { to, summary }
+    }
+
+    fn fetch_revision(
+        &mut self,
+        now: Millis,
+        theirs: u64,
+        from: SocketAddr,
+        out: &mut Vec<Action>,
+    ) {
+        if theirs > self.revision && now >= self.timers.fetch_revision {
+            self.timers.fetch_revision = now.after(FETCH_AGAIN_AFTER);
+            out.push(Action::FetchRevision { from });
+        }
+    }
+
+    fn fetch_members(
+        &mut self,
+        now: Millis,
+        theirs: &[u64],
+        from: SocketAddr,
+        out: &mut Vec<Action>,
+    ) {
+        if now < self.timers.fetch_members {
+            return;
+        }
+        let slices = if self.has_joined {
+            slices_to_fetch(&self.view, now, theirs, &mut self.rng)
+        } else {
+            (0..SLICES).collect()
+        };
+        if !slices.is_empty() {
+            self.timers.fetch_members = now.after(FETCH_AGAIN_AFTER);
+            out.push(Action::FetchMembers { from, slices });
+        }
+    }
+}
--- a/crates/peer/src/message/control.rs
+++ b/crates/peer/src/message/control.rs
@@ -111,18 +111,15 @@
 /// News, pushed to a few balancers, which push what is new to them.
 #[derive(Clone, PartialEq, Message)]
 pub struct Rumour {
-    /// The sender's record.
-    #[prost(message, optional, tag = "1")]
-    pub sender: Option<Balancer>,
     /// Targets that changed.
     #[prost(message, repeated, tag = "2")]
     pub targets: Vec<Target>,
     /// Balancers that changed.
     #[prost(message, repeated, tag = "3")]
     pub balancers: Vec<Balancer>,
-    /// A revision that came into force, as JSON, if it fits; empty if not.
+    /// Difference that gives the highest revision, as JSON, if it is short; empty if not.
     #[prost(bytes = "vec", tag = "4")]
-    pub revision_json: Vec<u8>,
+    pub delta_json: Vec<u8>,
     /// Highest revision the sender knows.
     #[prost(uint64, tag = "5")]
     pub revision: u64,
@@ -175,9 +172,12 @@
 /// A whole revision.
 #[derive(Clone, PartialEq, Message)]
 pub struct RevisionReply {
-    /// The revision as JSON, empty if there is none newer.
+    /// The revision as JSON, empty if there is none newer or the differences do.
     #[prost(bytes = "vec", tag = "1")]
     pub json: Vec<u8>,
+    /// Differences that lead from the known revision to the newest, in order, as JSON.
+    #[prost(bytes = "vec", repeated, tag = "2")]
+    pub deltas_json: Vec<Vec<u8>>,
 }
 
 /// Asks for what the agents of a group must know.
