--- a/crates/balancer/src/control.rs
+++ b/crates/balancer/src/control.rs
@@ -31,6 +31,7 @@
 mod handle;
 mod node;
 mod pool;
+mod revision_log;
 mod socket;
 mod streams;
 
