Know which revision the whole fleet has reached

Change: a balancer that may publish, or that an operator asks, polls the others, one a tick and only those behind, for the lowest revision among them and the agents that report to them. What must be safe counts everybody not known to be gone; what operators wait for counts those that answer.

--- a/crates/balancer/src/control.rs
+++ b/crates/balancer/src/control.rs
@@ -23,6 +23,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{MissedTickBehavior, interval};
 
+use crate::publish::is_watcher;
 use crate::revisions::RevisionStore;
 use crate::settings::Settings;
 
@@ -187,7 +188,10 @@
         let now = self.now();
         self.node.on_tick(now, effects);
         self.drains.on_tick(now, self.node.view(), effects);
-        let place = fleet::view_of(self.node.me(), self.node.view());
+        let place = fleet::place(self.node.me(), self.node.view(), self.node.floor());
+        if is_watcher(place.rank) {
+            self.node.want_floor(now);
+        }
         self.seat.place.send_if_modified(|known| {
             let is_news = *known != place;
             *known = place;
@@ -223,6 +227,7 @@
                 self.drains.start(now, self.node.view(), &name, on, done);
             }
             Command::Fleet(reply) => {
+                self.node.want_floor(now);
                 let _ = reply.send(self.fleet());
             }
             Command::Status(reply) => {
@@ -239,7 +244,8 @@
 
     fn fleet(&self) -> FleetStatus {
         let status = self.status();
-        fleet::status(self.now(), self.node.me(), self.node.view(), status)
+        let floor = self.node.floor();
+        fleet::status(self.now(), self.node.me(), self.node.view(), floor, status)
     }
 
     fn status(&self) -> Status {
--- a/crates/balancer/src/control/fleet.rs
+++ b/crates/balancer/src/control/fleet.rs
@@ -3,6 +3,7 @@
 use citronhollow_core::clock::Millis;
 use citronhollow_core::id::TargetId;
 use citronhollow_core::members::{BalancerRecord, TargetNews, View};
+use citronhollow_core::rumour::Floor;
 use citronhollow_operator::status::{
     BalancerState, BalancerStatus, DrainStatus, FleetStatus, TargetStatus, target_id,
 };
@@ -11,7 +12,13 @@
 use crate::publish::FleetView;
 
 /// The fleet as an operator sees it.
-pub(super) fn status(now: Millis, me: &BalancerRecord, view: &View, status: Status) -> FleetStatus {
+pub(super) fn status(
+    now: Millis,
+    me: &BalancerRecord,
+    view: &View,
+    floor: Floor,
+    status: Status,
+) -> FleetStatus {
     let own = BalancerStatus {
         revision: Some(status.revision),
         last_seen_ms: Some(Millis::ZERO),
@@ -19,7 +26,7 @@
     };
     FleetStatus {
         revision: status.revision,
-        lowest_reported: view_of(me, view).lowest_reported,
+        lowest_reported: floor.of_answering,
         balancers: std::iter::once(own)
             .chain(view.balancers().iter().map(balancer))
             .collect(),
@@ -36,14 +43,11 @@
 }
 
 /// This balancer's place in the fleet.
-///
-/// The lowest revision that anybody reports is not gathered yet, so it is told as none: released
-/// addresses stay reserved rather than being given away too early.
-pub(super) fn view_of(me: &BalancerRecord, view: &View) -> FleetView {
+pub(super) fn place(me: &BalancerRecord, view: &View, floor: Floor) -> FleetView {
     let before_me = view.balancers().present().filter(|other| other.id < me.id);
     FleetView {
         rank: before_me.count(),
-        lowest_reported: 0,
+        lowest_reported: floor.of_all,
     }
 }
 
--- a/crates/balancer/src/control/node.rs
+++ b/crates/balancer/src/control/node.rs
@@ -10,14 +10,14 @@
 use citronhollow_core::clock::Millis;
 use citronhollow_core::config::Revision;
 use citronhollow_core::hash;
-use citronhollow_core::id::{GroupId, TargetId};
+use citronhollow_core::id::{BalancerId, GroupId, TargetId};
 use citronhollow_core::members::{
     BalancerRecord, REPORTERS, SLICES, View, reporters_for, slice_of,
 };
-use citronhollow_core::rumour::{Action, News, RevisionDelta, Spreader, Summary};
+use citronhollow_core::rumour::{Action, Floor, Floors, News, RevisionDelta, Spreader, Summary};
 use citronhollow_peer::message::{
-    Balancer, Digest, Heartbeat, HeartbeatReply, MembersReply, MembersRequest, RevisionReply,
-    RevisionRequest, Rumour, Version,
+    Balancer, Digest, FloorReply, FloorRequest, Heartbeat, HeartbeatReply, MembersReply,
+    MembersRequest, RevisionReply, RevisionRequest, Rumour, Version,
 };
 use citronhollow_peer::{
     Body, CodecError, RecordError, balancer_from_message, balancer_to_message, record_from_message,
@@ -36,6 +36,15 @@
 /// One in this many heartbeats is answered with the agent's best balancers in any case.
 const BALANCERS_ONE_IN: u32 = 16;
 
+/// Time for which the lowest revision of the fleet is polled for after it was wanted.
+const FLOOR_WANTED_FOR: Millis = Millis::from_secs(10);
+
+/// Balancers polled for their lowest revision at one tick.
+const POLLS_PER_TICK: usize = 1;
+
+/// Time between two looks for reporters that are gone.
+const FLOOR_SWEEP: Millis = Millis::from_secs(1);
+
 /// What the loop is to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
@@ -62,6 +71,9 @@
     revisions: RevisionStore,
     log: RevisionLog,
     digests: PoolDigests,
+    floors: Floors,
+    floor_wanted_until: Millis,
+    next_sweep: Millis,
     rng: SmallRng,
     refused: u64,
 }
@@ -76,6 +88,9 @@
             revisions,
             log: RevisionLog::default(),
             digests: PoolDigests::default(),
+            floors: Floors::default(),
+            floor_wanted_until: Millis::ZERO,
+            next_sweep: Millis::ZERO,
             rng: SmallRng::seed_from_u64(seed),
             refused: 0,
         };
@@ -86,7 +101,7 @@
     /// This balancer's own record.
     #[must_use]
     pub const fn me(&self) -> &BalancerRecord {
-        &self.me
+        self.spreader.me()
     }
 
     /// All members as known here, this balancer not counted.
@@ -136,6 +151,11 @@
             Body::Heartbeat(heartbeat) => self.on_heartbeat(now, from, &heartbeat, effects),
             Body::Rumour(rumour) => self.on_rumour(now, from, &rumour, effects),
             Body::Digest(digest) => self.on_digest(now, &digest, effects),
+            Body::FloorRequest(_) => effects.push(self.floor_reply(from)),
+            Body::FloorReply(reply) => {
+                self.floors
+                    .on_answer(BalancerId(reply.sender), reply.lowest);
+            }
             _ => self.refused += 1,
         }
     }
@@ -145,10 +165,60 @@
         // A revision that came before the loop began has woken nobody.
         self.on_revision();
         let mut actions = Vec::new();
-        for news in self.spreader.on_tick(now, &mut actions) {
+        let news = self.spreader.on_tick(now, &mut actions);
+        for news in &news {
             log::info!("members: target {} is {:?}", news.record.id, news.verdict);
         }
+        if now >= self.next_sweep {
+            self.next_sweep = now.after(FLOOR_SWEEP);
+            self.forget_floors_of_the_gone(now);
+        }
         self.carry_over(actions, effects);
+        self.poll_floors(now, effects);
+    }
+
+    /// The lowest revision of the fleet is wanted for a while, so the others are polled for it.
+    pub const fn want_floor(&mut self, now: Millis) {
+        self.floor_wanted_until = now.after(FLOOR_WANTED_FOR);
+    }
+
+    /// The lowest revision of the fleet.
+    #[must_use]
+    pub fn floor(&self) -> Floor {
+        let present = self.view().balancers().present();
+        self.floors.fleet(self.revisions.latest().number, present)
+    }
+
+    fn poll_floors(&mut self, now: Millis, effects: &mut Vec<Effect>) {
+        if now >= self.floor_wanted_until {
+            return;
+        }
+        let revision = self.revisions.latest().number;
+        let present = self.spreader.view().balancers().present();
+        let due = self.floors.polls(now, revision, present, POLLS_PER_TICK);
+        effects.extend(due.into_iter().map(|balancer| Effect::Send {
+            to: balancer.control,
+            body: Body::FloorRequest(FloorRequest {}),
+        }));
+    }
+
+    fn floor_reply(&self, to: SocketAddr) -> Effect {
+        let reply = FloorReply {
+            sender: self.me().id.0,
+            lowest: self.floors.own(self.revisions.latest().number),
+        };
+        Effect::Send {
+            to,
+            body: Body::FloorReply(reply),
+        }
+    }
+
+    fn forget_floors_of_the_gone(&mut self, now: Millis) {
+        let view = self.spreader.view();
+        let is_alive = |id| view.target(now, id).is_some_and(|news| !news.is_gone());
+        self.floors.retain_agents(is_alive);
+        let is_present = |id| view.balancers().present().any(|record| record.id == id);
+        self.floors.retain_balancers(is_present);
     }
 
     /// The reply to a request, none if it is no request.
@@ -206,6 +276,11 @@
             return;
         };
         let is_last = heartbeat.is_last;
+        if is_last {
+            self.floors.retain_agents(|id| id != record.id);
+        } else {
+            self.floors.on_agent(record.id, heartbeat.revision);
+        }
         let outcome = self.spreader.on_heartbeat(now, record, is_last);
         if is_last {
             return;
--- a/crates/core/src/rumour.rs
+++ b/crates/core/src/rumour.rs
@@ -8,6 +8,7 @@
 
 mod budget;
 mod delta;
+mod floors;
 mod liveness;
 mod peers;
 mod queue;
@@ -16,6 +17,7 @@
 
 pub use budget::TokenBucket;
 pub use delta::RevisionDelta;
+pub use floors::{Floor, Floors, POLL_AGAIN_AFTER, POLLS_UNANSWERED_MAX};
 pub use liveness::{GONE_AFTER, Liveness, PROBE_RETRY, PROBE_SILENT_EVERY, PROBES_MAX};
 pub use peers::choose_peers;
 pub use queue::{
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -9,8 +9,9 @@
 mod traffic;
 
 pub use control::{
-    Balancer, Digest, Heartbeat, HeartbeatReply, MembersReply, MembersRequest, PoolReply,
-    PoolRequest, RevisionReply, RevisionRequest, Rumour, Target, Version,
+    Balancer, Digest, FloorReply, FloorRequest, Heartbeat, HeartbeatReply, MembersReply,
+    MembersRequest, PoolReply, PoolRequest, RevisionReply, RevisionRequest, Rumour, Target,
+    Version,
 };
 pub(crate) use traffic::PACKET_TAG;
 pub use traffic::{Drain, Forward, Holding, Load, Question, Relay, Reply};
@@ -24,7 +25,7 @@
     /// The message, none if it is of a kind that this version does not know.
     #[prost(
         oneof = "Body",
-        tags = "1, 2, 3, 4, 5, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19"
+        tags = "1, 2, 3, 4, 5, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21"
     )]
     pub body: Option<Body>,
 }
@@ -77,6 +78,12 @@
     /// Over a stream, balancer to agent: the peers and the services of a group.
     #[prost(message, tag = "19")]
     PoolReply(PoolReply),
+    /// Balancer to balancer: ask for the lowest revision.
+    #[prost(message, tag = "20")]
+    FloorRequest(FloorRequest),
+    /// Balancer to balancer: the lowest revision.
+    #[prost(message, tag = "21")]
+    FloorReply(FloorReply),
 }
 
 impl From<Body> for Envelope {
--- a/crates/peer/src/message/control.rs
+++ b/crates/peer/src/message/control.rs
@@ -201,3 +201,18 @@
     #[prost(fixed64, tag = "3")]
     pub peers_digest: u64,
 }
+
+/// Asks for the lowest revision among the receiver and the agents that report to it.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct FloorRequest {}
+
+/// The lowest revision among the sender and the agents that report to it.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct FloorReply {
+    /// Identity of the sender.
+    #[prost(fixed64, tag = "1")]
+    pub sender: u64,
+    /// The revision.
+    #[prost(uint64, tag = "2")]
+    pub lowest: u64,
+}
