Hand redirects over when an agent leaves

Cause: a leaving agent took its redirects along, and each of those flows had to be searched for again. A draining agent called the pool full when the only other target was no longer listed.

Change: `on_leave` tells the 1,024 redirects used last to the agents that the balancers' table gives the flows to once this target is gone, as ordinary notices. Cases for the planned stop: a draining or starting agent opens nothing, hands new flows to peers however busy, refuses when none takes any, and keeps its flows and redirects. Only listed peers count as taking new flows.

Ruled out: an action of its own for the handover. A notice (`Action::Reply`) says the same and needs no new message.

Conclusion: a planned stop opens nothing and costs no search for the flows used last.

--- a/crates/core/src/flows.rs
+++ b/crates/core/src/flows.rs
@@ -23,6 +23,7 @@
 mod connection;
 mod counters;
 mod held;
+mod leaving;
 mod limits;
 mod load;
 mod notice;
--- a/crates/core/src/flows/opening.rs
+++ b/crates/core/src/flows/opening.rs
@@ -112,9 +112,10 @@
 
     /// Whether any target takes new flows of the pool, full or not.
     fn takes_new(&self, pool: PoolKey) -> bool {
-        let peers = self.peers.iter().any(|peer| {
-            peer.record.state.takes_new() && self.services.contains(pool, peer.record.group)
-        });
+        let peers = self
+            .peers
+            .iter()
+            .any(|peer| peer.is_ready() && self.services.contains(pool, peer.record.group));
         self.own.takes_new() || peers
     }
 
--- a/crates/core/src/flows/redirects.rs
+++ b/crates/core/src/flows/redirects.rs
@@ -45,6 +45,11 @@
         self.by_flow.get(flow).copied()
     }
 
+    /// Redirects from the one used last to the one unused for longest.
+    pub(super) fn newest_first(&self) -> impl Iterator<Item = (&FlowId, &Redirect)> {
+        self.by_flow.newest_first()
+    }
+
     pub(super) fn insert(&mut self, now: Millis, flow: FlowId, redirect: Redirect) {
         self.by_flow.insert(now, flow, redirect);
     }
--- a/crates/core/tests/flows/main.rs
+++ b/crates/core/tests/flows/main.rs
@@ -7,6 +7,7 @@
 }
 
 mod admission;
+mod draining;
 mod ended;
 mod fixture;
 mod handshake;
