Keep flows of live callers through loss, closed windows and their own keepalives

Cause, each seen as a failing test first: three probes at the idle interval ended a live idle caller on a link that loses a tenth; the stack's timeout does not count a caller's keepalives, so a caller that probes was given up; a window that closed while the last segment was lost was never probed again; a lost probe a minute ended a caller that reads late; a header's reserved bit could change unnoticed, because the checksum was taken over the parsed fields. Ruled out: a longer timeout alone, which finds silent callers later and loses the others still. Change: probes repeat at a fifth of the idle time, bytes that wait are probed every second, the endpoint judges silence by itself and bears it longer while the window is closed, the header's checksum is taken over its bytes, and one poll sends a bounded number of packets.

--- a/crates/agent/src/traffic/run.rs
+++ b/crates/agent/src/traffic/run.rs
@@ -47,6 +47,9 @@
 /// Silences of this many idle times end a flow.
 const TIMEOUT_KEEPALIVES: u64 = 3;
 
+/// Probes without an answer are repeated this often in an idle time.
+const PROBES_PER_KEEPALIVE: u64 = 5;
+
 /// Time that the target has to accept a connection.
 const CONNECT_TIMEOUT: Millis = Millis::from_secs(3);
 
@@ -205,6 +208,7 @@
     endpoint::Settings {
         hint: me.hint(),
         keepalive: settings.keepalive_ms,
+        probe_interval: probe_interval(settings),
         timeout: timeout(settings),
     }
 }
@@ -213,11 +217,15 @@
     splice::Settings {
         connect_timeout: CONNECT_TIMEOUT,
         keepalive: settings.keepalive_ms,
-        probe_interval: settings.keepalive_ms,
+        probe_interval: probe_interval(settings),
         timeout: timeout(settings),
     }
 }
 
+fn probe_interval(settings: &Settings) -> Millis {
+    Millis(settings.keepalive_ms.0 / PROBES_PER_KEEPALIVE)
+}
+
 fn timeout(settings: &Settings) -> Millis {
     Millis(settings.keepalive_ms.0 * TIMEOUT_KEEPALIVES)
 }
--- a/crates/caller/src/endpoint.rs
+++ b/crates/caller/src/endpoint.rs
@@ -14,7 +14,7 @@
 
 use citronhollow_core::clock::Millis;
 use citronhollow_core::flow::FlowId;
-use smoltcp::iface::{Config, Interface, SocketHandle, SocketSet};
+use smoltcp::iface::{Config, Interface, PollResult, SocketHandle, SocketSet};
 use smoltcp::socket::tcp;
 use smoltcp::time::{Duration, Instant};
 use smoltcp::wire::{HardwareAddress, IpCidr};
@@ -25,6 +25,17 @@
 /// Size of each of the two buffers of a flow, in bytes.
 pub const BUFFER_LEN: usize = 4_096;
 
+/// Factor of the timeout for a caller that takes no bytes at the moment. The stack probes a closed
+/// window less and less often, down to once a minute, and a few lost probes must not end the flow.
+const CLOSED_WINDOW_FACTOR: u64 = 4;
+
+/// Time between probes while bytes wait for the caller. The stack stops to probe a closed window
+/// when the retransmission timer expires in it, so that only the keepalive learns of its opening.
+const STALL_PROBE_INTERVAL: Millis = Millis::from_secs(1);
+
+/// Packets sent in one poll, enough for a full buffer. What is left is due at once.
+const EGRESS_MAX: u32 = 16;
+
 const IPV4_HOST_PREFIX: u8 = 32;
 const IPV6_HOST_PREFIX: u8 = 128;
 
@@ -41,6 +52,9 @@
     pub hint: u32,
     /// Idle time after which the caller is probed.
     pub keepalive: Millis,
+    /// Time between probes that have no answer. Several have to fit into the timeout, because
+    /// links lose packets and a lost probe must not end a flow.
+    pub probe_interval: Millis,
     /// Silence after which the caller of an established flow is given up.
     pub timeout: Millis,
 }
@@ -68,6 +82,8 @@
     sockets: SocketSet<'static>,
     handle: SocketHandle,
     isn: Option<u32>,
+    heard_at: Millis,
+    patience: Millis,
     is_established: bool,
     is_ended_here: bool,
     is_ended_there: bool,
@@ -90,6 +106,8 @@
             sockets,
             handle,
             isn: None,
+            heard_at: now,
+            patience: settings.timeout,
             is_established: false,
             is_ended_here: false,
             is_ended_there: false,
@@ -110,10 +128,13 @@
             return false;
         }
         HINT.set(self.settings.hint);
+        self.heard_at = now;
+        self.patience = self.patience_after(packet);
+        self.set_probe_pace(now);
         let mut device = Device::new(Some(packet), out);
-        let now = instant(now);
+        let at = instant(now);
         self.iface
-            .poll_ingress_single(now, &mut device, &mut self.sockets);
+            .poll_ingress_single(at, &mut device, &mut self.sockets);
         self.note_progress();
         true
     }
@@ -126,13 +147,24 @@
             return None;
         }
         HINT.set(self.settings.hint);
+        self.set_probe_pace(now);
+        let gives_up_at = self.gives_up_at();
+        if gives_up_at.is_some_and(|at| at <= now) {
+            self.abort();
+        }
         let mut device = Device::new(None, out);
         let at = instant(now);
-        self.iface.poll(at, &mut device, &mut self.sockets);
+        for _ in 0..EGRESS_MAX {
+            let result = self.iface.poll_egress(at, &mut device, &mut self.sockets);
+            if result == PollResult::None {
+                break;
+            }
+        }
         self.note_isn(out);
         self.note_progress();
-        let due = self.iface.poll_at(at, &self.sockets)?;
-        Some(millis(due).max(now))
+        let due = self.iface.poll_at(at, &self.sockets).map(millis);
+        let due = due.into_iter().chain(self.gives_up_at()).min()?;
+        Some(due.max(now))
     }
 
     /// Where the endpoint is in its life.
@@ -290,11 +322,44 @@
             return;
         }
         self.is_established = true;
-        let timeout = duration(self.settings.timeout);
-        let keepalive = duration(self.settings.keepalive);
-        let socket = self.socket_mut();
-        socket.set_timeout(Some(timeout));
-        socket.set_keep_alive(Some(keepalive));
+        self.set_probe_pace(self.heard_at);
+    }
+
+    /// Sets how often the caller is probed.
+    fn set_probe_pace(&mut self, now: Millis) {
+        if !self.is_established {
+            return;
+        }
+        let is_silent = now.since(self.heard_at) >= self.settings.keepalive;
+        let interval = if !self.is_flushed() {
+            STALL_PROBE_INTERVAL
+        } else if is_silent {
+            self.settings.probe_interval
+        } else {
+            self.settings.keepalive
+        };
+        let interval = duration(interval);
+        self.socket_mut().set_keep_alive(Some(interval));
+    }
+
+    /// Silence that is borne after a packet.
+    fn patience_after(&self, packet: &[u8]) -> Millis {
+        let timeout = self.settings.timeout;
+        match packet::window(packet) {
+            Some(0) => Millis(timeout.0 * CLOSED_WINDOW_FACTOR),
+            _ => timeout,
+        }
+    }
+
+    /// When the caller is given up, none before the handshake is complete.
+    ///
+    /// The stack has a timeout of its own, but it does not count a caller's keepalives as signs
+    /// of life.
+    fn gives_up_at(&self) -> Option<Millis> {
+        if !self.is_established {
+            return None;
+        }
+        Some(self.heard_at.after(self.patience))
     }
 }
 
--- a/crates/caller/src/packet.rs
+++ b/crates/caller/src/packet.rs
@@ -84,6 +84,13 @@
     describe(&ip, &tcp)
 }
 
+/// Window that a packet advertises, before scaling.
+pub(crate) fn window(packet: &[u8]) -> Option<u16> {
+    let ip = parse_ip(packet).ok()?;
+    let tcp = parse_tcp(&ip).ok()?;
+    Some(tcp.window_size())
+}
+
 /// Builds the reset that answers a segment, none if the segment is a reset itself.
 #[must_use]
 pub fn reset(parsed: &Parsed) -> Option<Vec<u8>> {
@@ -179,8 +186,7 @@
         IpSlice::Ipv4(v4) => {
             let header = v4.header();
             let expected = tcp.calc_checksum_ipv4(header.source(), header.destination());
-            let is_header_intact =
-                header.to_header().calc_header_checksum() == header.header_checksum();
+            let is_header_intact = is_ipv4_header_intact(header.slice());
             (expected, is_header_intact)
         }
         IpSlice::Ipv6(v6) => {
@@ -192,6 +198,17 @@
     is_header_intact && expected.is_ok_and(|sum| sum == tcp.checksum())
 }
 
+/// Whether the header sums up to all ones, every bit of it counted.
+fn is_ipv4_header_intact(header: &[u8]) -> bool {
+    let words = header.as_chunks::<2>().0;
+    let sum: u32 = words
+        .iter()
+        .map(|word| u32::from(u16::from_be_bytes(*word)))
+        .sum();
+    let folded = (sum & 0xffff) + (sum >> 16);
+    folded == 0xffff
+}
+
 fn describe(ip: &IpSlice<'_>, tcp: &TcpSlice<'_>) -> Result<Parsed, PacketError> {
     let flow = FlowId {
         caller: SocketAddr::new(ip.source_addr(), tcp.source_port()),
--- a/crates/caller/tests/support/mod.rs
+++ b/crates/caller/tests/support/mod.rs
@@ -9,12 +9,14 @@
 use smoltcp::iface::{Config, Interface, SocketHandle, SocketSet};
 use smoltcp::phy::{self, DeviceCapabilities, Medium};
 use smoltcp::socket::tcp;
-use smoltcp::time::Instant;
+use smoltcp::time::{Duration, Instant};
 use smoltcp::wire::{HardwareAddress, IpCidr};
 
 /// Largest packet that the stack builds, in bytes.
 const MTU: usize = 1_500;
 
+const KEEPALIVE: Duration = Duration::from_secs(1);
+
 const HOST_PREFIX_V4: u8 = 32;
 const HOST_PREFIX_V6: u8 = 128;
 
@@ -68,6 +70,8 @@
         if settings.timestamps {
             socket.set_tsval_generator(Some(|| TSVAL.get()));
         }
+        // The stack forgets to probe a window that closes while its last segment is lost.
+        socket.set_keep_alive(Some(KEEPALIVE));
         socket.connect(iface.context(), to, from).unwrap();
         let mut sockets = SocketSet::new(Vec::with_capacity(1));
         let handle = sockets.add(socket);
--- /dev/null
+++ b/crates/peer/tests/codec.rs
@@ -0,0 +1,145 @@
+//! Frames of datagrams: what is authentic comes through, nothing else does, nothing panics.
+
+use bytes::{Bytes, BytesMut};
+use citronhollow_peer::message::{Forward, Relay};
+use citronhollow_peer::{Body, Codec, CodecError, Envelope, Key, Keyring, MAX_DATAGRAM};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+/// Largest packet that has to fit into a datagram, in bytes.
+const PACKET_MAX: usize = 1_320;
+
+fn key(id: u8) -> Key {
+    Key {
+        id,
+        secret: format!("{id:02x}").repeat(32),
+    }
+}
+
+fn codec(ids: &[u8]) -> Codec {
+    let keys: Vec<Key> = ids.iter().copied().map(key).collect();
+    Codec::new(Keyring::new(&keys).unwrap())
+}
+
+fn envelope(packet: &[u8]) -> Envelope {
+    Envelope::from(Body::Forward(Forward {
+        packet: Bytes::copy_from_slice(packet),
+        revision: u64::MAX,
+        chain: vec![u64::MAX; 4],
+        hops: 3,
+        trace: u64::MAX,
+        relay: Relay::Pass.into(),
+        sender: u64::MAX,
+    }))
+}
+
+fn sealed(codec: &Codec, packet: &[u8]) -> Vec<u8> {
+    let mut frame = BytesMut::new();
+    codec.seal(&envelope(packet), &mut frame);
+    frame.to_vec()
+}
+
+macro_rules! key_changes {
+    ($($name:ident: $signer:expr, $reader:expr => $is_read:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let frame = sealed(&codec(&$signer), b"card");
+                assert_eq!(codec(&$reader).open(&frame).is_ok(), $is_read);
+            }
+        )*
+    };
+}
+
+key_changes! {
+    one_key_is_shared: [1], [1] => true;
+    a_new_key_is_known_before_it_signs: [1], [1, 2] => true;
+    an_old_key_is_known_after_the_new_one_signs: [1], [2, 1] => true;
+    a_key_that_was_removed_is_not_known: [1], [2] => false;
+}
+
+#[test]
+fn the_largest_packet_fits_into_a_datagram() {
+    let frame = sealed(&codec(&[1]), &[7; PACKET_MAX]);
+    assert!(frame.len() <= MAX_DATAGRAM, "{} bytes", frame.len());
+}
+
+#[test]
+fn another_version_is_told_apart() {
+    let codec = codec(&[1]);
+    let mut frame = sealed(&codec, b"card");
+    frame[0] = 9;
+    assert!(matches!(codec.open(&frame), Err(CodecError::Version(9))));
+}
+
+#[test]
+fn a_short_frame_is_told_apart() {
+    let codec = codec(&[1]);
+    for len in 0..18 {
+        assert!(matches!(
+            codec.open(&vec![1; len]),
+            Err(CodecError::Short(_))
+        ));
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2_000,
+        rng_seed: RngSeed::Fixed(0x5eed),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn a_frame_comes_back_whole(packet in proptest::collection::vec(any::<u8>(), 0..PACKET_MAX)) {
+        let codec = codec(&[1, 2]);
+        let frame = sealed(&codec, &packet);
+        prop_assert_eq!(codec.open(&frame).unwrap(), envelope(&packet));
+    }
+
+    #[test]
+    fn arbitrary_bytes_are_refused(frame in proptest::collection::vec(any::<u8>(), 0..300)) {
+        prop_assert!(codec(&[1]).open(&frame).is_err());
+    }
+
+    #[test]
+    fn any_changed_bit_is_refused(
+        packet in proptest::collection::vec(any::<u8>(), 0..300),
+        at in any::<prop::sample::Index>(),
+        bit in 0_u8..8,
+    ) {
+        let codec = codec(&[1]);
+        let mut frame = sealed(&codec, &packet);
+        let at = at.index(frame.len());
+        frame[at] ^= 1 << bit;
+        prop_assert!(codec.open(&frame).is_err());
+    }
+
+    #[test]
+    fn any_cut_or_longer_frame_is_refused(
+        packet in proptest::collection::vec(any::<u8>(), 0..300),
+        len in any::<prop::sample::Index>(),
+        more in proptest::collection::vec(any::<u8>(), 1..20),
+    ) {
+        let codec = codec(&[1]);
+        let frame = sealed(&codec, &packet);
+        prop_assert!(codec.open(&frame[..len.index(frame.len())]).is_err());
+        prop_assert!(codec.open(&[frame, more].concat()).is_err());
+    }
+
+    /// Only a holder of a key gets this far, yet an old version's bytes must not panic either.
+    #[test]
+    fn an_authentic_frame_with_any_envelope_never_panics(
+        bytes in proptest::collection::vec(any::<u8>(), 0..300),
+    ) {
+        let mut frame = vec![1, 1];
+        frame.extend(&bytes);
+        let secret = [1_u8; 32];
+        let tag = blake3::keyed_hash(&secret, &frame);
+        frame.extend(&tag.as_bytes()[..16]);
+        let result = codec(&[1]).open(&frame);
+        let is_authentic = !matches!(result, Err(CodecError::Tag(_)));
+        prop_assert!(is_authentic);
+    }
+}
--- a/crates/target/src/splice.rs
+++ b/crates/target/src/splice.rs
@@ -17,7 +17,7 @@
 use tokio::time::timeout;
 
 /// Probes without an answer after which the target is given up.
-const KEEPALIVE_PROBES: u32 = 3;
+const KEEPALIVE_PROBES: u32 = 10;
 
 /// Shortest time that the kernel's keepalive knows.
 const KEEPALIVE_MIN: Duration = Duration::from_secs(1);
