--- a/crates/core/src/flows/recent.rs
+++ b/crates/core/src/flows/recent.rs
@@ -57,6 +57,11 @@
         Some(&self.entry(at).value)
     }
 
+    pub(super) fn get_mut(&mut self, key: &K) -> Option<&mut V> {
+        let at = *self.by_key.get(key)?;
+        Some(&mut self.entry_mut(at).value)
+    }
+
     /// Inserts or replaces, and returns what had to go.
     pub(super) fn insert(&mut self, now: Millis, key: K, value: V) -> Option<(K, V)> {
         self.remove(&key);
@@ -102,6 +107,15 @@
         Some((entry.key, entry.value))
     }
 
+    /// Entries from the newest to the oldest.
+    pub(super) fn newest_first(&self) -> impl Iterator<Item = (&K, &V)> {
+        let older = |at: &EntryKey| self.entry(*at).older;
+        std::iter::successors(self.newest, older).map(|at| {
+            let entry = self.entry(at);
+            (&entry.key, &entry.value)
+        })
+    }
+
     fn make_room(&mut self) -> Option<(K, V)> {
         if self.by_key.len() < self.bound {
             return None;
--- a/crates/core/tests/flows/main.rs
+++ b/crates/core/tests/flows/main.rs
@@ -6,5 +6,13 @@
     };
 }
 
+mod admission;
+mod draining;
+mod ended;
 mod fixture;
+mod handshake;
+mod load;
+mod runner;
+mod search;
+mod services;
 mod steering;
