--- a/crates/core/src/config/documents.rs
+++ b/crates/core/src/config/documents.rs
@@ -105,6 +105,14 @@
 }
 
 impl Documents {
+    /// Brings the documents into the order of their names, in which they are published. Of two
+    /// rules of a service, the first by name is asked first.
+    pub fn sort(&mut self) {
+        self.services.sort_by(|a, b| a.name.cmp(&b.name));
+        self.pools.sort_by(|a, b| a.name.cmp(&b.name));
+        self.rules.sort_by(|a, b| a.name.cmp(&b.name));
+    }
+
     /// The pool with this name.
     #[must_use]
     pub fn pool(&self, name: &str) -> Option<&Pool> {
--- a/crates/core/src/publisher/draft.rs
+++ b/crates/core/src/publisher/draft.rs
@@ -76,7 +76,7 @@
     format!("{}.{}", object.kind, object.name)
 }
 
-/// The whole set that the drafts make, or the drafts that do not parse.
+/// The whole set that the drafts make in the order of names, or the drafts that do not parse.
 ///
 /// # Errors
 ///
@@ -90,6 +90,7 @@
             Err(error) => errors.push(*error),
         }
     }
+    documents.sort();
     if errors.is_empty() {
         Ok(documents)
     } else {
--- a/crates/core/src/publisher/index.rs
+++ b/crates/core/src/publisher/index.rs
@@ -183,6 +183,7 @@
         whole.pools.extend_from_slice(&part.pools);
         whole.rules.extend_from_slice(&part.rules);
     }
+    whole.sort();
     Ok(whole)
 }
 
--- a/crates/testkit/src/platform/faults.rs
+++ b/crates/testkit/src/platform/faults.rs
@@ -38,6 +38,8 @@
     pub reads: Reads,
     /// Time added to every call before it is run.
     pub delay_ms: u64,
+    /// This many calls are answered with 503 and not run.
+    pub busy_calls: u32,
     /// This many writes take effect without an answer.
     pub lost_answers: u32,
     /// This many writes are dropped before they take effect, without an answer.
--- a/crates/testkit/src/platform/server.rs
+++ b/crates/testkit/src/platform/server.rs
@@ -139,6 +139,9 @@
             let mut state = self.lock();
             let count = state.counts.0.entry(format!("{call} {kind}")).or_default();
             *count += 1;
+            if Faults::take(&mut state.faults.busy_calls) {
+                return Err(StatusCode::SERVICE_UNAVAILABLE.into_response());
+            }
             state.faults
         };
         tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
