--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -5,5 +5,6 @@
 //! between the two.
 
 pub mod command;
+pub mod control;
 pub mod link;
 pub mod settings;
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -5,6 +5,7 @@
 //! the traffic threads whenever the revision or the membership changes.
 
 pub mod commands;
+pub mod control;
 pub mod documents;
 pub mod operator_http;
 pub mod publish;
