Know the revision of the slowest process

Change: a balancer keeps what agents report to it, and tells in its digests the lowest revision of itself and of them. Every agent reports to some balancer, so the lowest over all balancers that answer holds for the fleet. A balancer that has told nothing counts as zero. The same table fills the operators' status.

Ruled out: the lowest of only what was heard directly, which a fleet of more balancers than an agent reports to would make too high.

Conclusion: stands for balancers that answer; one that is silent for four probes is not waited for, as it is not known to be alive.

--- a/crates/balancer/src/control.rs
+++ b/crates/balancer/src/control.rs
@@ -15,6 +15,7 @@
 use citronhollow_core::id::{BalancerId, DomainId};
 use citronhollow_core::members::BalancerRecord;
 use citronhollow_core::routes::Routes;
+use citronhollow_operator::status::FleetStatus;
 use citronhollow_peer::message::Envelope;
 use citronhollow_peer::{Body, Codec, Keyring, MAX_DATAGRAM};
 use thiserror::Error;
@@ -33,13 +34,13 @@
 mod streams;
 
 pub use drain::{DRAIN_RETRY, DRAIN_TIMEOUT};
-pub use handle::{ControlHandle, DrainStatus, Status};
+pub use handle::{ControlHandle, Status};
 pub use node::{Effect, Node};
 pub use pool::slice_digest;
 pub use streams::CONNECTIONS_MAX;
 
 use drain::Drains;
-use handle::Command;
+use handle::{Command, LoopEnd};
 use streams::{Fetched, Query};
 
 /// Time for which changes are gathered before routes are built.
@@ -79,7 +80,7 @@
     revisions: RevisionStore,
     built: Built,
     drains: Drains,
-    commands: mpsc::Receiver<Command>,
+    end: LoopEnd,
     queries: mpsc::Receiver<Query>,
     fetched: mpsc::Receiver<Fetched>,
     fetched_tx: mpsc::Sender<Fetched>,
@@ -122,7 +123,7 @@
             incarnation,
             sequence: 1,
         };
-        let (handle, commands) = handle::channel(control);
+        let (handle, end) = handle::channel(control);
         let (queries_tx, queries) = mpsc::channel(QUEUE_LEN);
         let (fetched_tx, fetched) = mpsc::channel(QUEUE_LEN);
         tokio::spawn(streams::serve(listener, keys.clone(), queries_tx));
@@ -136,7 +137,7 @@
             revisions,
             built: Built::default(),
             drains: Drains::default(),
-            commands,
+            end,
             queries,
             fetched,
             fetched_tx,
@@ -166,7 +167,7 @@
                     self.node.on_fetched(self.now(), fetched.from, fetched.body);
                 }
                 Some(query) = self.queries.recv() => self.on_query(query),
-                Some(command) = self.commands.recv() => self.on_command(command),
+                Some(command) = self.end.commands.recv() => self.on_command(command),
             }
             self.carry_out(&mut effects).await;
             self.rebuild_if_due();
@@ -184,6 +185,7 @@
         let now = self.now();
         self.node.on_tick(now, effects);
         self.drains.on_tick(now, self.node.view(), effects);
+        self.end.fleet_view.send_replace(self.node.fleet_view(now));
     }
 
     fn on_datagram(&mut self, frame: &[u8], from: SocketAddr, effects: &mut Vec<Effect>) {
@@ -213,6 +215,14 @@
             Command::Drain { name, on, done } => {
                 self.drains.start(now, self.node.view(), &name, on, done);
             }
+            Command::Fleet(reply) => {
+                let fleet = FleetStatus {
+                    drains: self.drains.status(self.node.view(), now),
+                    is_leaving: self.stop_at.is_some(),
+                    ..self.node.fleet_status(now)
+                };
+                let _ = reply.send(fleet);
+            }
             Command::Status(reply) => {
                 let status = self.status();
                 let _ = reply.send(status);
--- a/crates/balancer/src/control/drain.rs
+++ b/crates/balancer/src/control/drain.rs
@@ -11,11 +11,11 @@
 use citronhollow_core::error::ErrorKind;
 use citronhollow_core::id::TargetId;
 use citronhollow_core::members::{TargetState, View};
+use citronhollow_operator::status::{DrainStatus, target_id};
 use citronhollow_peer::message::{Drain, Heartbeat};
 use citronhollow_peer::{Body, record_from_message};
 use tokio::sync::oneshot;
 
-use super::handle::DrainStatus;
 use super::node::Effect;
 
 /// Time between two requests to an agent that has not answered.
@@ -59,7 +59,7 @@
         on: bool,
         done: oneshot::Sender<Result<(), ErrorKind>>,
     ) {
-        let id = TargetId::of(name);
+        let id = target_id(name);
         let known = view.target(now, id).filter(|news| !news.is_gone());
         let Some(news) = known else {
             let _ = done.send(Err(ErrorKind::NotFound));
--- a/crates/balancer/src/control/handle.rs
+++ b/crates/balancer/src/control/handle.rs
@@ -3,9 +3,12 @@
 use std::net::SocketAddr;
 
 use citronhollow_core::error::ErrorKind;
-use citronhollow_core::members::{Counts, TargetState};
+use citronhollow_core::members::Counts;
+use citronhollow_operator::status::{DrainStatus, FleetStatus};
 use serde::{Deserialize, Serialize};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
+
+use crate::publish::FleetView;
 
 /// Commands that wait for the loop.
 const COMMANDS_MAX: usize = 64;
@@ -32,18 +35,6 @@
     pub drains: Vec<DrainStatus>,
 }
 
-/// One drain and what is left of it.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(deny_unknown_fields)]
-pub struct DrainStatus {
-    /// Name of the target.
-    pub target: String,
-    /// Its state as known here, none if it is not known any more.
-    pub state: Option<TargetState>,
-    /// Flows that it still holds, none if it has not said.
-    pub open: Option<u32>,
-}
-
 /// To the loop.
 #[derive(Debug)]
 pub enum Command {
@@ -56,6 +47,8 @@
         /// Takes the outcome.
         done: oneshot::Sender<Result<(), ErrorKind>>,
     },
+    /// Tell what operators see of the fleet.
+    Fleet(oneshot::Sender<FleetStatus>),
     /// Tell the status.
     Status(oneshot::Sender<Status>),
     /// Leave the fleet.
@@ -67,12 +60,32 @@
 pub struct ControlHandle {
     addr: SocketAddr,
     commands: mpsc::Sender<Command>,
+    fleet_view: watch::Receiver<FleetView>,
 }
 
 /// A handle and the loop's end of it.
-pub(super) fn channel(addr: SocketAddr) -> (ControlHandle, mpsc::Receiver<Command>) {
+pub(super) fn channel(addr: SocketAddr) -> (ControlHandle, LoopEnd) {
     let (commands, receiver) = mpsc::channel(COMMANDS_MAX);
-    (ControlHandle { addr, commands }, receiver)
+    let (fleet_tx, fleet_view) = watch::channel(FleetView::default());
+    let handle = ControlHandle {
+        addr,
+        commands,
+        fleet_view,
+    };
+    let end = LoopEnd {
+        commands: receiver,
+        fleet_view: fleet_tx,
+    };
+    (handle, end)
+}
+
+/// The loop's end of the handle.
+#[derive(Debug)]
+pub(super) struct LoopEnd {
+    /// Commands to carry out.
+    pub(super) commands: mpsc::Receiver<Command>,
+    /// Takes the fleet as the publisher needs it.
+    pub(super) fleet_view: watch::Sender<FleetView>,
 }
 
 impl ControlHandle {
@@ -100,6 +113,19 @@
         outcome.await.unwrap_or(Err(ErrorKind::Timeout))
     }
 
+    /// The fleet as operators see it, none if the control thread has ended.
+    pub async fn fleet_status(&self) -> Option<FleetStatus> {
+        let (reply, status) = oneshot::channel();
+        self.send(Command::Fleet(reply)).await;
+        status.await.ok()
+    }
+
+    /// The fleet as the publisher needs it, as it was at the last tick.
+    #[must_use]
+    pub fn fleet_view(&self) -> FleetView {
+        *self.fleet_view.borrow()
+    }
+
     /// What the control thread knows, none if it has ended.
     pub async fn status(&self) -> Option<Status> {
         let (reply, status) = oneshot::channel();
--- a/crates/balancer/src/control/node.rs
+++ b/crates/balancer/src/control/node.rs
@@ -31,10 +31,13 @@
 use crate::revisions::RevisionStore;
 
 mod answers;
+mod fleet;
 mod liveness;
+mod reports;
 mod spread;
 
 use liveness::Liveness;
+use reports::{AgentReport, Reports};
 
 /// Time between two attempts to join through the seeds.
 const JOIN_EVERY: Millis = Millis::from_secs(1);
@@ -77,6 +80,7 @@
     revisions: RevisionStore,
     digests: PoolDigests,
     liveness: Liveness,
+    reports: Reports,
     rng: SmallRng,
     timers: Timers,
     has_joined: bool,
@@ -109,6 +113,7 @@
             revisions,
             digests: PoolDigests::default(),
             liveness: Liveness::default(),
+            reports: Reports::default(),
             rng: SmallRng::seed_from_u64(seed),
             timers: Timers::default(),
             has_joined: false,
@@ -179,6 +184,7 @@
             self.timers.digest = now.after(Millis(DIGEST_EVERY.0 * 3 / 4 + jitter));
             self.probe(now, effects);
         }
+        self.reports.forget_gone(now, &self.view);
         self.retry_probes(now, effects);
         self.join(now, effects);
     }
@@ -196,6 +202,7 @@
             return;
         };
         let outcome = self.view.on_heartbeat(now, record, heartbeat.is_last);
+        self.take_report(now, record.id, heartbeat);
         if outcome.is_news {
             self.rumours.add(Topic::Target(record.id));
         }
@@ -219,6 +226,19 @@
         });
     }
 
+    fn take_report(&mut self, now: Millis, id: TargetId, heartbeat: &Heartbeat) {
+        if heartbeat.is_last {
+            self.reports.on_agent_left(id);
+            return;
+        }
+        let report = AgentReport {
+            revision: heartbeat.revision,
+            open: heartbeat.open,
+            at: now,
+        };
+        self.reports.on_agent(id, report);
+    }
+
     /// The balancers that an agent is to report to, unless it does so already.
     fn balancers_for(&mut self, target: TargetId, is_wanted: bool) -> Vec<Balancer> {
         let mut fleet: Vec<BalancerRecord> = self.view.balancers().present().copied().collect();
--- a/crates/balancer/src/control/node/spread.rs
+++ b/crates/balancer/src/control/node/spread.rs
@@ -2,6 +2,7 @@
 
 use citronhollow_peer::message::Target;
 
+use super::reports::BalancerReport;
 use super::{
     Arc, Balancer, BalancerRecord, Body, Digest, Effect, FETCH_AGAIN_AFTER, IteratorRandom,
     JOIN_EVERY, MembersRequest, Millis, Node, Revision, RevisionRequest, Rumour, SocketAddr, Topic,
@@ -62,6 +63,12 @@
         };
         self.liveness.on_answer(sender.id);
         self.merge_balancer_record(now, sender);
+        let report = BalancerReport {
+            revision: digest.revision,
+            lowest: digest.lowest_revision,
+            at: now,
+        };
+        self.reports.on_balancer(sender.id, report);
         if digest.wants_answer {
             effects.push(self.digest_to(now, sender.control, false));
         }
@@ -219,6 +226,7 @@
             revision: self.revisions.latest().number,
             members: comparable_digests(&self.view, now),
             wants_answer,
+            lowest_revision: self.reports.lowest_here(self.revisions.latest().number),
         });
         Effect::Send { to, body }
     }
--- a/crates/balancer/tests/control.rs
+++ b/crates/balancer/tests/control.rs
@@ -118,6 +118,25 @@
         until_chosen(&second, "desk-1").await;
     };
 
+    every_balancer_learns_that_the_slowest_process_has_the_revision => async {
+        let (first, second, agent) = two_and_a_target().await;
+        agent.figures.set_open(3);
+        assert!(second.revisions.offer(revision(2)));
+        for balancer in [&first, &second] {
+            eventually("the revision everywhere", async || {
+                (balancer.handle.fleet_view().lowest_reported == 2).then_some(())
+            })
+            .await;
+        }
+        let ranks = [first.handle.fleet_view().rank, second.handle.fleet_view().rank];
+        assert_eq!(ranks.iter().sum::<usize>(), 1, "{ranks:?}");
+        eventually("the report of its flows", async || {
+            let status = first.handle.fleet_status().await.expect("a running balancer");
+            (status.targets[0].open == Some(3)).then_some(())
+        })
+        .await;
+    };
+
     drain_of_an_unknown_target_is_an_error => async {
         let first = Balancer::start("b1", &[]).await;
         let outcome = first.handle.send_drain("nobody", true).await;
--- a/crates/operator/src/report.rs
+++ b/crates/operator/src/report.rs
@@ -7,7 +7,7 @@
 use citronhollow_core::members::TargetState;
 
 use crate::status::{
-    BalancerState, DrainStatus, FleetStatus, PublishStatus, Status, TrafficStatus,
+    BalancerState, DrainStatus, FleetStatus, PublishStatus, Status, TargetStatus, TrafficStatus,
 };
 
 impl fmt::Display for Status {
@@ -89,15 +89,20 @@
         f,
         "balancers  {alive} alive, {leaving} leaving, {suspect} suspect"
     )?;
-    let targets = |state| fleet.targets.iter().filter(|t| t.state == state).count();
+    let targets = |state| {
+        let of_state = |t: &&TargetStatus| t.state == state && !t.is_suspect;
+        fleet.targets.iter().filter(of_state).count()
+    };
     let ready = targets(TargetState::Ready);
     let starting = targets(TargetState::Starting);
     let draining = targets(TargetState::Draining);
     let dead = targets(TargetState::Dead);
-    writeln!(
+    let suspect = fleet.targets.iter().filter(|t| t.is_suspect).count();
+    write!(
         f,
-        "targets    {ready} ready, {starting} starting, {draining} draining, {dead} dead"
+        "targets    {ready} ready, {starting} starting, {draining} draining, "
     )?;
+    writeln!(f, "{suspect} suspect, {dead} dead")?;
     if fleet.is_isolated {
         writeln!(f, "isolated   this balancer hears from nobody")?;
     }
--- a/crates/operator/src/status.rs
+++ b/crates/operator/src/status.rs
@@ -109,8 +109,10 @@
     pub agent: SocketAddr,
     /// Requests it can work on at once.
     pub slots: u16,
-    /// What it can take.
+    /// What its agent announced that it can take, dead if it is gone.
     pub state: TargetState,
+    /// Whether its agent has been silent for a while.
+    pub is_suspect: bool,
     /// Highest revision its agent has reported, none if not heard from directly.
     pub revision: Option<u64>,
     /// Flows its agent holds, none if not heard from directly.
--- a/crates/operator/tests/report.rs
+++ b/crates/operator/tests/report.rs
@@ -30,6 +30,7 @@
         agent: SocketAddr::from(([10, 0, 1, 1], 6_081)),
         slots: 2,
         state,
+        is_suspect: false,
         revision,
         open,
         last_seen_ms: None,
@@ -118,7 +119,7 @@
 platform   DOWN, 120 calls, 4 repeated, last answer 1 min 35 s ago
            platform GET /v1/objects: no answer
 balancers  2 alive, 0 leaving, 1 suspect
-targets    1 ready, 0 starting, 2 draining, 0 dead
+targets    1 ready, 0 starting, 2 draining, 0 suspect, 0 dead
 refused    5 frames from other processes
 drain      desk-2: draining, flows not known
 drain      desk-3: draining, 12 flows left
--- a/crates/peer/src/message/control.rs
+++ b/crates/peer/src/message/control.rs
@@ -143,6 +143,9 @@
     /// Whether the receiver is to answer with its own digest.
     #[prost(bool, tag = "4")]
     pub wants_answer: bool,
+    /// Lowest revision of the sender and of the agents that report to it.
+    #[prost(uint64, tag = "5")]
+    pub lowest_revision: u64,
 }
 
 /// Asks for the members of some slices.
