--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -58,7 +58,7 @@
     /// To the traffic thread.
     pub traffic: mpsc::UnboundedSender<TrafficCommand>,
     /// From the traffic thread.
-    pub commands: mpsc::Receiver<ControlCommand>,
+    pub commands: mpsc::UnboundedReceiver<ControlCommand>,
     /// Figures of the traffic thread.
     pub figures: Arc<TrafficFigures>,
     /// UDP address at which the traffic thread takes packets.
--- a/crates/balancer/src/control.rs
+++ b/crates/balancer/src/control.rs
@@ -40,7 +40,7 @@
 pub use streams::CONNECTIONS_MAX;
 
 use drain::Drains;
-use handle::{Command, LoopEnd};
+use handle::{Command, Seat};
 use streams::{Fetched, Query};
 
 /// Time for which changes are gathered before routes are built.
@@ -80,7 +80,7 @@
     revisions: RevisionStore,
     built: Built,
     drains: Drains,
-    end: LoopEnd,
+    seat: Seat,
     queries: mpsc::Receiver<Query>,
     fetched: mpsc::Receiver<Fetched>,
     fetched_tx: mpsc::Sender<Fetched>,
@@ -123,7 +123,7 @@
             incarnation,
             sequence: 1,
         };
-        let (handle, end) = handle::channel(control);
+        let (handle, seat) = handle::channel(control);
         let (queries_tx, queries) = mpsc::channel(QUEUE_LEN);
         let (fetched_tx, fetched) = mpsc::channel(QUEUE_LEN);
         tokio::spawn(streams::serve(listener, keys.clone(), queries_tx));
@@ -137,7 +137,7 @@
             revisions,
             built: Built::default(),
             drains: Drains::default(),
-            end,
+            seat,
             queries,
             fetched,
             fetched_tx,
@@ -167,7 +167,7 @@
                     self.node.on_fetched(self.now(), fetched.from, fetched.body);
                 }
                 Some(query) = self.queries.recv() => self.on_query(query),
-                Some(command) = self.end.commands.recv() => self.on_command(command),
+                Some(command) = self.seat.commands.recv() => self.on_command(command),
             }
             self.carry_out(&mut effects).await;
             self.rebuild_if_due();
@@ -185,7 +185,12 @@
         let now = self.now();
         self.node.on_tick(now, effects);
         self.drains.on_tick(now, self.node.view(), effects);
-        self.end.fleet_view.send_replace(self.node.fleet_view(now));
+        let place = self.node.fleet_view(now);
+        self.seat.place.send_if_modified(|known| {
+            let is_news = *known != place;
+            *known = place;
+            is_news
+        });
     }
 
     fn on_datagram(&mut self, frame: &[u8], from: SocketAddr, effects: &mut Vec<Effect>) {
@@ -216,12 +221,7 @@
                 self.drains.start(now, self.node.view(), &name, on, done);
             }
             Command::Fleet(reply) => {
-                let fleet = FleetStatus {
-                    drains: self.drains.status(self.node.view(), now),
-                    is_leaving: self.stop_at.is_some(),
-                    ..self.node.fleet_status(now)
-                };
-                let _ = reply.send(fleet);
+                let _ = reply.send(self.fleet());
             }
             Command::Status(reply) => {
                 let status = self.status();
@@ -235,6 +235,15 @@
         }
     }
 
+    fn fleet(&self) -> FleetStatus {
+        let now = self.now();
+        FleetStatus {
+            drains: self.drains.status(self.node.view(), now),
+            is_leaving: self.stop_at.is_some(),
+            ..self.node.fleet_status(now)
+        }
+    }
+
     fn status(&self) -> Status {
         let view = self.node.view();
         Status {
--- a/crates/balancer/src/control/handle.rs
+++ b/crates/balancer/src/control/handle.rs
@@ -47,7 +47,7 @@
         /// Takes the outcome.
         done: oneshot::Sender<Result<(), ErrorKind>>,
     },
-    /// Tell what operators see of the fleet.
+    /// Tell of every member.
     Fleet(oneshot::Sender<FleetStatus>),
     /// Tell the status.
     Status(oneshot::Sender<Status>),
@@ -60,32 +60,30 @@
 pub struct ControlHandle {
     addr: SocketAddr,
     commands: mpsc::Sender<Command>,
-    fleet_view: watch::Receiver<FleetView>,
+    place: watch::Receiver<FleetView>,
+}
+
+/// The loop's end of a handle.
+#[derive(Debug)]
+pub(super) struct Seat {
+    pub(super) commands: mpsc::Receiver<Command>,
+    pub(super) place: watch::Sender<FleetView>,
 }
 
 /// A handle and the loop's end of it.
-pub(super) fn channel(addr: SocketAddr) -> (ControlHandle, LoopEnd) {
+pub(super) fn channel(addr: SocketAddr) -> (ControlHandle, Seat) {
     let (commands, receiver) = mpsc::channel(COMMANDS_MAX);
-    let (fleet_tx, fleet_view) = watch::channel(FleetView::default());
+    let (place_tx, place) = watch::channel(FleetView::default());
     let handle = ControlHandle {
         addr,
         commands,
-        fleet_view,
+        place,
     };
-    let end = LoopEnd {
+    let seat = Seat {
         commands: receiver,
-        fleet_view: fleet_tx,
+        place: place_tx,
     };
-    (handle, end)
-}
-
-/// The loop's end of the handle.
-#[derive(Debug)]
-pub(super) struct LoopEnd {
-    /// Commands to carry out.
-    pub(super) commands: mpsc::Receiver<Command>,
-    /// Takes the fleet as the publisher needs it.
-    pub(super) fleet_view: watch::Sender<FleetView>,
+    (handle, seat)
 }
 
 impl ControlHandle {
@@ -113,17 +111,17 @@
         outcome.await.unwrap_or(Err(ErrorKind::Timeout))
     }
 
-    /// The fleet as operators see it, none if the control thread has ended.
-    pub async fn fleet_status(&self) -> Option<FleetStatus> {
-        let (reply, status) = oneshot::channel();
-        self.send(Command::Fleet(reply)).await;
-        status.await.ok()
+    /// This balancer's place in the fleet.
+    #[must_use]
+    pub fn place(&self) -> FleetView {
+        *self.place.borrow()
     }
 
-    /// The fleet as the publisher needs it, as it was at the last tick.
-    #[must_use]
-    pub fn fleet_view(&self) -> FleetView {
-        *self.fleet_view.borrow()
+    /// Every member that the control thread knows, none if it has ended.
+    pub async fn fleet(&self) -> Option<FleetStatus> {
+        let (reply, fleet) = oneshot::channel();
+        self.send(Command::Fleet(reply)).await;
+        fleet.await.ok()
     }
 
     /// What the control thread knows, none if it has ended.
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod operator_http;
 pub mod publish;
 pub mod revisions;
+pub mod run;
 pub mod settings;
 pub mod traffic;
--- a/crates/balancer/tests/control.rs
+++ b/crates/balancer/tests/control.rs
@@ -124,14 +124,14 @@
         assert!(second.revisions.offer(revision(2)));
         for balancer in [&first, &second] {
             eventually("the revision everywhere", async || {
-                (balancer.handle.fleet_view().lowest_reported == 2).then_some(())
+                (balancer.handle.place().lowest_reported == 2).then_some(())
             })
             .await;
         }
-        let ranks = [first.handle.fleet_view().rank, second.handle.fleet_view().rank];
+        let ranks = [first.handle.place().rank, second.handle.place().rank];
         assert_eq!(ranks.iter().sum::<usize>(), 1, "{ranks:?}");
         eventually("the report of its flows", async || {
-            let status = first.handle.fleet_status().await.expect("a running balancer");
+            let status = first.handle.fleet().await.expect("a running balancer");
             (status.targets[0].open == Some(3)).then_some(())
         })
         .await;
@@ -164,10 +164,10 @@
     target_that_refuses_connections_is_not_ready => async {
         let (first, _second, agent) = two_and_a_target().await;
         let lost = ControlCommand::TargetReachable(false);
-        agent.commands.send(lost).await.expect("a running agent");
+        agent.commands.send(lost).expect("a running agent");
         until_none_is_chosen(&first).await;
         let back = ControlCommand::TargetReachable(true);
-        agent.commands.send(back).await.expect("a running agent");
+        agent.commands.send(back).expect("a running agent");
         until_chosen(&first, "desk-1").await;
     };
 
--- a/crates/balancer/tests/fleet/mod.rs
+++ b/crates/balancer/tests/fleet/mod.rs
@@ -152,8 +152,8 @@
         traffic_threads: 1,
         metrics: None,
         log_level: String::from("info"),
-        trace_one_in: 0,
         traces: None,
+        trace_one_in: 0,
     }
 }
 
@@ -161,7 +161,7 @@
 pub struct Agent {
     pub announce: SocketAddr,
     pub traffic: mpsc::UnboundedReceiver<TrafficCommand>,
-    pub commands: mpsc::Sender<ControlCommand>,
+    pub commands: mpsc::UnboundedSender<ControlCommand>,
     pub figures: Arc<TrafficFigures>,
     pub stop: watch::Sender<bool>,
     pub task: JoinHandle<()>,
@@ -173,7 +173,7 @@
 impl Agent {
     pub async fn start(name: &str, seeds: &[SocketAddr], traffic_addr: SocketAddr) -> Self {
         let (traffic_tx, traffic) = mpsc::unbounded_channel();
-        let (commands, commands_rx) = mpsc::channel(16);
+        let (commands, commands_rx) = mpsc::unbounded_channel();
         let (stop, stop_rx) = watch::channel(false);
         let figures = Arc::new(TrafficFigures::default());
         let links = agent::Links {
@@ -251,7 +251,7 @@
                     continue;
                 };
                 let on = drain.on;
-                let _ = commands.send(ControlCommand::Drain { on, reply_to }).await;
+                let _ = commands.send(ControlCommand::Drain { on, reply_to });
             }
         });
     }
--- a/crates/core/src/flows.rs
+++ b/crates/core/src/flows.rs
@@ -3,195 +3,230 @@
 //! The truth about a flow is beside the target that serves it, so the agent and not the balancer
 //! decides what becomes of a packet. It owns the flows it opened, remembers which flows it handed
 //! to a peer, and searches for the holder of a flow it does not know before it resets it.
+//!
+//! Three rules carry the rest. Bytes reach a target only through the endpoint whose sequence
+//! number the caller acknowledged, so they reach one target. An opening packet that was handed to
+//! an agent is opened or refused there, so it does not wander. A flow is reset only when every
+//! peer that may hold it has said that it does not.
 
-use std::collections::HashMap;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 
 use crate::clock::Millis;
-use crate::error::ErrorKind;
-use crate::flow::{FlowId, Segment};
-use crate::id::TargetId;
-
-/// How a packet came to this agent.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Arrival {
-    /// From a balancer.
-    Balancer,
-    /// From a peer that chose this agent for a new flow: accept or refuse it here.
-    Handed(TargetId),
-    /// From a peer that does not hold the flow.
-    Passed(TargetId),
-}
-
-/// A packet to decide about. `B` is the packet's bytes, opaque here.
-#[derive(Clone, Debug)]
-pub struct Packet<B> {
-    /// The flow it belongs to.
-    pub flow: FlowId,
-    /// What its TCP header says.
-    pub segment: Segment,
-    /// How it came.
-    pub arrival: Arrival,
-    /// Other targets that may hold the flow, likeliest first.
-    pub chain: Vec<TargetId>,
-    /// Agents that have passed it on.
-    pub hops: u32,
-    /// Trace identity, zero if the packet is not sampled.
-    pub trace: u64,
-    /// The packet itself.
-    pub bytes: B,
-}
+use crate::config::Revision;
+use crate::flow::FlowId;
+use crate::id::{GroupId, TargetId};
+use crate::members::{TargetRecord, TargetState};
 
-/// What a peer says about a flow.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Holding {
-    /// It holds the flow.
-    Here,
-    /// It handed the flow to this target.
-    At(TargetId),
-    /// It knows nothing of the flow.
-    No,
-}
-
-/// How a packet is sent to a peer.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Relay {
-    /// The peer must accept or refuse the new flow.
-    Hand,
-    /// The peer may hold the flow.
-    Pass,
-}
+mod bucket;
+mod connection;
+mod counters;
+mod held;
+mod limits;
+mod load;
+mod notice;
+mod ongoing;
+mod opening;
+mod packet;
+mod peers;
+mod recent;
+mod redirects;
+mod search;
+mod searching;
+mod services;
 
-/// Why a packet was dropped.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-pub enum DropReason {
-    /// The destination is not an address of a service that this target serves.
-    WrongService,
-    /// Too many packets of unknown flows.
-    UnknownLimit,
-    /// Passed on too often.
-    HopLimit,
-    /// It answers nothing that a peer still holds.
-    Stale,
-}
-
-/// What to do. Everything is to be done in the order given.
-#[derive(Clone, Debug)]
-pub enum Action<B> {
-    /// Create an endpoint for the flow and give it the packet.
-    Open {
-        /// The opening packet.
-        packet: Packet<B>,
-    },
-    /// Give the packet to the flow's endpoint.
-    Deliver {
-        /// The packet.
-        packet: Packet<B>,
-    },
-    /// Send the packet to a peer, which gets it with one hop more.
-    Send {
-        /// The peer.
-        to: TargetId,
-        /// How.
-        relay: Relay,
-        /// The packet, its chain without this agent and the peer.
-        packet: Packet<B>,
-    },
-    /// Ask a peer whether it holds the flow.
-    Ask {
-        /// The peer.
-        to: TargetId,
-        /// The flow.
-        flow: FlowId,
-    },
-    /// Answer a peer's question.
-    Reply {
-        /// The peer.
-        to: TargetId,
-        /// The flow.
-        flow: FlowId,
-        /// What is known of it.
-        holding: Holding,
-    },
-    /// Refuse the packet's flow at once: nothing of it was run.
-    Refuse {
-        /// The refused packet.
-        packet: Packet<B>,
-        /// Why.
-        kind: ErrorKind,
-        /// When the caller may come back.
-        retry_after: Millis,
-    },
-    /// Do nothing but count.
-    Drop {
-        /// Why.
-        reason: DropReason,
-    },
-}
+pub use counters::Counters;
+pub use limits::FlowLimits;
+pub use load::LoadReport;
+pub use packet::{Action, Arrival, CloseReason, DropReason, Holding, Packet, Relay};
 
-/// Life of a flow that this agent opened.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Stage {
-    HalfOpen,
-    Established,
-}
+use bucket::{Bucket, Rate};
+use held::Held;
+use peers::Peers;
+use recent::Recent;
+use redirects::Redirects;
+use search::Searches;
+use services::{ServiceKey, Services};
 
-/// The agent's table of flows.
+/// The agent's table of flows. `B` is a packet's bytes, opaque here.
 #[derive(Debug)]
-pub struct Flows {
+pub struct Flows<B> {
     me: TargetId,
-    held: HashMap<FlowId, Stage>,
+    group: Option<GroupId>,
+    incarnation: u64,
+    limits: FlowLimits,
+    state: TargetState,
+    slots: u16,
+    services: Services,
+    peers: Peers,
+    held: Held,
+    /// Flows to close because their address belongs to another service.
+    reassigned: Vec<FlowId>,
+    redirects: Redirects,
+    searches: Searches<B>,
+    /// When a flow was first claimed by nobody.
+    suspects: Recent<FlowId, Millis>,
+    questions: Bucket,
+    notices: Bucket,
+    guesses: Bucket,
+    sequence: u64,
+    rng: SmallRng,
+    counters: Counters,
 }
 
-impl Flows {
-    /// A table without flows for the agent of target `me`.
+impl<B> Flows<B> {
+    /// A table without flows for the agent of target `me`. The seed makes its random choices.
     #[must_use]
-    pub fn new(me: TargetId) -> Self {
+    pub fn new(me: TargetId, limits: FlowLimits, seed: u64) -> Self {
         Self {
             me,
-            held: HashMap::new(),
+            group: None,
+            incarnation: 0,
+            limits,
+            state: TargetState::Starting,
+            slots: 1,
+            services: Services::default(),
+            peers: Peers::default(),
+            held: Held::new(&limits),
+            reassigned: Vec::new(),
+            redirects: Redirects::new(limits.redirects),
+            searches: Searches::new(),
+            suspects: Recent::new(limits.suspects),
+            questions: full_bucket(limits.questions_per_s),
+            notices: full_bucket(limits.questions_per_s),
+            guesses: full_bucket(limits.guesses_per_s),
+            sequence: 0,
+            rng: SmallRng::seed_from_u64(seed),
+            counters: Counters::default(),
         }
     }
 
     /// Decides about a packet.
-    pub fn on_packet<B>(&mut self, _now: Millis, packet: Packet<B>, out: &mut Vec<Action<B>>) {
-        if self.held.contains_key(&packet.flow) {
-            out.push(Action::Deliver { packet });
-            return;
-        }
-        if packet.segment.opens() {
-            self.held.insert(packet.flow, Stage::HalfOpen);
-            out.push(Action::Open { packet });
-            return;
+    pub fn on_packet(&mut self, now: Millis, packet: Packet<B>, out: &mut Vec<Action<B>>) {
+        let before = out.len();
+        self.close_reassigned(now, out);
+        self.decide(now, packet, out);
+        self.counters.count(&out[before..]);
+    }
+
+    /// The endpoint answers the opening packet with this sequence number.
+    ///
+    /// To be told right after [`Action::Open`]: until then no acknowledgement counts as this
+    /// endpoint's.
+    pub fn on_isn(&mut self, flow: &FlowId, isn: u32) {
+        self.held.set_isn(flow, isn);
+    }
+
+    /// The endpoint finished the handshake.
+    pub fn on_established(&mut self, _now: Millis, flow: &FlowId) {
+        self.held.establish(flow);
+    }
+
+    /// The target refused or did not answer the connection for the flow, which is closed by that.
+    pub fn on_connect_failed(&mut self, now: Millis, flow: &FlowId) {
+        self.on_closed(now, flow);
+    }
+
+    /// Whether a request of the flow waits for the target's answer.
+    pub fn on_busy(&mut self, flow: &FlowId, busy: bool) {
+        self.held.set_busy(flow, busy);
+    }
+
+    /// The endpoint is gone.
+    pub fn on_closed(&mut self, now: Millis, flow: &FlowId) {
+        self.held.close(now, flow);
+    }
+
+    /// A peer asks for a flow.
+    pub fn on_question(
+        &mut self,
+        _now: Millis,
+        from: TargetId,
+        flow: FlowId,
+        out: &mut Vec<Action<B>>,
+    ) {
+        let before = out.len();
+        self.answer(from, flow, out);
+        self.counters.count(&out[before..]);
+    }
+
+    /// A peer says what it knows of a flow, asked or not.
+    pub fn on_reply(
+        &mut self,
+        now: Millis,
+        from: TargetId,
+        flow: FlowId,
+        holding: Holding,
+        out: &mut Vec<Action<B>>,
+    ) {
+        let before = out.len();
+        self.learn(now, from, flow, holding, out);
+        self.counters.count(&out[before..]);
+    }
+
+    /// A peer tells its load.
+    pub fn on_load(&mut self, now: Millis, report: LoadReport) {
+        self.peers.on_load(now, report);
+    }
+
+    /// The targets of the pools that this target belongs to, as the balancers tell them.
+    ///
+    /// To be called after every answer of a balancer, also if nothing changed: as long as the list
+    /// is not confirmed, a flow that nobody claims is dropped and not reset. This target's own
+    /// record may be among them.
+    pub fn set_peers(&mut self, now: Millis, peers: &[TargetRecord]) {
+        if let Some(own) = peers.iter().find(|peer| peer.id == self.me) {
+            self.group = Some(own.group);
         }
-        let me = self.me;
-        let next = packet.chain.iter().copied().find(|other| *other != me);
-        if let Some(to) = next {
-            let mut packet = packet;
-            packet.chain.retain(|other| *other != to && *other != me);
-            out.push(Action::Send {
-                to,
-                relay: Relay::Pass,
-                packet,
-            });
+        self.peers.update(now, self.me, peers);
+    }
+
+    /// The group that this target announced. Without it no service is served.
+    pub fn set_group(&mut self, group: GroupId) {
+        self.group = Some(group);
+    }
+
+    /// Which start of the agent this is, for its load reports.
+    pub fn set_incarnation(&mut self, incarnation: u64) {
+        self.incarnation = incarnation;
+    }
+
+    /// The configuration in force. A lower number than the last one is ignored.
+    ///
+    /// Flows whose address was given to another service get no packet from now on, and the next
+    /// packet or tick closes their endpoints.
+    pub fn set_services(&mut self, revision: &Revision) {
+        if revision.number < self.services.number() {
             return;
         }
-        out.push(Action::Refuse {
-            packet,
-            kind: ErrorKind::UnknownFlow,
-            retry_after: Millis::ZERO,
-        });
+        self.services = Services::build(revision);
+        self.reassigned.extend(self.held.reassigned(&self.services));
     }
 
-    /// The endpoint finished the handshake.
-    pub fn on_established(&mut self, flow: &FlowId) {
-        if let Some(stage) = self.held.get_mut(flow) {
-            *stage = Stage::Established;
-        }
+    /// What this target can take.
+    pub fn set_state(&mut self, _now: Millis, state: TargetState) {
+        self.state = state;
     }
 
-    /// The endpoint is gone.
-    pub fn on_closed(&mut self, flow: &FlowId) {
-        self.held.remove(flow);
+    /// Requests that this target can work on at once.
+    pub fn set_slots(&mut self, _now: Millis, slots: u16) {
+        self.slots = slots;
+    }
+
+    /// Does what is due. To be called at least every 50 ms.
+    pub fn on_tick(&mut self, now: Millis, out: &mut Vec<Action<B>>) {
+        let before = out.len();
+        self.close_reassigned(now, out);
+        self.close_timed_out(now, out);
+        self.held.forget_ended(now);
+        self.tick_searches(now, out);
+        self.counters.count(&out[before..]);
+    }
+
+    /// This target's load, to be sent to the peers.
+    pub fn load_report(&mut self, _now: Millis) -> LoadReport {
+        self.sequence += 1;
+        self.report()
     }
 
     /// Flows held here.
@@ -203,6 +238,121 @@
     /// Whether no flow is held here.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.held.is_empty()
+        self.held.len() == 0
+    }
+
+    /// Half-open flows among those held here.
+    #[must_use]
+    pub fn half_open_count(&self) -> usize {
+        self.held.half_open_len()
+    }
+
+    /// Ended flows that are remembered.
+    #[must_use]
+    pub fn ended_count(&self) -> usize {
+        self.held.ended_len()
+    }
+
+    /// Flows at peers that are remembered.
+    #[must_use]
+    pub fn redirect_count(&self) -> usize {
+        self.redirects.len()
+    }
+
+    /// Searches in progress.
+    #[must_use]
+    pub fn search_count(&self) -> usize {
+        self.searches.len()
+    }
+
+    /// Packets that wait for the outcome of a search.
+    #[must_use]
+    pub const fn search_packet_count(&self) -> usize {
+        self.searches.kept()
+    }
+
+    /// Sums since the start.
+    #[must_use]
+    pub const fn counters(&self) -> Counters {
+        self.counters
+    }
+
+    fn decide(&mut self, now: Millis, packet: Packet<B>, out: &mut Vec<Action<B>>) {
+        if self.held.takes(&packet.flow, &packet.segment) {
+            self.deliver(now, packet, out);
+            return;
+        }
+        if self.held.has_ended(&packet.flow, &packet.segment) {
+            drop_for(DropReason::Stale, out);
+            return;
+        }
+        let Some(service) = self.services.at(packet.flow.service) else {
+            drop_for(DropReason::WrongService, out);
+            return;
+        };
+        if !self.serves(service) {
+            self.on_unserved(now, service, packet, out);
+            return;
+        }
+        if packet.segment.opens() {
+            self.on_opening(now, service, packet, out);
+        } else {
+            self.on_ongoing(now, service, packet, out);
+        }
+    }
+
+    fn deliver(&mut self, now: Millis, packet: Packet<B>, out: &mut Vec<Action<B>>) {
+        if let Arrival::Passed(sender) = packet.arrival
+            && self.held.is_notice_due(now, &packet.flow, sender)
+        {
+            self.notify(now, sender, packet.flow, Holding::Here, out);
+        }
+        out.push(Action::Deliver { packet });
+    }
+
+    fn close_reassigned(&mut self, now: Millis, out: &mut Vec<Action<B>>) {
+        let reason = CloseReason::Reassigned;
+        for flow in std::mem::take(&mut self.reassigned) {
+            // Its endpoint may be gone by itself since.
+            if self.held.contains(&flow) {
+                self.held.close(now, &flow);
+                out.push(Action::Close { flow, reason });
+            }
+        }
     }
+
+    fn close_timed_out(&mut self, now: Millis, out: &mut Vec<Action<B>>) {
+        let reason = CloseReason::HalfOpenTimeout;
+        while let Some(flow) = self.held.pop_timed_out(now) {
+            out.push(Action::Close { flow, reason });
+        }
+    }
+
+    /// Whether this target's group belongs to a pool of the service.
+    fn serves(&self, service: ServiceKey) -> bool {
+        self.group
+            .is_some_and(|group| self.services.serves(service, group))
+    }
+
+    fn report(&self) -> LoadReport {
+        LoadReport {
+            sender: self.me,
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            open: u32::try_from(self.held.len()).unwrap_or(u32::MAX),
+            busy: self.held.busy(),
+            queued: 0,
+            milli_slots: u32::from(self.slots) * 1_000,
+            takes_new: self.state.takes_new() && self.held.len() < self.limits.flows,
+            milli_failures: 0,
+        }
+    }
+}
+
+fn drop_for<B>(reason: DropReason, out: &mut Vec<Action<B>>) {
+    out.push(Action::Drop { reason });
+}
+
+const fn full_bucket(per_s: u32) -> Bucket {
+    Bucket::full(Millis::ZERO, Rate::per_s(per_s))
 }
--- /dev/null
+++ b/crates/core/tests/flows/main.rs
@@ -0,0 +1,14 @@
+//! Decisions of an agent about flows.
+
+macro_rules! cases {
+    ($($name:ident => $body:expr;)*) => {
+        $(#[test] fn $name() { $body })*
+    };
+}
+
+mod ended;
+mod fixture;
+mod handshake;
+mod search;
+mod services;
+mod steering;
