--- a/crates/balancer/src/operator_http.rs
+++ b/crates/balancer/src/operator_http.rs
@@ -1,58 +1,68 @@
 //! The control thread's end of the operator's HTTP.
 //!
-//! Requests that need the platform or a target's agent may take long, so all requests run side by
-//! side on the one thread, and a platform that is down does not hold up a status or a drain.
-
-use std::sync::Arc;
+//! Requests that need the platform may take long, so all requests run side by side on the one
+//! thread, and a platform that is down does not hold up a status or a drain. What the rest of the
+//! process knows comes through three closures, so that this part runs without the rest.
 
 use citronhollow_core::clock::Millis;
-use citronhollow_core::error::ErrorKind;
-use citronhollow_core::members::TargetState;
 use citronhollow_operator::control::Request;
 use citronhollow_operator::documents::{Applied, ApplyRequest};
 use citronhollow_operator::failure::Failure;
-use citronhollow_operator::status::{DrainStatus, FleetStatus, Status};
+use citronhollow_operator::status::{DrainStatus, FleetStatus, Status, TrafficStatus};
 use citronhollow_platform::Client;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use crate::control::ControlHandle;
 use crate::documents::{self, InForce};
 use crate::revisions::RevisionStore;
-use crate::traffic::TrafficFigures;
 
 mod platform_view;
-mod traffic_view;
 
 use platform_view::PlatformView;
 
-/// The parts of the process that the answers are made of.
-#[derive(Clone)]
-pub struct Parts {
+/// What the process says of itself.
+#[derive(Clone, Debug)]
+pub struct Identity {
     /// Name of the balancer.
     pub name: String,
     /// Its failure domain.
     pub domain: String,
-    /// What it writes at the platform begins with this.
+    /// Unique for each run of a process, in front of what it writes at the platform.
     pub writer: String,
-    /// The control loop.
-    pub control: ControlHandle,
-    /// The platform.
-    pub platform: Client,
-    /// The revision in force.
-    pub revisions: RevisionStore,
-    /// What the traffic threads count.
-    pub figures: Arc<TrafficFigures>,
+}
+
+/// What the rest of the process knows and does.
+#[derive(Clone, Debug)]
+pub struct Sources<F, D, T> {
+    /// Tells what is known of the fleet.
+    pub fleet: F,
+    /// Drains a target, or stops doing so.
+    pub drain: D,
+    /// Tells what the traffic threads have counted.
+    pub traffic: T,
 }
 
 /// Answers requests until nobody can send one any more.
-pub async fn run(mut requests: mpsc::Receiver<Request>, parts: Parts) {
+pub async fn run<F, D, T>(
+    mut requests: mpsc::Receiver<Request>,
+    identity: Identity,
+    client: Client,
+    revisions: RevisionStore,
+    sources: Sources<F, D, T>,
+) where
+    F: AsyncFn() -> Result<FleetStatus, Failure>,
+    D: AsyncFn(String, bool) -> Result<DrainStatus, Failure>,
+    T: Fn() -> TrafficStatus,
+{
     let desk = Desk {
         started: Instant::now(),
-        platform_view: PlatformView::new(parts.platform.clone(), parts.writer.clone()),
-        parts,
+        platform: PlatformView::new(client.clone(), identity.writer.clone()),
+        identity,
+        client,
+        revisions,
+        sources,
     };
     let mut answers = FuturesUnordered::new();
     loop {
@@ -66,73 +76,61 @@
     }
 }
 
-struct Desk {
+struct Desk<F, D, T> {
     started: Instant,
-    platform_view: PlatformView,
-    parts: Parts,
+    identity: Identity,
+    client: Client,
+    revisions: RevisionStore,
+    platform: PlatformView,
+    sources: Sources<F, D, T>,
 }
 
-impl Desk {
+impl<F, D, T> Desk<F, D, T>
+where
+    F: AsyncFn() -> Result<FleetStatus, Failure>,
+    D: AsyncFn(String, bool) -> Result<DrainStatus, Failure>,
+    T: Fn() -> TrafficStatus,
+{
     /// An operator that has gone does not take the answer, which harms nobody.
     async fn answer(&self, request: Request) {
-        let platform = &self.parts.platform;
         match request {
             Request::Status(reply) => drop(reply.send(self.status().await)),
             Request::Drain { target, on, reply } => {
-                drop(reply.send(self.drain(&target, on).await));
+                drop(reply.send((self.sources.drain)(target, on).await));
             }
-            Request::Drafts(reply) => drop(reply.send(documents::read(platform).await)),
+            Request::Drafts(reply) => drop(reply.send(documents::read(&self.client).await)),
             Request::Apply { request, reply } => drop(reply.send(self.apply(&request).await)),
             Request::States { changes, reply } => {
-                drop(reply.send(documents::states(platform, &changes).await));
+                drop(reply.send(documents::states(&self.client, &changes).await));
             }
         }
     }
 
-    async fn fleet(&self) -> Result<FleetStatus, Failure> {
-        let message = "the balancer is stopping; ask another balancer";
-        let fleet = self.parts.control.fleet().await;
-        fleet.ok_or_else(|| Failure::new(ErrorKind::Timeout, message))
-    }
-
     async fn status(&self) -> Result<Status, Failure> {
+        let fleet = (self.sources.fleet)().await?;
         Ok(Status {
-            balancer: self.parts.name.clone(),
-            domain: self.parts.domain.clone(),
+            balancer: self.identity.name.clone(),
+            domain: self.identity.domain.clone(),
             version: String::from(env!("CARGO_PKG_VERSION")),
             uptime_ms: Millis::from(self.started.elapsed()),
-            fleet: self.fleet().await?,
-            publish: self.platform_view.status().await,
-            traffic: traffic_view::status(&self.parts.figures),
+            fleet,
+            publish: self.platform.status().await,
+            traffic: (self.sources.traffic)(),
         })
     }
 
-    async fn drain(&self, target: &str, on: bool) -> Result<DrainStatus, Failure> {
-        let outcome = self.parts.control.send_drain(target, on).await;
-        outcome.map_err(|kind| drain_failure(kind, target))?;
-        let drains = self.fleet().await?.drains;
-        let drain = drains.into_iter().find(|drain| drain.target == target);
-        // The end of a drain is not followed any more once the agent has confirmed it.
-        let ended = || DrainStatus {
-            target: String::from(target),
-            state: (!on).then_some(TargetState::Ready),
-            open: None,
-        };
-        Ok(drain.unwrap_or_else(ended))
-    }
-
     async fn apply(&self, request: &ApplyRequest) -> Result<Applied, Failure> {
-        let fleet = self.fleet().await?;
+        let fleet = (self.sources.fleet)().await?;
         let operator = match request.operator.as_str() {
             "" => "somebody",
             name => name,
         };
         let writer = format!("{operator}/{:016x}", rand::random::<u64>());
         let in_force = InForce {
-            revision: &self.parts.revisions.latest(),
+            revision: &self.revisions.latest(),
             lowest_reported: fleet.lowest_reported,
         };
-        let applied = documents::apply(&self.parts.platform, request, &writer, in_force).await?;
+        let applied = documents::apply(&self.client, request, &writer, in_force).await?;
         if !request.dry_run && !applied.changes.is_empty() {
             let count = applied.changes.len();
             log::info!("operator: {writer} applied {count} changes");
@@ -140,12 +138,3 @@
         Ok(applied)
     }
 }
-
-fn drain_failure(kind: ErrorKind, target: &str) -> Failure {
-    let remedy = match kind {
-        ErrorKind::NotFound => "see status for the targets that this balancer knows",
-        ErrorKind::Timeout => "its agent did not confirm in time; ask again, it is safe",
-        _ => "ask another balancer",
-    };
-    Failure::new(kind, format!("target {target}: {kind}; {remedy}"))
-}
