--- a/crates/balancer/src/control.rs
+++ b/crates/balancer/src/control.rs
@@ -27,9 +27,11 @@
 use crate::settings::Settings;
 
 mod drain;
+mod fleet;
 mod handle;
 mod node;
 mod pool;
+mod revision_log;
 mod socket;
 mod streams;
 
@@ -185,7 +187,7 @@
         let now = self.now();
         self.node.on_tick(now, effects);
         self.drains.on_tick(now, self.node.view(), effects);
-        let place = self.node.fleet_view(now);
+        let place = self.node.fleet_view();
         self.seat.place.send_if_modified(|known| {
             let is_news = *known != place;
             *known = place;
--- /dev/null
+++ b/crates/balancer/src/control/fleet.rs
@@ -0,0 +1,88 @@
+//! What the rest of the process is told about the fleet.
+
+use citronhollow_core::clock::Millis;
+use citronhollow_core::members::{BalancerRecord, TargetNews, TargetState, Verdict};
+use citronhollow_core::rumour::Spreader;
+use citronhollow_operator::status::{BalancerState, BalancerStatus, FleetStatus, TargetStatus};
+
+use crate::publish::FleetView;
+
+/// The fleet as the publisher needs it.
+pub(super) fn view_of(spreader: &Spreader) -> FleetView {
+    let me = spreader.me().id;
+    let peers = spreader.reachable_peers();
+    FleetView {
+        rank: peers.iter().filter(|peer| peer.id < me).count(),
+        lowest_reported: spreader.lowest_reported(),
+    }
+}
+
+/// The fleet as an operator sees it.
+pub(super) fn status(now: Millis, spreader: &Spreader) -> FleetStatus {
+    let view = spreader.view();
+    let balancers = view.balancers().iter();
+    let balancers = balancers.map(|record| balancer(now, spreader, record));
+    let targets = view.targets(now).map(|news| target(now, spreader, &news));
+    FleetStatus {
+        revision: spreader.revision(),
+        lowest_reported: spreader.lowest_reported(),
+        balancers: std::iter::once(own(spreader)).chain(balancers).collect(),
+        targets: targets.collect(),
+        is_isolated: view.is_isolated(now),
+        ..FleetStatus::default()
+    }
+}
+
+fn own(spreader: &Spreader) -> BalancerStatus {
+    let me = spreader.me();
+    BalancerStatus {
+        id: me.id.to_string(),
+        domain: me.domain.to_string(),
+        control: me.control,
+        state: state_of(me, true),
+        revision: Some(spreader.revision()),
+        last_seen_ms: Some(Millis::ZERO),
+    }
+}
+
+fn balancer(now: Millis, spreader: &Spreader, record: &BalancerRecord) -> BalancerStatus {
+    let report = spreader.reports().balancer(record.id);
+    BalancerStatus {
+        id: record.id.to_string(),
+        domain: record.domain.to_string(),
+        control: record.control,
+        state: state_of(record, spreader.is_reachable(record.id)),
+        revision: report.map(|report| report.revision),
+        last_seen_ms: report.map(|report| now.since(report.at)),
+    }
+}
+
+const fn state_of(record: &BalancerRecord, is_reachable: bool) -> BalancerState {
+    match (record.leaving, is_reachable) {
+        (true, _) => BalancerState::Leaving,
+        (false, true) => BalancerState::Alive,
+        (false, false) => BalancerState::Suspect,
+    }
+}
+
+fn target(now: Millis, spreader: &Spreader, news: &TargetNews) -> TargetStatus {
+    let record = &news.record;
+    let report = spreader.reports().agent(record.id);
+    let state = if news.is_gone() {
+        TargetState::Dead
+    } else {
+        record.state
+    };
+    TargetStatus {
+        id: record.id.to_string(),
+        group: record.group.to_string(),
+        domain: record.domain.to_string(),
+        agent: record.agent,
+        slots: record.slots,
+        state,
+        is_suspect: news.verdict == Verdict::Suspect,
+        revision: report.map(|report| report.revision),
+        open: report.map(|report| report.open),
+        last_seen_ms: report.map(|report| now.since(report.at)),
+    }
+}
--- a/crates/balancer/tests/reports.rs
+++ b/crates/balancer/tests/reports.rs
@@ -52,7 +52,7 @@
     /// A balancer alone, with revision 5 in force.
     fn new() -> Self {
         let revisions = RevisionStore::default();
-        let fixture = Self {
+        let mut fixture = Self {
             node: Node::new(balancer("entry-b", false), Vec::new(), revisions.clone()),
             revisions,
         };
@@ -61,6 +61,7 @@
             ..Revision::default()
         };
         assert!(fixture.revisions.offer(revision));
+        fixture.node.on_revision();
         fixture
     }
 
@@ -95,7 +96,7 @@
     }
 
     fn view(&self) -> FleetView {
-        self.node.fleet_view(NOW)
+        self.node.fleet_view()
     }
 
     fn status(&self) -> FleetStatus {
@@ -148,7 +149,7 @@
             fixture.node.on_message(now, addr(1), other, &mut Vec::new());
             fixture.node.on_tick(now, &mut Vec::new());
             let is_dead = fixture.node.fleet_status(now).targets[0].state == TargetState::Dead;
-            let lowest = fixture.node.fleet_view(now).lowest_reported;
+            let lowest = fixture.node.fleet_view().lowest_reported;
             assert_eq!(lowest, if is_dead { 5 } else { 3 }, "at {now}");
             dead_at = dead_at.or(is_dead.then_some(now));
         }
@@ -192,7 +193,7 @@
                 });
                 node.on_message(NOW, addr(1), digest, &mut Vec::new());
             }
-            node.fleet_view(NOW).rank
+            node.fleet_view().rank
         });
         let mut sorted = ranks;
         sorted.sort_unstable();
--- a/crates/balancer/src/control/node/reports.rs
+++ b/crates/core/src/rumour/reports.rs
@@ -8,9 +8,9 @@
 
 use std::collections::HashMap;
 
-use citronhollow_core::clock::Millis;
-use citronhollow_core::id::{BalancerId, TargetId};
-use citronhollow_core::members::View;
+use crate::clock::Millis;
+use crate::id::{BalancerId, TargetId};
+use crate::members::View;
 
 /// What an agent last reported here.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
