Write spans, metrics and a log without repeats in both processes

Cause: balancer and agent traced with names that the writer of spans does not take, reported no metric, and could fill the log with one sentence.

Change: balancer, agent, redirect and target open the spans of operator::trace; the sampler there goes, since the forwarder samples by the flow. Both processes report once a second from one table, and the time to connect to the target as it happens. The logger leaves out a sentence that it wrote within 10 s and counts it.

Ruled out: a limiter in each part, which each would have to carry along.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod command;
 pub mod control;
 pub mod link;
+pub mod metrics;
 pub mod run;
 pub mod settings;
 pub mod traffic;
--- a/crates/agent/src/link.rs
+++ b/crates/agent/src/link.rs
@@ -46,6 +46,10 @@
     dropped: AtomicU64,
     refused: AtomicU64,
     unsent: AtomicU64,
+    opened: AtomicU64,
+    handed: AtomicU64,
+    passed: AtomicU64,
+    asked: AtomicU64,
 }
 
 macro_rules! sums {
@@ -76,6 +80,14 @@
     refused, count_refused;
     /// Datagrams that could not be sent.
     unsent, count_unsent;
+    /// Flows accepted.
+    opened, count_opened;
+    /// New flows handed to a peer.
+    handed, count_handed;
+    /// Packets passed to the peer that may hold their flow.
+    passed, count_passed;
+    /// Questions to peers about an unknown flow.
+    asked, count_asked;
 );
 
 impl TrafficFigures {
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -7,12 +7,14 @@
 
 use citronhollow_core::error::ErrorKind;
 use citronhollow_operator::failure::Failure;
+use citronhollow_operator::metrics::Metrics;
 use citronhollow_operator::{logging, trace};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 
 use crate::control::{Control, Links};
 use crate::link::TrafficFigures;
+use crate::metrics;
 use crate::settings::Checked;
 use crate::traffic;
 
@@ -41,6 +43,9 @@
         .build()
         .map_err(|err| failure(&format!("no runtime: {err}")))?;
     let traffic_addr = traffic.local_addr();
+    let metrics = Metrics::new(&settings.name, settings.metrics)
+        .map_err(|err| failure(&format!("metrics: no UDP socket: {err}")))?;
+    let reported = Arc::clone(&figures);
     runtime.block_on(async {
         let links = Links {
             traffic: traffic_tx,
@@ -52,6 +57,7 @@
         let control = Control::bind(settings, checked.keys().clone(), links)
             .await
             .map_err(|err| failure(&err.to_string()))?;
+        tokio::spawn(metrics::run(metrics, reported));
         log::info!("agent: {} is at work", settings.name);
         control.run().await.map_err(|err| failure(&err.to_string()))
     })?;
--- a/crates/agent/src/traffic/agent.rs
+++ b/crates/agent/src/traffic/agent.rs
@@ -14,6 +14,7 @@
 use citronhollow_core::flows::Flows;
 use citronhollow_core::hash;
 use citronhollow_core::id::TargetId;
+use citronhollow_operator::metrics::Metrics;
 use citronhollow_peer::{Body, Codec, Envelope, MAX_DATAGRAM};
 use citronhollow_target::splice;
 use tokio::net::UdpSocket;
@@ -64,6 +65,7 @@
     pub(super) is_target_reachable: Cell<bool>,
     pub(super) control: UnboundedSender<ControlCommand>,
     pub(super) figures: Arc<TrafficFigures>,
+    pub(super) metrics: Metrics,
     pub(super) endpoint_settings: endpoint::Settings,
     pub(super) target_settings: splice::Settings,
     pub(super) seed: u64,
--- a/crates/agent/src/traffic/dispatch.rs
+++ b/crates/agent/src/traffic/dispatch.rs
@@ -9,8 +9,9 @@
 use citronhollow_core::config::Refusal;
 use citronhollow_core::error::{ErrorKind, FlowAnswer};
 use citronhollow_core::flow::FlowId;
-use citronhollow_core::flows::{Action, CloseReason, Flows, Holding, Packet};
+use citronhollow_core::flows::{Action, CloseReason, Flows, Holding, Packet, Relay};
 use citronhollow_core::id::TargetId;
+use citronhollow_operator::trace::{Hop, HopSpan};
 use citronhollow_peer::Body;
 use citronhollow_peer::message::{Drain, Forward, Question, Reply};
 
@@ -60,19 +61,7 @@
 
 fn on_forward(agent: &Rc<Agent>, forward: Forward) -> Result<(), WireError> {
     let packet = wire::packet_from(forward)?;
-    if packet.trace == 0 {
-        on_packet(agent, packet);
-        return Ok(());
-    }
-    let span = tracing::info_span!(
-        "agent",
-        trace = packet.trace,
-        target = %agent.me,
-        caller = %packet.flow.caller,
-        service = %packet.flow.service,
-        hops = packet.hops,
-    );
-    span.in_scope(|| on_packet(agent, packet));
+    on_packet(agent, packet);
     Ok(())
 }
 
@@ -158,13 +147,22 @@
 
 fn perform(agent: &Rc<Agent>, action: Action<Bytes>) {
     match action {
-        Action::Open { packet } => flow::open(agent, &packet),
+        Action::Open { packet } => {
+            let span = hop(Hop::Agent, &packet);
+            agent.figures.count_opened();
+            flow::open(agent, &packet);
+            span.outcome("accepted");
+        }
         Action::Deliver { packet } => deliver(agent, &packet),
         Action::Send { to, relay, packet } => {
+            let span = hop(Hop::Redirect, &packet);
+            span.peer(to);
+            count_relay(agent, &span, relay);
             let forward = wire::forward(agent.me, relay, packet);
             agent.send_to_peer(to, Body::Forward(forward));
         }
         Action::Ask { to, flow } => {
+            agent.figures.count_asked();
             let question = wire::question(agent.me, &flow);
             agent.send_to_peer(to, Body::Question(question));
         }
@@ -175,9 +173,26 @@
             retry_after,
         } => refuse(agent, &packet, kind, retry_after),
         Action::Close { flow, reason } => close(agent, &flow, reason),
-        Action::Drop { reason } => {
-            tracing::debug!(?reason, "packet dropped");
-            agent.figures.count_dropped();
+        Action::Drop { .. } => agent.figures.count_dropped(),
+    }
+}
+
+/// The span of what is done with a packet, none unless its flow is sampled.
+fn hop(hop: Hop, packet: &Packet<Bytes>) -> HopSpan {
+    let span = HopSpan::begin(hop, packet.trace);
+    span.service(packet.flow.service);
+    span
+}
+
+fn count_relay(agent: &Agent, span: &HopSpan, relay: Relay) {
+    match relay {
+        Relay::Hand => {
+            agent.figures.count_handed();
+            span.outcome("handed");
+        }
+        Relay::Pass => {
+            agent.figures.count_passed();
+            span.outcome("passed");
         }
     }
 }
@@ -205,7 +220,7 @@
 }
 
 fn refuse(agent: &Rc<Agent>, packet: &Packet<Bytes>, kind: ErrorKind, retry_after: Millis) {
-    tracing::debug!(%kind, "flow refused");
+    hop(Hop::Agent, packet).refused(kind);
     agent.figures.count_refused();
     match kind.answer().flow {
         FlowAnswer::Silence => {}
--- a/crates/agent/src/traffic/flow.rs
+++ b/crates/agent/src/traffic/flow.rs
@@ -11,8 +11,11 @@
 use citronhollow_caller::endpoint::{Endpoint, Stage};
 use citronhollow_caller::packet::Parsed;
 use citronhollow_core::clock::Millis;
+use citronhollow_core::error::ErrorKind;
 use citronhollow_core::flow::FlowId;
 use citronhollow_core::flows::Packet;
+use citronhollow_operator::metrics::Timer;
+use citronhollow_operator::trace::{Hop, HopSpan};
 use citronhollow_target::splice::{Progress, TargetStream};
 
 use super::agent::Agent;
@@ -33,6 +36,7 @@
     let task = FlowTask {
         side,
         mailbox,
+        trace: packet.trace,
         is_busy: false,
     };
     tokio::task::spawn_local(task.run());
@@ -129,6 +133,8 @@
 struct FlowTask {
     side: CallerSide,
     mailbox: Rc<Mailbox>,
+    /// Trace identity, zero if the flow is not sampled.
+    trace: u64,
     is_busy: bool,
 }
 
@@ -171,6 +177,9 @@
         let Some(target) = agent.target.get() else {
             return Err(End::ConnectFailed);
         };
+        let span = HopSpan::begin(Hop::Target, self.trace);
+        span.service(self.side.flow.service);
+        let started = agent.clock.now();
         let connect = TargetStream::connect(target, agent.target_settings);
         let mut connect = Box::pin(connect);
         let connected = loop {
@@ -182,10 +191,15 @@
             }
         };
         agent.set_target_reachable(connected.is_ok());
-        connected.map_err(|err| {
-            log::warn!("traffic: {err}");
-            End::ConnectFailed
-        })
+        let waited = agent.clock.now().since(started);
+        agent.metrics.time(Timer::TargetConnect, waited);
+        connected
+            .inspect(|_| span.outcome("connected"))
+            .map_err(|err| {
+                span.refused(ErrorKind::TargetUnreachable);
+                log::warn!("traffic: {err}");
+                End::ConnectFailed
+            })
     }
 
     async fn splice(&mut self, target: TargetStream) -> End {
--- a/crates/agent/src/traffic/run.rs
+++ b/crates/agent/src/traffic/run.rs
@@ -15,6 +15,7 @@
 use citronhollow_core::flows::{FlowLimits, Flows};
 use citronhollow_core::id::TargetId;
 use citronhollow_core::members::TargetRecord;
+use citronhollow_operator::metrics::Metrics;
 use citronhollow_peer::{Body, Codec, Keyring, MAX_DATAGRAM};
 use citronhollow_target::splice;
 use rand::TryRngCore;
@@ -192,6 +193,7 @@
         is_target_reachable: Cell::new(true),
         control,
         figures,
+        metrics: Metrics::new(&settings.name, settings.metrics)?,
         endpoint_settings: endpoint_settings(me, settings),
         target_settings: target_settings(settings),
         seed,
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod commands;
 pub mod control;
 pub mod documents;
+pub mod metrics;
 pub mod operator_http;
 pub mod publish;
 pub mod revisions;
--- a/crates/balancer/src/run.rs
+++ b/crates/balancer/src/run.rs
@@ -13,6 +13,7 @@
 use citronhollow_core::members::TargetState;
 use citronhollow_core::routes::Routes;
 use citronhollow_operator::failure::Failure;
+use citronhollow_operator::metrics::Metrics;
 use citronhollow_operator::status::{DrainStatus, FleetStatus};
 use citronhollow_operator::token::Token;
 use citronhollow_operator::{control as seam, http, logging, trace};
@@ -22,6 +23,7 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::control::{Control, ControlHandle};
+use crate::metrics;
 use crate::operator_http::{self, Identity, Sources};
 use crate::publish::{self, PublishSettings};
 use crate::revisions::RevisionStore;
@@ -87,6 +89,14 @@
         traffic: || figures.status(),
     };
     let requests = serve_operators(settings, listener);
+    let reporting = metrics::run(
+        open_metrics(settings)?,
+        metrics::Sources {
+            figures: traffic.figures(),
+            control: handle.clone(),
+            platform: client.clone(),
+        },
+    );
     let answering = operator_http::run(requests, identity, client, revisions, sources);
     log::info!("balancer: {} is at work", settings.name);
     // A balancer that leaves gives its lease back first and forwards until the control loop ends.
@@ -94,10 +104,18 @@
         () = control.run() => {}
         () = for_ever_after(publishing) => {}
         () = for_ever_after(answering) => {}
+        () = for_ever_after(reporting) => {}
     }
     Ok(())
 }
 
+fn open_metrics(settings: &Settings) -> Result<Metrics, Failure> {
+    Metrics::new(&settings.name, settings.metrics).map_err(|err| {
+        let message = format!("metrics: no UDP socket: {err}; check the settings field metrics");
+        Failure::new(ErrorKind::Invalid, message)
+    })
+}
+
 async fn for_ever_after(work: impl Future<Output = ()>) {
     work.await;
     std::future::pending::<()>().await;
--- a/crates/balancer/src/traffic/forwarder.rs
+++ b/crates/balancer/src/traffic/forwarder.rs
@@ -7,6 +7,7 @@
 use citronhollow_core::error::ErrorKind;
 use citronhollow_core::flow::FlowId;
 use citronhollow_core::routes::{Choice, Routes, chain_ids};
+use citronhollow_operator::trace::{Hop, HopSpan};
 use citronhollow_peer::message::{Forward, Relay};
 use citronhollow_peer::{Codec, Keyring, MAX_DATAGRAM};
 
@@ -76,7 +77,7 @@
             return Verdict::Drop(Figure::Malformed);
         };
         match routes.choose(&parsed.flow, &parsed.segment) {
-            Ok(choice) => self.seal(routes, &choice, &parsed.flow, packet),
+            Ok(choice) => self.seal(routes, &choice, &parsed, packet),
             Err(ErrorKind::UnknownService) => Verdict::Drop(Figure::UnknownService),
             Err(_) if parsed.segment.opens() => refuse(&parsed),
             // The flow may live on at an agent that this balancer has not heard of.
@@ -88,16 +89,16 @@
         &mut self,
         routes: &Routes,
         choice: &Choice,
-        flow: &FlowId,
+        parsed: &Parsed,
         packet: &[u8],
     ) -> Verdict<'_> {
-        let trace = self.trace_of(flow);
+        let trace = self.trace_of(&parsed.flow);
         let target = routes.target(choice.target);
-        if trace != 0 {
-            let _span =
-                tracing::info_span!("balancer", trace, service = %routes.service(choice.service))
-                    .entered();
-            tracing::info!(target = %target.id, hinted = choice.hinted, "packet forwarded");
+        if parsed.segment.opens() {
+            let span = HopSpan::begin(Hop::Balancer, trace);
+            span.service(parsed.flow.service);
+            span.peer(target.id);
+            span.outcome("forwarded");
         }
         self.forward.revision = routes.revision();
         self.forward.trace = trace;
--- a/crates/operator/src/logging.rs
+++ b/crates/operator/src/logging.rs
@@ -3,21 +3,29 @@
 //! A line is the time, the level, the prefix of the part that speaks, and one short sentence:
 //! `2026-03-01T08:00:00Z [WARN] platform: no answer within 2 s; the revision in force stays`. The
 //! prefix is written by the part itself as the first word of its sentence. A sentence names
-//! objects and addresses, never the payload of a flow, a key or a token. What may happen many
-//! times a second goes through [`crate::repeats::Repeats`] first. Only this project's own crates
-//! are logged, since the libraries' lines do not follow these rules.
+//! objects and addresses, never the payload of a flow, a key or a token. A line that
+//! says the same as one of the last [`REPEAT_SPAN`] is left out and counted. Only this project's
+//! own crates are logged, since the libraries' lines do not follow these rules.
 
+use std::hash::{BuildHasher, RandomState};
 use std::io::{self, Write};
+use std::sync::{Mutex, PoisonError};
+use std::time::Instant;
 
+use citronhollow_core::clock::Millis;
 use citronhollow_core::error::ErrorKind;
-use log::LevelFilter;
+use log::{LevelFilter, Log, Metadata, Record};
 use simplelog::{Config, ConfigBuilder, WriteLogger};
 
 use crate::failure::Failure;
+use crate::repeats::Repeats;
 
 /// Module paths of this project begin with this.
 const OWN_CRATES: &str = "citronhollow";
 
+/// Span within which a sentence is written once.
+pub const REPEAT_SPAN: Millis = Millis::from_secs(10);
+
 /// Starts to log to standard error.
 ///
 /// # Errors
@@ -25,7 +33,7 @@
 /// [`Failure`] if the process logs already.
 pub fn init(level: LevelFilter) -> Result<(), Failure> {
     // The logger passes every level on, so that set_level alone decides, also later on.
-    let logger = logger(io::stderr());
+    let logger = Box::new(Logger::new(io::stderr()));
     log::set_boxed_logger(logger).map_err(|_| {
         let message = "the log is set up already; set it up once in a process";
         Failure::new(ErrorKind::Invalid, message)
@@ -39,10 +47,61 @@
     log::set_max_level(level);
 }
 
-/// A logger in the project's format.
-#[must_use]
-pub fn logger<W: Write + Send + 'static>(out: W) -> Box<WriteLogger<W>> {
-    WriteLogger::new(LevelFilter::Trace, config(), out)
+/// A logger in the project's format that leaves repeats out.
+pub struct Logger<W: Write + Send + 'static> {
+    lines: WriteLogger<W>,
+    repeats: Mutex<Repeats<u64>>,
+    subjects: RandomState,
+    started: Instant,
+}
+
+impl<W: Write + Send + 'static> Logger<W> {
+    /// A logger that writes to `out`.
+    #[must_use]
+    pub fn new(out: W) -> Self {
+        Self {
+            lines: *WriteLogger::new(LevelFilter::Trace, config(), out),
+            repeats: Mutex::new(Repeats::new(REPEAT_SPAN)),
+            subjects: RandomState::new(),
+            started: Instant::now(),
+        }
+    }
+
+    /// How many repeats of the sentence were left out, none if it is to be left out itself.
+    fn admit(&self, sentence: &str) -> Option<u64> {
+        let subject = self.subjects.hash_one(sentence);
+        let now = Millis::from(self.started.elapsed());
+        let mut repeats = self.repeats.lock().unwrap_or_else(PoisonError::into_inner);
+        repeats.admit(subject, now)
+    }
+}
+
+impl<W: Write + Send + 'static> Log for Logger<W> {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        metadata.target().starts_with(OWN_CRATES)
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        if !self.enabled(record.metadata()) {
+            return;
+        }
+        let sentence = record.args().to_string();
+        let Some(repeats) = self.admit(&sentence) else {
+            return;
+        };
+        if repeats == 0 {
+            self.lines.log(record);
+            return;
+        }
+        let mut counted = Record::builder();
+        counted.metadata(record.metadata().clone());
+        let args = format_args!("{sentence} ({repeats} repeats left out)");
+        self.lines.log(&counted.args(args).build());
+    }
+
+    fn flush(&self) {
+        self.lines.flush();
+    }
 }
 
 fn config() -> Config {
@@ -52,6 +111,5 @@
         .set_thread_level(LevelFilter::Off)
         .set_target_level(LevelFilter::Off)
         .set_location_level(LevelFilter::Off)
-        .add_filter_allow_str(OWN_CRATES)
         .build()
 }
--- a/crates/operator/src/metrics.rs
+++ b/crates/operator/src/metrics.rs
@@ -8,12 +8,16 @@
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr, UdpSocket};
 use std::sync::Arc;
+use std::time::Duration;
 
 use cadence::{Counted, Gauged, StatsdClient, Timed, UdpMetricSink};
 use citronhollow_core::clock::Millis;
 
 const PREFIX: &str = "citronhollow";
 
+/// Time between two reports of a process.
+pub const REPORT_EVERY: Duration = Duration::from_secs(1);
+
 macro_rules! metrics {
     (
         $(#[$doc:meta])* $set:ident
@@ -59,37 +63,37 @@
 metrics! {
     /// Counts since the last report.
     Counter
-    PacketsTaken = "packets.taken" in "packets": "Packets taken from the fabric.";
-    PacketsForwarded = "packets.forwarded" in "packets": "Packets sent to an agent.";
-    PacketsMalformed = "packets.malformed" in "packets": "Packets that do not parse.";
-    PacketsRefused = "packets.refused" in "packets": "Packets refused by a balancer.";
-    FlowsOpened = "flows.opened" in "flows": "Flows that an agent accepted.";
-    FlowsHanded = "flows.handed" in "flows": "Flows that an agent handed to a peer.";
-    FlowsRefused = "flows.refused" in "flows": "Flows that an agent refused before anything ran.";
-    FlowsReset = "flows.reset" in "flows": "Packets of unknown flows that were answered by a reset.";
-    FlowsSearched = "flows.searched" in "flows": "Flows that an agent asked its peers for.";
-    ConnectFailures = "target.connect_failures" in "connects": "Connects to the target that failed.";
-    PlatformCalls = "platform.calls" in "calls": "Calls on the platform, watches included.";
-    PlatformFailures = "platform.failures" in "calls": "Calls on the platform that failed.";
+    PacketsTaken = "packets.taken" in "packets": "Balancer: packets taken from the fabric.";
+    PacketsForwarded = "packets.forwarded" in "packets": "Balancer: packets sent to an agent.";
+    PacketsMalformed = "packets.malformed" in "packets": "Balancer: packets that cannot be forwarded as they are.";
+    PacketsRefused = "packets.refused" in "packets": "Balancer: packets of unknown services or without a target.";
+    PacketsUnsent = "packets.unsent" in "packets": "Balancer: packets that the socket did not take.";
+    PlatformCalls = "platform.calls" in "calls": "Balancer: calls on the platform, watches included.";
+    PlatformRetries = "platform.retries" in "calls": "Balancer: calls on the platform that were repeated.";
+    FlowsOpened = "flows.opened" in "flows": "Agent: flows accepted.";
+    FlowsHanded = "flows.handed" in "flows": "Agent: new flows handed to a peer.";
+    FlowsRefused = "flows.refused" in "flows": "Agent: flows refused before anything ran.";
+    PacketsPassed = "packets.passed" in "packets": "Agent: packets passed to the peer that may hold their flow.";
+    FlowsAsked = "flows.asked" in "questions": "Agent: questions to peers about an unknown flow.";
+    PacketsDropped = "packets.dropped" in "packets": "Agent: packets dropped.";
+    FramesMalformed = "frames.malformed" in "frames": "Agent: frames that are not authentic or make no sense.";
+    FramesUnsent = "frames.unsent" in "frames": "Agent: frames and packets that could not be sent.";
 }
 
 metrics! {
     /// Values at the time of the report.
     Gauge
-    Revision = "revision" in "number": "Revision in force in the process.";
-    Balancers = "members.balancers" in "balancers": "Balancers known to be alive.";
-    Targets = "members.targets" in "targets": "Targets known that take new flows.";
-    FlowsOpen = "flows.open" in "flows": "Flows that the agent holds.";
-    FlowsQueued = "flows.queued" in "flows": "Flows that wait for room at the target.";
-    PlatformReachable = "platform.reachable" in "0 or 1": "Whether the platform answered the latest call.";
+    Revision = "revision" in "number": "Balancer: revision in force in the process.";
+    LowestRevision = "revision.lowest" in "number": "Balancer: revision of the slowest process of the fleet.";
+    Balancers = "members.balancers" in "balancers": "Balancer: balancers known to be alive, itself included.";
+    TargetsReady = "members.targets" in "targets": "Balancer: targets known that take new flows.";
+    FlowsOpen = "flows.open" in "flows": "Agent: flows held.";
 }
 
 metrics! {
     /// Spans of time.
     Timer
-    PublishLag = "publish.lag" in "ms": "From a publication to its coming into force here.";
-    TargetConnect = "target.connect" in "ms": "From the connect to the target to its answer.";
-    QueueWait = "flows.queue_wait" in "ms": "From an opening packet to its acceptance or refusal.";
+    TargetConnect = "target.connect" in "ms": "Agent: from the connect to the target to its answer.";
 }
 
 /// Where a process reports its metrics. Clones share the socket.
@@ -133,6 +137,32 @@
     }
 }
 
+/// Reports counters whose totals are kept elsewhere.
+#[derive(Clone, Debug)]
+pub struct Totals {
+    metrics: Metrics,
+    reported: [u64; Counter::ALL.len()],
+}
+
+impl Totals {
+    /// Nothing is reported yet.
+    #[must_use]
+    pub const fn new(metrics: Metrics) -> Self {
+        Self {
+            metrics,
+            reported: [0; Counter::ALL.len()],
+        }
+    }
+
+    /// Counts what a total has grown by since it was reported last.
+    pub fn report(&mut self, counter: Counter, total: u64) {
+        let reported = &mut self.reported[counter as usize];
+        let growth = total.saturating_sub(*reported);
+        *reported = total;
+        self.metrics.count(counter, growth);
+    }
+}
+
 fn connect(process: &str, address: SocketAddr) -> io::Result<StatsdClient> {
     let socket = udp_socket_for(address)?;
     let sink = UdpMetricSink::from(address, socket).map_err(io::Error::other)?;
--- a/crates/operator/src/trace.rs
+++ b/crates/operator/src/trace.rs
@@ -1,7 +1,6 @@
 //! Traces: a span for each hop of a sampled flow, one JSON object a line.
 //!
-//! A balancer samples opening packets and gives each sampled flow a trace identity, which travels
-//! in the envelope. Every process that handles the flow writes its spans under that identity, so a
+//! A balancer gives each sampled flow a trace identity, which travels in the envelope. Every process that handles the flow writes its spans under that identity, so a
 //! collector joins the lines of all processes by the field `trace`. Times in a line are wall-clock
 //! times, for people to read; no decision uses them.
 //!
@@ -15,7 +14,6 @@
 
 use citronhollow_core::clock::Millis;
 use citronhollow_core::error::ErrorKind;
-use citronhollow_core::hash;
 use citronhollow_core::id::TargetId;
 use derive_more::Display;
 use serde_json::{Map, Value};
@@ -99,41 +97,6 @@
     format!("{trace:016x}")
 }
 
-/// Chooses which flows are traced, one in so many.
-#[derive(Clone, Debug)]
-pub struct Sampler {
-    one_in: u32,
-    seed: u64,
-    seen: u64,
-}
-
-impl Sampler {
-    /// A sampler of one flow in `one_in`, of none if that is zero. The seed keeps the identities
-    /// of two processes apart.
-    #[must_use]
-    pub const fn new(one_in: u32, seed: u64) -> Self {
-        Self {
-            one_in,
-            seed,
-            seen: 0,
-        }
-    }
-
-    /// Trace identity of the next flow, zero if it is not traced.
-    pub const fn next_trace(&mut self) -> u64 {
-        if self.one_in == 0 {
-            return 0;
-        }
-        let number = self.seen;
-        self.seen += 1;
-        if !number.is_multiple_of(self.one_in as u64) {
-            return 0;
-        }
-        let trace = hash::pair(self.seed, number);
-        if trace == 0 { 1 } else { trace }
-    }
-}
-
 /// Starts to write this process's spans to a UDP address, or to standard error without one.
 ///
 /// # Errors
