--- a/crates/balancer/src/control.rs
+++ b/crates/balancer/src/control.rs
@@ -1,6 +1,6 @@
 //! The balancer's control thread.
 //!
-//! One loop owns all control state, so nothing in it needs a lock. [`node`] decides, without
+//! One loop owns all control state, so nothing in it needs a lock. `node` decides, without
 //! sockets: messages and the time go in, messages and fetches come out. The loop does what it
 //! says, serves requests over TCP, and builds new routes for the traffic threads whenever the
 //! revision or the membership changed, at most once in [`REBUILD_AFTER`].
@@ -23,7 +23,6 @@
 use tokio::sync::mpsc;
 use tokio::time::{MissedTickBehavior, interval};
 
-use crate::publish::is_watcher;
 use crate::revisions::RevisionStore;
 use crate::settings::Settings;
 
@@ -188,10 +187,7 @@
         let now = self.now();
         self.node.on_tick(now, effects);
         self.drains.on_tick(now, self.node.view(), effects);
-        let place = fleet::place(self.node.me(), self.node.view(), self.node.floor());
-        if is_watcher(place.rank) {
-            self.node.want_floor(now);
-        }
+        let place = self.node.fleet_view();
         self.seat.place.send_if_modified(|known| {
             let is_news = *known != place;
             *known = place;
@@ -227,7 +223,7 @@
                 self.drains.start(now, self.node.view(), &name, on, done);
             }
             Command::Fleet(reply) => {
-                self.node.want_floor(now);
+                self.node.want_lowest(now);
                 let _ = reply.send(self.fleet());
             }
             Command::Status(reply) => {
@@ -243,9 +239,12 @@
     }
 
     fn fleet(&self) -> FleetStatus {
-        let status = self.status();
-        let floor = self.node.floor();
-        fleet::status(self.now(), self.node.me(), self.node.view(), floor, status)
+        let now = self.now();
+        FleetStatus {
+            drains: self.drains.status(self.node.view(), now),
+            is_leaving: self.stop_at.is_some(),
+            ..self.node.fleet_status(now)
+        }
     }
 
     fn status(&self) -> Status {
--- a/crates/balancer/src/control/node.rs
+++ b/crates/balancer/src/control/node.rs
@@ -14,9 +14,12 @@
 use citronhollow_core::members::{
     BalancerRecord, REPORTERS, SLICES, View, reporters_for, slice_of,
 };
-use citronhollow_core::rumour::{Action, Floor, Floors, News, RevisionDelta, Spreader, Summary};
+use citronhollow_core::rumour::{
+    Action, AgentReport, BalancerReport, News, RevisionDelta, Spreader, Summary,
+};
+use citronhollow_operator::status::FleetStatus;
 use citronhollow_peer::message::{
-    Balancer, Digest, FloorReply, FloorRequest, Heartbeat, HeartbeatReply, MembersReply,
+    Balancer, Digest, Heartbeat, HeartbeatReply, LowestReply, LowestRequest, MembersReply,
     MembersRequest, RevisionReply, RevisionRequest, Rumour, Version,
 };
 use citronhollow_peer::{
@@ -26,8 +29,11 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use super::fleet;
 use super::pool::{self, PoolDigests};
 use super::revision_log::RevisionLog;
+use crate::publish::FleetView;
+use crate::publish::is_watcher;
 use crate::revisions::RevisionStore;
 
 /// Balancers that an agent is told of: those to report to, and some in case they do not answer.
@@ -36,14 +42,8 @@
 /// One in this many heartbeats is answered with the agent's best balancers in any case.
 const BALANCERS_ONE_IN: u32 = 16;
 
-/// Time for which the lowest revision of the fleet is polled for after it was wanted.
-const FLOOR_WANTED_FOR: Millis = Millis::from_secs(10);
-
-/// Balancers polled for their lowest revision at one tick.
-const POLLS_PER_TICK: usize = 1;
-
-/// Time between two looks for reporters that are gone.
-const FLOOR_SWEEP: Millis = Millis::from_secs(1);
+/// Time for which the others are polled after the lowest revision was wanted.
+const LOWEST_WANTED_FOR: Millis = Millis::from_secs(10);
 
 /// What the loop is to do.
 #[derive(Clone, Debug, PartialEq)]
@@ -71,9 +71,7 @@
     revisions: RevisionStore,
     log: RevisionLog,
     digests: PoolDigests,
-    floors: Floors,
-    floor_wanted_until: Millis,
-    next_sweep: Millis,
+    lowest_wanted_until: Millis,
     rng: SmallRng,
     refused: u64,
 }
@@ -88,9 +86,7 @@
             revisions,
             log: RevisionLog::default(),
             digests: PoolDigests::default(),
-            floors: Floors::default(),
-            floor_wanted_until: Millis::ZERO,
-            next_sweep: Millis::ZERO,
+            lowest_wanted_until: Millis::ZERO,
             rng: SmallRng::seed_from_u64(seed),
             refused: 0,
         };
@@ -98,10 +94,19 @@
         node
     }
 
-    /// This balancer's own record.
+    /// The fleet as the publisher needs it.
+    #[must_use]
+    pub fn fleet_view(&self) -> FleetView {
+        fleet::view_of(&self.spreader)
+    }
+
+    /// The fleet as operators see it. Drains and the end of the process are the caller's to add.
     #[must_use]
-    pub const fn me(&self) -> &BalancerRecord {
-        self.spreader.me()
+    pub fn fleet_status(&self, now: Millis) -> FleetStatus {
+        FleetStatus {
+            refused_frames: self.refused,
+            ..fleet::status(now, &self.spreader)
+        }
     }
 
     /// All members as known here, this balancer not counted.
@@ -151,11 +156,8 @@
             Body::Heartbeat(heartbeat) => self.on_heartbeat(now, from, &heartbeat, effects),
             Body::Rumour(rumour) => self.on_rumour(now, from, &rumour, effects),
             Body::Digest(digest) => self.on_digest(now, &digest, effects),
-            Body::FloorRequest(_) => effects.push(self.floor_reply(from)),
-            Body::FloorReply(reply) => {
-                self.floors
-                    .on_answer(BalancerId(reply.sender), reply.lowest);
-            }
+            Body::LowestRequest(_) => effects.push(self.lowest_reply(from)),
+            Body::LowestReply(reply) => self.on_lowest(now, reply),
             _ => self.refused += 1,
         }
     }
@@ -165,60 +167,40 @@
         // A revision that came before the loop began has woken nobody.
         self.on_revision();
         let mut actions = Vec::new();
-        let news = self.spreader.on_tick(now, &mut actions);
-        for news in &news {
+        for news in self.spreader.on_tick(now, &mut actions) {
             log::info!("members: target {} is {:?}", news.record.id, news.verdict);
         }
-        if now >= self.next_sweep {
-            self.next_sweep = now.after(FLOOR_SWEEP);
-            self.forget_floors_of_the_gone(now);
+        if is_watcher(self.fleet_view().rank) || now < self.lowest_wanted_until {
+            self.spreader.poll_lowest(now, &mut actions);
         }
         self.carry_over(actions, effects);
-        self.poll_floors(now, effects);
-    }
-
-    /// The lowest revision of the fleet is wanted for a while, so the others are polled for it.
-    pub const fn want_floor(&mut self, now: Millis) {
-        self.floor_wanted_until = now.after(FLOOR_WANTED_FOR);
-    }
-
-    /// The lowest revision of the fleet.
-    #[must_use]
-    pub fn floor(&self) -> Floor {
-        let present = self.view().balancers().present();
-        self.floors.fleet(self.revisions.latest().number, present)
     }
 
-    fn poll_floors(&mut self, now: Millis, effects: &mut Vec<Effect>) {
-        if now >= self.floor_wanted_until {
-            return;
-        }
-        let revision = self.revisions.latest().number;
-        let present = self.spreader.view().balancers().present();
-        let due = self.floors.polls(now, revision, present, POLLS_PER_TICK);
-        effects.extend(due.into_iter().map(|balancer| Effect::Send {
-            to: balancer.control,
-            body: Body::FloorRequest(FloorRequest {}),
-        }));
+    /// An operator wants to know the lowest revision of the fleet.
+    pub const fn want_lowest(&mut self, now: Millis) {
+        self.lowest_wanted_until = now.after(LOWEST_WANTED_FOR);
     }
 
-    fn floor_reply(&self, to: SocketAddr) -> Effect {
-        let reply = FloorReply {
-            sender: self.me().id.0,
-            lowest: self.floors.own(self.revisions.latest().number),
+    fn lowest_reply(&self, to: SocketAddr) -> Effect {
+        let reply = LowestReply {
+            sender: self.spreader.me().id.0,
+            revision: self.spreader.revision(),
+            lowest: self.spreader.lowest_here(),
         };
         Effect::Send {
             to,
-            body: Body::FloorReply(reply),
+            body: Body::LowestReply(reply),
         }
     }
 
-    fn forget_floors_of_the_gone(&mut self, now: Millis) {
-        let view = self.spreader.view();
-        let is_alive = |id| view.target(now, id).is_some_and(|news| !news.is_gone());
-        self.floors.retain_agents(is_alive);
-        let is_present = |id| view.balancers().present().any(|record| record.id == id);
-        self.floors.retain_balancers(is_present);
+    fn on_lowest(&mut self, now: Millis, reply: LowestReply) {
+        let report = BalancerReport {
+            revision: reply.revision,
+            lowest: reply.lowest,
+            at: now,
+        };
+        self.spreader
+            .on_lowest(now, BalancerId(reply.sender), report);
     }
 
     /// The reply to a request, none if it is no request.
@@ -276,15 +258,16 @@
             return;
         };
         let is_last = heartbeat.is_last;
-        if is_last {
-            self.floors.retain_agents(|id| id != record.id);
-        } else {
-            self.floors.on_agent(record.id, heartbeat.revision);
-        }
         let outcome = self.spreader.on_heartbeat(now, record, is_last);
         if is_last {
             return;
         }
+        let report = AgentReport {
+            revision: heartbeat.revision,
+            open: heartbeat.open,
+            at: now,
+        };
+        self.spreader.on_report(record.id, report);
         let revision = self.revisions.latest();
         let view = self.spreader.view();
         let refute_above = outcome.refute_above.map(|(incarnation, sequence)| Version {
@@ -332,6 +315,7 @@
         let summary = Summary {
             sender,
             revision: digest.revision,
+            lowest_revision: digest.lowest_revision,
             members: digest.members.clone(),
             wants_answer: digest.wants_answer,
         };
@@ -343,6 +327,10 @@
     /// Turns actions into messages and requests.
     fn carry_over(&self, actions: Vec<Action>, effects: &mut Vec<Effect>) {
         effects.extend(actions.into_iter().map(|action| match action {
+            Action::AskLowest { to } => Effect::Send {
+                to,
+                body: Body::LowestRequest(LowestRequest {}),
+            },
             Action::Push { to, news } => Effect::Send {
                 to,
                 body: Body::Rumour(self.rumour(&news)),
@@ -467,6 +455,7 @@
         revision: summary.revision,
         members: summary.members,
         wants_answer: summary.wants_answer,
+        lowest_revision: summary.lowest_revision,
     }
 }
 
--- a/crates/balancer/src/run.rs
+++ b/crates/balancer/src/run.rs
@@ -10,8 +10,10 @@
 
 use arc_swap::ArcSwap;
 use citronhollow_core::error::ErrorKind;
+use citronhollow_core::members::TargetState;
 use citronhollow_core::routes::Routes;
 use citronhollow_operator::failure::Failure;
+use citronhollow_operator::metrics::Metrics;
 use citronhollow_operator::status::{DrainStatus, FleetStatus};
 use citronhollow_operator::token::Token;
 use citronhollow_operator::{control as seam, http, logging, trace};
@@ -21,6 +23,7 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::control::{Control, ControlHandle};
+use crate::metrics;
 use crate::operator_http::{self, Identity, Sources};
 use crate::publish::{self, PublishSettings};
 use crate::revisions::RevisionStore;
@@ -86,6 +89,14 @@
         traffic: || figures.status(),
     };
     let requests = serve_operators(settings, listener);
+    let reporting = metrics::run(
+        open_metrics(settings)?,
+        metrics::Sources {
+            figures: traffic.figures(),
+            control: handle.clone(),
+            platform: client.clone(),
+        },
+    );
     let answering = operator_http::run(requests, identity, client, revisions, sources);
     log::info!("balancer: {} is at work", settings.name);
     // A balancer that leaves gives its lease back first and forwards until the control loop ends.
@@ -93,10 +104,18 @@
         () = control.run() => {}
         () = for_ever_after(publishing) => {}
         () = for_ever_after(answering) => {}
+        () = for_ever_after(reporting) => {}
     }
     Ok(())
 }
 
+fn open_metrics(settings: &Settings) -> Result<Metrics, Failure> {
+    Metrics::new(&settings.name, settings.metrics).map_err(|err| {
+        let message = format!("metrics: no UDP socket: {err}; check the settings field metrics");
+        Failure::new(ErrorKind::Invalid, message)
+    })
+}
+
 async fn for_ever_after(work: impl Future<Output = ()>) {
     work.await;
     std::future::pending::<()>().await;
@@ -108,17 +127,28 @@
 
 async fn drain(handle: &ControlHandle, target: &str, on: bool) -> Result<DrainStatus, Failure> {
     let outcome = handle.send_drain(target, on).await;
-    outcome.map_err(|kind| Failure::new(kind, format!("target {target}: {kind}")))?;
+    outcome.map_err(|kind| drain_failure(kind, target))?;
     let fleet = fleet(handle).await?;
     let found = fleet
         .drains
         .into_iter()
         .find(|drain| drain.target == target);
-    Ok(found.unwrap_or_else(|| DrainStatus {
+    // The end of a drain is not followed any more once the agent has confirmed it.
+    let ended = || DrainStatus {
         target: String::from(target),
-        state: None,
+        state: (!on).then_some(TargetState::Ready),
         open: None,
-    }))
+    };
+    Ok(found.unwrap_or_else(ended))
+}
+
+fn drain_failure(kind: ErrorKind, target: &str) -> Failure {
+    let remedy = match kind {
+        ErrorKind::NotFound => "see status for the targets that this balancer knows",
+        ErrorKind::Timeout => "its agent did not confirm in time; ask again, it is safe",
+        _ => "ask another balancer",
+    };
+    Failure::new(kind, format!("target {target}: {kind}; {remedy}"))
 }
 
 fn stopping() -> Failure {
--- a/crates/balancer/tests/documents.rs
+++ b/crates/balancer/tests/documents.rs
@@ -51,8 +51,8 @@
     async fn start(has_publisher: bool) -> Self {
         let platform = StandIn::start(loopback()).await.expect("a stand-in");
         let client = Client::new(ClientConfig {
-            address: platform.address(),
             deadline: Millis(500),
+            ..ClientConfig::new(platform.address())
         });
         let revisions = RevisionStore::default();
         let (stop, stopped) = watch::channel(false);
--- a/crates/core/src/rumour.rs
+++ b/crates/core/src/rumour.rs
@@ -8,20 +8,22 @@
 
 mod budget;
 mod delta;
-mod floors;
 mod liveness;
 mod peers;
+mod polls;
 mod queue;
 mod repair;
+mod reports;
 mod spreader;
 
 pub use budget::TokenBucket;
 pub use delta::RevisionDelta;
-pub use floors::{Floor, Floors, POLL_AGAIN_AFTER, POLLS_UNANSWERED_MAX};
 pub use liveness::{GONE_AFTER, Liveness, PROBE_RETRY, PROBE_SILENT_EVERY, PROBES_MAX};
 pub use peers::choose_peers;
+pub use polls::{POLL_AGAIN_AFTER, POLLS_UNANSWERED_MAX, Polls};
 pub use queue::{
     BUDGET_BURST, BUDGET_PER_S, FAN_OUT, Push, ROUND, Rumours, Topic, copies_for, rounds_for,
 };
 pub use repair::{DIGEST_EVERY, SLICES_PER_FETCH, comparable_digests, slices_to_fetch};
+pub use reports::{AgentReport, BalancerReport, Reports};
 pub use spreader::{Action, FETCH_AGAIN_AFTER, INLINE_MAX, JOIN_EVERY, News, Spreader, Summary};
--- a/crates/core/src/rumour/spreader.rs
+++ b/crates/core/src/rumour/spreader.rs
@@ -11,12 +11,18 @@
 use rand::{Rng, SeedableRng};
 
 use super::liveness::Liveness;
+use super::polls::Polls;
 use super::queue::{ROUND, Rumours, Topic};
 use super::repair::{DIGEST_EVERY, comparable_digests, slices_to_fetch};
+use super::reports::{AgentReport, BalancerReport, Reports};
 use crate::clock::Millis;
 use crate::hash;
+use crate::id::{BalancerId, TargetId};
 use crate::members::{BalancerRecord, HeartbeatOutcome, SLICES, TargetNews, TargetRecord, View};
 
+/// Balancers asked for their lowest revision at one tick.
+const POLLS_AT_ONCE: usize = 1;
+
 /// Time between two attempts to join through the seeds.
 pub const JOIN_EVERY: Millis = Millis::from_secs(1);
 
@@ -49,6 +55,8 @@
     pub sender: BalancerRecord,
     /// Highest revision that the sender has.
     pub revision: u64,
+    /// Lowest revision of the sender and of the agents that report to it.
+    pub lowest_revision: u64,
     /// Digest of each slice, zero where a change is on its way.
     pub members: Vec<u64>,
     /// Whether the receiver is to answer with its own.
@@ -58,6 +66,11 @@
 /// What is to be done.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Action {
+    /// Ask a balancer for the lowest revision among it and the agents that report to it.
+    AskLowest {
+        /// The balancer.
+        to: SocketAddr,
+    },
     /// Push news.
     Push {
         /// To whom.
@@ -94,6 +107,8 @@
     view: View,
     rumours: Rumours,
     liveness: Liveness,
+    reports: Reports,
+    polls: Polls,
     rng: SmallRng,
     revision: u64,
     has_joined: bool,
@@ -124,6 +139,8 @@
             view: View::new(),
             rumours,
             liveness: Liveness::default(),
+            reports: Reports::default(),
+            polls: Polls::default(),
             rng: SmallRng::seed_from_u64(seed),
             revision: 0,
             has_joined: false,
@@ -149,6 +166,67 @@
         self.revision
     }
 
+    /// What other processes last reported here.
+    #[must_use]
+    pub const fn reports(&self) -> &Reports {
+        &self.reports
+    }
+
+    /// Lowest revision among all that are not known to be gone. What depends on nobody being
+    /// behind uses this.
+    #[must_use]
+    pub fn lowest_of_all(&self) -> u64 {
+        let peers = self.view.balancers().present().map(|peer| peer.id);
+        self.reports.lowest_of(self.revision, peers)
+    }
+
+    /// Lowest revision among those that answer.
+    #[must_use]
+    pub fn lowest_of_answering(&self) -> u64 {
+        let peers = self.reachable_peers();
+        let answering = peers
+            .iter()
+            .map(|peer| peer.id)
+            .filter(|id| self.polls.is_answering(*id));
+        self.reports.lowest_of(self.revision, answering)
+    }
+
+    /// Lowest revision of this balancer and of the agents that report to it.
+    #[must_use]
+    pub fn lowest_here(&self) -> u64 {
+        self.reports.lowest_here(self.revision)
+    }
+
+    /// Asks some of the balancers that are behind for their lowest revision.
+    pub fn poll_lowest(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let reports = &self.reports;
+        let revision = self.revision;
+        let is_behind = |peer: &&BalancerRecord| {
+            let report = reports.balancer(peer.id);
+            report.is_none_or(|report| report.lowest < revision)
+        };
+        let behind = self.view.balancers().present().filter(is_behind).copied();
+        let due = self.polls.due(now, behind, POLLS_AT_ONCE);
+        let asks = due
+            .into_iter()
+            .map(|peer| Action::AskLowest { to: peer.control });
+        out.extend(asks);
+    }
+
+    /// A balancer answers such a question.
+    pub fn on_lowest(&mut self, now: Millis, id: BalancerId, report: BalancerReport) {
+        self.view.on_contact(now);
+        self.liveness.on_answer(id);
+        self.polls.on_answer(id);
+        self.reports.on_balancer(id, report);
+    }
+
+    /// Whether a balancer answers, as far as is known.
+    #[must_use]
+    pub fn is_reachable(&self, id: BalancerId) -> bool {
+        self.liveness.is_reachable(id)
+    }
+
     /// A revision came into force here, `length` bytes of content are spread with it.
     pub fn on_revision(&mut self, number: u64, length: usize) {
         if number <= self.revision {
@@ -173,12 +251,20 @@
         is_last: bool,
     ) -> HeartbeatOutcome {
         let outcome = self.view.on_heartbeat(now, record, is_last);
+        if is_last {
+            self.reports.on_agent_left(record.id);
+        }
         if outcome.is_news {
             self.rumours.add(Topic::Target(record.id));
         }
         outcome
     }
 
+    /// What an agent's heartbeat reports besides its record.
+    pub fn on_report(&mut self, id: TargetId, report: AgentReport) {
+        self.reports.on_agent(id, report);
+    }
+
     /// Takes what is new from a push and pushes it on.
     pub fn on_news(&mut self, now: Millis, from: SocketAddr, news: &News, out: &mut Vec<Action>) {
         self.view.on_contact(now);
@@ -197,6 +283,12 @@
         let from = summary.sender.control;
         self.liveness.on_answer(summary.sender.id);
         self.merge_balancer(now, summary.sender);
+        let report = BalancerReport {
+            revision: summary.revision,
+            lowest: summary.lowest_revision,
+            at: now,
+        };
+        self.reports.on_balancer(summary.sender.id, report);
         if summary.wants_answer {
             out.push(self.compare(now, from, false));
         }
@@ -240,6 +332,10 @@
     /// Does what is due, and returns the verdicts that were reached.
     pub fn on_tick(&mut self, now: Millis, out: &mut Vec<Action>) -> Vec<TargetNews> {
         let verdicts = self.view.on_tick(now);
+        self.reports.forget_gone(now, &self.view);
+        let balancers = self.view.balancers();
+        self.polls
+            .retain(|id| balancers.get(id).is_some_and(|record| !record.leaving));
         for news in &verdicts {
             self.rumours.add(Topic::Target(news.record.id));
         }
@@ -322,7 +418,9 @@
         }
     }
 
-    fn reachable_peers(&self) -> Vec<BalancerRecord> {
+    /// Balancers that answer, as far as is known.
+    #[must_use]
+    pub fn reachable_peers(&self) -> Vec<BalancerRecord> {
         self.view
             .balancers()
             .present()
@@ -367,6 +465,7 @@
         let summary = Summary {
             sender: self.me,
             revision: self.revision,
+            lowest_revision: self.lowest_here(),
             members: comparable_digests(&self.view, now),
             wants_answer,
         };
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -9,7 +9,7 @@
 mod traffic;
 
 pub use control::{
-    Balancer, Digest, FloorReply, FloorRequest, Heartbeat, HeartbeatReply, MembersReply,
+    Balancer, Digest, Heartbeat, HeartbeatReply, LowestReply, LowestRequest, MembersReply,
     MembersRequest, PoolReply, PoolRequest, RevisionReply, RevisionRequest, Rumour, Target,
     Version,
 };
@@ -80,10 +80,10 @@
     PoolReply(PoolReply),
     /// Balancer to balancer: ask for the lowest revision.
     #[prost(message, tag = "20")]
-    FloorRequest(FloorRequest),
+    LowestRequest(LowestRequest),
     /// Balancer to balancer: the lowest revision.
     #[prost(message, tag = "21")]
-    FloorReply(FloorReply),
+    LowestReply(LowestReply),
 }
 
 impl From<Body> for Envelope {
--- a/crates/peer/src/message/control.rs
+++ b/crates/peer/src/message/control.rs
@@ -140,6 +140,9 @@
     /// Whether the receiver is to answer with its own digest.
     #[prost(bool, tag = "4")]
     pub wants_answer: bool,
+    /// Lowest revision of the sender and of the agents that report to it.
+    #[prost(uint64, tag = "5")]
+    pub lowest_revision: u64,
 }
 
 /// Asks for the members of some slices.
@@ -204,15 +207,18 @@
 
 /// Asks for the lowest revision among the receiver and the agents that report to it.
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
-pub struct FloorRequest {}
+pub struct LowestRequest {}
 
 /// The lowest revision among the sender and the agents that report to it.
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
-pub struct FloorReply {
+pub struct LowestReply {
     /// Identity of the sender.
     #[prost(fixed64, tag = "1")]
     pub sender: u64,
-    /// The revision.
+    /// The sender's own revision.
     #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// The lowest one.
+    #[prost(uint64, tag = "3")]
     pub lowest: u64,
 }
