Build routes only once the fleet is known, and let agents refuse

A balancer that has just started knew the revision but only a part of the members, and reset opening packets. Change: routes are built once a peer has told the fleet or three heartbeats have passed. Where no target is known to be ready, an agent that may know more gets the opening packet and refuses by itself; only a pool without any agent is refused by the balancer.

--- a/crates/balancer/src/control.rs
+++ b/crates/balancer/src/control.rs
@@ -298,6 +298,11 @@
         if changes == self.built.changes && revision.number == self.built.revision {
             return;
         }
+        // Without routes a packet is dropped, and the caller's repetition comes to a balancer that
+        // knows more. Routes of half the fleet would refuse flows that others can serve.
+        if !self.node.knows_fleet(now) {
+            return;
+        }
         let due_at = *self.built.due_at.get_or_insert(now.after(REBUILD_AFTER));
         if now < due_at {
             return;
--- a/crates/balancer/src/control/node.rs
+++ b/crates/balancer/src/control/node.rs
@@ -115,6 +115,12 @@
         self.spreader.view()
     }
 
+    /// Whether routes can be built of what is known here.
+    #[must_use]
+    pub fn knows_fleet(&self, now: Millis) -> bool {
+        self.spreader.knows_fleet(now)
+    }
+
     /// Frames and records refused since the start.
     #[must_use]
     pub const fn refused_frames(&self) -> u64 {
--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -150,7 +150,7 @@
     /// # Errors
     ///
     /// [`ErrorKind::UnknownService`] if no service has the destination, and
-    /// [`ErrorKind::NoTarget`] if no agent can be given the packet.
+    /// [`ErrorKind::NoTarget`] if the pool has no agent at all.
     pub fn choose(&self, flow: &FlowId, segment: &Segment) -> Result<Choice, ErrorKind> {
         let service = *self
             .by_address
@@ -160,11 +160,8 @@
         let pool = route.pool_for(flow);
         let table = &self.pools[pool.0 as usize];
         let hash = flow.hash();
-        if segment.opens() {
-            let first = table.first_for_new(hash).ok_or(ErrorKind::NoTarget)?;
-            return Ok(Self::choice(service, pool, table, hash, first));
-        }
-        if let Some(target) = self.hinted(route, segment.echo) {
+        let hinted = self.hinted(route, segment.echo);
+        if let Some(target) = hinted.filter(|_| !segment.opens()) {
             return Ok(Choice {
                 service,
                 target,
@@ -172,6 +169,8 @@
                 chain: [None; RANKS],
             });
         }
+        // A member that takes no new flow knows better than this view who does, and refuses or
+        // hands on.
         let first = table
             .first_for_new(hash)
             .or_else(|| table.ranked(hash).next())
--- a/crates/core/src/rumour.rs
+++ b/crates/core/src/rumour.rs
@@ -26,4 +26,6 @@
 };
 pub use repair::{DIGEST_EVERY, SLICES_PER_FETCH, comparable_digests, slices_to_fetch};
 pub use reports::{AgentReport, BalancerReport, Reports};
-pub use spreader::{Action, FETCH_AGAIN_AFTER, INLINE_MAX, JOIN_EVERY, News, Spreader, Summary};
+pub use spreader::{
+    ALONE_AFTER, Action, FETCH_AGAIN_AFTER, INLINE_MAX, JOIN_EVERY, News, Spreader, Summary,
+};
--- a/crates/core/src/rumour/spreader.rs
+++ b/crates/core/src/rumour/spreader.rs
@@ -18,7 +18,13 @@
 use crate::clock::Millis;
 use crate::hash;
 use crate::id::{BalancerId, TargetId};
-use crate::members::{BalancerRecord, HeartbeatOutcome, SLICES, TargetNews, TargetRecord, View};
+use crate::members::{
+    BalancerRecord, HEARTBEAT, HeartbeatOutcome, SLICES, TargetNews, TargetRecord, View,
+};
+
+/// Time after its start when a balancer that no peer has told anything has heard every agent that
+/// reports to it: three heartbeats.
+pub const ALONE_AFTER: Millis = Millis(3 * HEARTBEAT.0);
 
 /// Balancers asked for their lowest revision at one tick.
 const POLLS_AT_ONCE: usize = 1;
@@ -118,6 +124,7 @@
 /// When each is due again.
 #[derive(Debug, Default)]
 struct Timers {
+    first_tick: Option<Millis>,
     round: Millis,
     compare: Millis,
     join: Millis,
@@ -160,6 +167,16 @@
         &self.view
     }
 
+    /// Whether what is known here is the fleet and not only a part of it.
+    ///
+    /// A process that has just started knows nobody, and must not conclude from this that there is
+    /// nobody. It knows the fleet once a peer has told it, or once every agent must have reported.
+    #[must_use]
+    pub fn knows_fleet(&self, now: Millis) -> bool {
+        let is_old = |first| now.since(first) >= ALONE_AFTER;
+        self.has_joined || self.timers.first_tick.is_some_and(is_old)
+    }
+
     /// Highest revision known here.
     #[must_use]
     pub const fn revision(&self) -> u64 {
@@ -331,6 +348,7 @@
 
     /// Does what is due, and returns the verdicts that were reached.
     pub fn on_tick(&mut self, now: Millis, out: &mut Vec<Action>) -> Vec<TargetNews> {
+        self.timers.first_tick.get_or_insert(now);
         let verdicts = self.view.on_tick(now);
         self.reports.forget_gone(now, &self.view);
         let balancers = self.view.balancers();
