--- a/crates/core/src/flows/packet.rs
+++ b/crates/core/src/flows/packet.rs
@@ -1,12 +1,15 @@
 //! What goes into the decisions and what comes out of them.
 
+use serde::{Deserialize, Serialize};
+
 use crate::clock::Millis;
 use crate::error::ErrorKind;
 use crate::flow::{FlowId, Segment};
 use crate::id::TargetId;
 
 /// How a packet came to this agent.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Arrival {
     /// From a balancer.
     Balancer,
@@ -28,7 +31,8 @@
 }
 
 /// A packet to decide about. `B` is the packet's bytes, opaque here.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Packet<B> {
     /// The flow it belongs to.
     pub flow: FlowId,
@@ -47,7 +51,8 @@
 }
 
 /// What a peer says about a flow.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Holding {
     /// It holds the flow.
     Here,
@@ -58,7 +63,8 @@
 }
 
 /// How a packet is sent to a peer.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Relay {
     /// The peer must accept or refuse the new flow.
     Hand,
@@ -67,7 +73,8 @@
 }
 
 /// Why a packet was dropped.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum DropReason {
     /// The destination is not an address of a service that this target serves.
     WrongService,
@@ -84,7 +91,8 @@
 }
 
 /// Why an endpoint must go.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum CloseReason {
     /// The service's address belongs to another service now. The caller gets a reset.
     Reassigned,
@@ -106,7 +114,8 @@
 }
 
 /// What to do. Everything is to be done in the order given.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Action<B> {
     /// Create an endpoint for the flow and give it the packet.
     Open {
