Prove flows among agents, refusals, cancellation and silence through real sockets

Cause: the traffic thread was shown only with one agent and a good link. Ruled out: one stack of the test taking the packets of another caller, which resets that caller's flow, and a refusing target whose port another test had got; both made runs fail now and then and were faults of the tests. Change: a pool of two or three agents in one process, a draining agent that hands over, packets sprayed over all agents, a flow that nobody holds, the 503 that never touches the target, resets of either end that reach the other, a caller that falls silent, a draining target, bad datagrams.

--- /dev/null
+++ b/crates/agent/tests/pool.rs
@@ -0,0 +1,133 @@
+//! Flows among the agents of one pool.
+
+mod support;
+
+use std::net::SocketAddr;
+
+use citronhollow_agent::link::TrafficCommand;
+use citronhollow_core::config::Refusal;
+use citronhollow_core::members::TargetState;
+use smoltcp::socket::tcp;
+
+use support::client::Client;
+use support::{Agent, Fabric, body, caller, echo, settings, settle, target};
+
+struct Pool {
+    fabric: Fabric,
+    agents: Vec<Agent>,
+}
+
+impl Pool {
+    fn new(count: usize) -> Self {
+        let fabric = Fabric::new();
+        let agents: Vec<Agent> = (1..=count)
+            .map(|n| Agent::start(&settings(&format!("rink-{n}"), fabric.addr())))
+            .collect();
+        let records: Vec<_> = agents
+            .iter()
+            .map(|agent| agent.record(TargetState::Ready))
+            .collect();
+        for agent in &agents {
+            agent.configure(target(echo), records.clone(), Refusal::Reset);
+        }
+        settle();
+        Self { fabric, agents }
+    }
+
+    fn addrs(&self) -> Vec<SocketAddr> {
+        self.agents.iter().map(|agent| agent.addr).collect()
+    }
+
+    fn open(&self) -> Vec<u32> {
+        self.agents
+            .iter()
+            .map(|agent| agent.figures.open())
+            .collect()
+    }
+
+    fn stop(self) {
+        for agent in self.agents {
+            agent.stop();
+        }
+    }
+
+    /// Sends `request` by way of the agents that `choose` names, and returns the answer.
+    fn exchange(
+        &self,
+        client: &mut Client,
+        request: &[u8],
+        choose: impl FnMut(&[u8]) -> SocketAddr,
+    ) -> Vec<u8> {
+        let mut sent = 0;
+        let mut answer = Vec::new();
+        self.fabric.run_via(client, choose, |client| {
+            if client.socket().may_send() {
+                sent += client.send(&request[sent..]);
+                if sent == request.len() {
+                    client.socket().close();
+                }
+            }
+            answer.extend(client.recv());
+            let is_open = self.open().iter().any(|open| *open > 0);
+            client.is_finished() && !is_open
+        });
+        answer
+    }
+}
+
+#[test]
+fn a_draining_agent_hands_a_new_flow_over() {
+    let pool = Pool::new(2);
+    pool.agents[0].command(TrafficCommand::State(TargetState::Draining));
+    let first = pool.agents[0].addr;
+    let mut client = caller(40_000);
+    let mut open_at_most = vec![0, 0];
+    let request = body(50_000);
+    let answer = pool.exchange(&mut client, &request, |_| {
+        for (most, open) in open_at_most.iter_mut().zip(pool.open()) {
+            *most = open.max(*most);
+        }
+        first
+    });
+    assert!(answer == request, "bytes differ");
+    assert_eq!(open_at_most, [0, 1]);
+    pool.stop();
+}
+
+#[test]
+fn packets_reach_the_holder_through_any_agent() {
+    let pool = Pool::new(3);
+    let addrs = pool.addrs();
+    for port in 40_000..40_005 {
+        let mut client = caller(port);
+        let mut turn = 0;
+        let request = body(20_000);
+        let answer = pool.exchange(&mut client, &request, |_| {
+            turn += 1;
+            addrs[turn % addrs.len()]
+        });
+        assert!(answer == request, "bytes differ");
+    }
+    pool.stop();
+}
+
+#[test]
+fn a_flow_that_nobody_holds_is_reset() {
+    let pool = Pool::new(2);
+    let mut client = caller(40_000);
+    pool.fabric.run(&mut client, pool.agents[0].addr, |client| {
+        client.socket().may_send()
+    });
+    let fabric = Fabric::new();
+    let agents = Pool::new(2);
+    // Agents that were just started know nothing of the flow.
+    client.send(b"1");
+    agents
+        .fabric
+        .run(&mut client, agents.agents[0].addr, |client| {
+            client.state() == tcp::State::Closed
+        });
+    drop(fabric);
+    agents.stop();
+    pool.stop();
+}
--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -5,15 +5,16 @@
 #[path = "../../../caller/tests/support/mod.rs"]
 pub mod client;
 
-use std::collections::VecDeque;
-use std::net::{SocketAddr, UdpSocket};
-use std::sync::Arc;
+use std::io::{self, Read};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::sync::{Arc, mpsc};
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use citronhollow_agent::link::{ControlCommand, TrafficCommand, TrafficFigures};
 use citronhollow_agent::settings::Settings;
 use citronhollow_agent::traffic::{self, TrafficHandle};
+use citronhollow_caller::packet;
 use citronhollow_core::clock::Millis;
 use citronhollow_core::config::{Documents, Pool, Refusal, Revision, Service};
 use citronhollow_core::id::{DomainId, GroupId, TargetId};
@@ -165,8 +166,6 @@
     socket: UdpSocket,
     codec: Codec,
     start: Instant,
-    /// Packets that agents sent to callers.
-    pub replies: VecDeque<Vec<u8>>,
     /// Flows are sampled with this trace identity.
     pub trace: u64,
     /// Targets that may hold the flows.
@@ -183,7 +182,6 @@
             socket,
             codec: codec(),
             start: Instant::now(),
-            replies: VecDeque::new(),
             trace: 0,
             chain: Vec::new(),
         }
@@ -254,7 +252,8 @@
             if is_done(client) {
                 return;
             }
-            if let Some(reply) = self.recv() {
+            // A stack resets flows that it does not know, so another caller's packet is lost.
+            if let Some(reply) = self.recv().filter(|reply| is_for(client, reply)) {
                 let mut out = Vec::new();
                 client.on_packet(self.now(), &reply, &mut out);
                 for packet in out {
@@ -266,6 +265,51 @@
     }
 }
 
+fn is_for(client: &Client, packet: &[u8]) -> bool {
+    packet::parse(packet).is_ok_and(|parsed| parsed.flow.service == client.from)
+}
+
+/// Long enough for the agents of a pool to have told one another their load.
+pub fn settle() {
+    std::thread::sleep(Duration::from_secs(1));
+}
+
+/// A target that does `serve` with every connection, in a thread of its own.
+pub fn target(serve: impl Fn(TcpStream) -> io::Result<()> + Clone + Send + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let serve = serve.clone();
+            std::thread::spawn(move || serve(stream.unwrap()));
+        }
+    });
+    addr
+}
+
+/// A target that tells how each of its connections ended.
+pub fn reporting_target() -> (SocketAddr, mpsc::Receiver<io::Result<Vec<u8>>>) {
+    let (tx, rx) = mpsc::channel();
+    let addr = target(move |mut stream| {
+        let mut bytes = Vec::new();
+        let end = stream.read_to_end(&mut bytes);
+        let _ = tx.send(end.map(|_| bytes));
+        Ok(())
+    });
+    (addr, rx)
+}
+
+/// What a target does that sends everything back.
+pub fn echo(mut stream: TcpStream) -> io::Result<()> {
+    let mut from = stream.try_clone()?;
+    io::copy(&mut from, &mut stream)?;
+    stream.shutdown(Shutdown::Write)
+}
+
+pub fn body(len: usize) -> Vec<u8> {
+    (0..=250).cycle().take(len).collect()
+}
+
 /// A caller with the given port that is about to connect to the service.
 pub fn caller(port: u16) -> Client {
     let from = SocketAddr::from(([198, 51, 100, 7], port));
--- a/crates/agent/tests/traffic.rs
+++ b/crates/agent/tests/traffic.rs
@@ -3,31 +3,20 @@
 mod support;
 
 use std::io::{self, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::thread;
+use std::net::{SocketAddr, TcpStream};
 
 use smoltcp::socket::tcp;
+use socket2::{Domain, SockRef, Socket, Type};
 
-use support::{Agent, Fabric, caller, settings};
-
-/// A target that does `serve` with every connection, in a thread of its own.
-fn target(serve: impl Fn(TcpStream) -> io::Result<()> + Clone + Send + 'static) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let addr = listener.local_addr().unwrap();
-    thread::spawn(move || {
-        for stream in listener.incoming() {
-            let serve = serve.clone();
-            thread::spawn(move || serve(stream.unwrap()));
-        }
-    });
-    addr
-}
-
-fn echo(mut stream: TcpStream) -> io::Result<()> {
-    let mut from = stream.try_clone()?;
-    io::copy(&mut from, &mut stream)?;
-    stream.shutdown(Shutdown::Write)
-}
+use citronhollow_agent::link::{ControlCommand, TrafficCommand};
+use citronhollow_core::clock::Millis;
+use citronhollow_core::config::Refusal;
+use citronhollow_core::members::TargetState;
+use citronhollow_peer::Body;
+use citronhollow_peer::message::Drain;
+use support::{
+    Agent, Fabric, HANG, body, caller, echo, eventually, reporting_target, settings, target,
+};
 
 fn answer_after_end(mut stream: TcpStream) -> io::Result<()> {
     let mut request = Vec::new();
@@ -42,9 +31,15 @@
 
 impl Bed {
     fn new(serve: impl Fn(TcpStream) -> io::Result<()> + Clone + Send + 'static) -> Self {
+        Self::with_target(target(serve), Millis::from_secs(30))
+    }
+
+    fn with_target(target: SocketAddr, keepalive: Millis) -> Self {
         let fabric = Fabric::new();
-        let agent = Agent::start(&settings("rink-1", fabric.addr()));
-        agent.serve(target(serve));
+        let mut settings = settings("rink-1", fabric.addr());
+        settings.keepalive_ms = keepalive;
+        let agent = Agent::start(&settings);
+        agent.serve(target);
         Self { fabric, agent }
     }
 }
@@ -67,10 +62,6 @@
     answer
 }
 
-fn body(len: usize) -> Vec<u8> {
-    (0..=250).cycle().take(len).collect()
-}
-
 macro_rules! exchanges {
     ($($name:ident: $serve:expr, $len:expr;)*) => {
         $(
@@ -104,9 +95,11 @@
 
 #[test]
 fn a_target_that_refuses_resets_the_caller() {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let refusing = listener.local_addr().unwrap();
-    drop(listener);
+    // Bound, so that nobody else gets the port, and not listening.
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    socket.bind(&any_port.into()).unwrap();
+    let refusing = socket.local_addr().unwrap().as_socket().unwrap();
     let fabric = Fabric::new();
     let agent = Agent::start(&settings("rink-1", fabric.addr()));
     agent.serve(refusing);
@@ -116,3 +109,127 @@
     });
     agent.stop();
 }
+
+/// An established flow to a target that tells how it ended, with one byte sent.
+fn started(bed: &Bed, port: u16) -> support::client::Client {
+    let mut client = caller(port);
+    let mut is_sent = false;
+    bed.fabric.run(&mut client, bed.agent.addr, |client| {
+        if client.socket().may_send() && !is_sent {
+            is_sent = client.send(b"1") == 1;
+        }
+        let is_closed = client.state() == tcp::State::Closed;
+        is_closed || is_sent && client.socket().send_queue() == 0
+    });
+    client
+}
+
+#[test]
+fn a_reset_of_the_caller_reaches_the_target() {
+    let (target, ends) = reporting_target();
+    let bed = Bed::with_target(target, Millis::from_secs(30));
+    let mut client = started(&bed, 40_000);
+    client.socket().abort();
+    bed.fabric.run(&mut client, bed.agent.addr, |_| true);
+    let end = ends.recv_timeout(HANG).unwrap();
+    assert_eq!(end.unwrap_err().kind(), io::ErrorKind::ConnectionReset);
+    eventually("the flow's end", || bed.agent.figures.open() == 0);
+    bed.agent.stop();
+}
+
+#[test]
+fn a_reset_of_the_target_reaches_the_caller() {
+    let bed = Bed::new(|mut stream| {
+        stream.read_exact(&mut [0; 1])?;
+        SockRef::from(&stream).set_linger(Some(std::time::Duration::ZERO))
+    });
+    let mut client = started(&bed, 40_000);
+    bed.fabric.run(&mut client, bed.agent.addr, |client| {
+        client.state() == tcp::State::Closed
+    });
+    eventually("the flow's end", || bed.agent.figures.open() == 0);
+    bed.agent.stop();
+}
+
+#[test]
+fn a_silent_caller_is_found_and_the_target_told() {
+    let (target, ends) = reporting_target();
+    let bed = Bed::with_target(target, Millis(200));
+    let _client = started(&bed, 40_000);
+    let end = ends.recv_timeout(HANG).unwrap();
+    assert_eq!(end.unwrap_err().kind(), io::ErrorKind::ConnectionReset);
+    eventually("the flow's end", || bed.agent.figures.open() == 0);
+    bed.agent.stop();
+}
+
+#[test]
+fn a_draining_target_finishes_its_flows_and_takes_no_new_one() {
+    let bed = Bed::new(echo);
+    let mut old = started(&bed, 40_000);
+    bed.agent
+        .command(TrafficCommand::State(TargetState::Draining));
+    let mut new = caller(40_001);
+    bed.fabric.run(&mut new, bed.agent.addr, |client| {
+        client.state() == tcp::State::Closed
+    });
+    assert_eq!(bed.agent.figures.open(), 1);
+    old.socket().close();
+    let mut answer = Vec::new();
+    bed.fabric.run(&mut old, bed.agent.addr, |client| {
+        answer.extend(client.recv());
+        client.is_finished() && bed.agent.figures.open() == 0
+    });
+    assert_eq!(answer, b"1");
+    bed.agent.stop();
+}
+
+#[test]
+fn a_refused_caller_is_told_without_the_target() {
+    let (target, ends) = reporting_target();
+    let fabric = Fabric::new();
+    let agent = Agent::start(&settings("rink-1", fabric.addr()));
+    let record = agent.record(TargetState::Draining);
+    agent.configure(target, vec![record], Refusal::Unavailable);
+    agent.command(TrafficCommand::State(TargetState::Draining));
+    let mut client = caller(40_000);
+    let mut is_sent = false;
+    let mut answer = Vec::new();
+    fabric.run(&mut client, agent.addr, |client| {
+        if client.socket().may_send() && !is_sent {
+            is_sent = client.send(b"POST /cards HTTP/1.1\r\nHost: desk\r\n\r\n") > 0;
+        }
+        answer.extend(client.recv());
+        client.is_finished()
+    });
+    let answer = String::from_utf8(answer).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+    assert!(answer.contains("\r\nRetry-After: "), "{answer}");
+    assert_eq!(agent.figures.open(), 0);
+    assert!(ends.try_recv().is_err());
+    agent.stop();
+}
+
+#[test]
+fn a_drain_reaches_the_control_thread() {
+    let mut bed = Bed::new(echo);
+    let drain = Body::Drain(Drain { on: true });
+    bed.fabric.send_body(bed.agent.addr, drain);
+    let expected = ControlCommand::Drain {
+        on: true,
+        reply_to: bed.fabric.addr(),
+    };
+    assert_eq!(bed.agent.control.blocking_recv(), Some(expected));
+    bed.agent.stop();
+}
+
+#[test]
+fn bad_datagrams_are_counted_and_harm_nothing() {
+    let bed = Bed::new(echo);
+    bed.fabric.send_raw(bed.agent.addr, b"");
+    bed.fabric.send_raw(bed.agent.addr, &[1; 64]);
+    bed.fabric.send_raw(bed.agent.addr, &[1; 1_600]);
+    bed.fabric.forward(bed.agent.addr, b"no packet");
+    eventually("the count", || bed.agent.figures.malformed() == 4);
+    assert_eq!(exchange(&bed, 40_000, b"card"), b"card");
+    bed.agent.stop();
+}
--- a/crates/caller/tests/support/mod.rs
+++ b/crates/caller/tests/support/mod.rs
@@ -44,6 +44,7 @@
 
 /// One connection of a caller.
 pub struct Client {
+    pub from: SocketAddr,
     iface: Interface,
     sockets: SocketSet<'static>,
     handle: SocketHandle,
@@ -76,6 +77,7 @@
         let mut sockets = SocketSet::new(Vec::with_capacity(1));
         let handle = sockets.add(socket);
         Self {
+            from,
             iface,
             sockets,
             handle,
