--- a/crates/balancer/src/control/fleet.rs
+++ b/crates/balancer/src/control/fleet.rs
@@ -20,7 +20,8 @@
 /// The fleet as an operator sees it.
 pub(super) fn status(now: Millis, spreader: &Spreader) -> FleetStatus {
     let view = spreader.view();
-    let balancers = view.balancers().iter();
+    let me = spreader.me().id;
+    let balancers = view.balancers().iter().filter(|other| other.id != me);
     let balancers = balancers.map(|record| balancer(now, spreader, record));
     let targets = view.targets(now).map(|news| target(now, spreader, &news));
     FleetStatus {
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -11,7 +11,7 @@
 pub use control::{
     Balancer, Digest, Heartbeat, HeartbeatReply, LowestReply, LowestRequest, MembersReply,
     MembersRequest, PoolReply, PoolRequest, RevisionReply, RevisionRequest, Rumour, Target,
-    Version,
+    TargetVerdict, Version,
 };
 pub(crate) use traffic::PACKET_TAG;
 pub use traffic::{Drain, Forward, Holding, Load, Question, Relay, Reply};
