--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -15,6 +15,7 @@
 use citronhollow_core::config::Revision;
 use citronhollow_core::id::{DomainId, TargetId};
 use citronhollow_core::members::{TargetNews, TargetState};
+use citronhollow_operator::listener;
 use citronhollow_peer::exchange;
 use citronhollow_peer::message::{Heartbeat, HeartbeatReply, PoolReply, PoolRequest};
 use citronhollow_peer::{
@@ -192,7 +193,10 @@
         };
         let latest = self.announced_tx.clone();
         tokio::spawn(async move {
-            if let Err(error) = announce::serve(listener, latest).await {
+            let serving = listener::serve(listener, |incoming| {
+                announce::serve(incoming, latest.clone())
+            });
+            if let Err(error) = serving.await {
                 log::error!("control: announcements cannot be served: {error}");
             }
         });
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -69,11 +69,15 @@
 }
 
 fn stop_on_signal() -> Result<watch::Receiver<bool>, Failure> {
-    let mut terminate = signal(SignalKind::terminate())
-        .map_err(|err| failure(&format!("no signal handler: {err}")))?;
+    let no_handler = |err| failure(&format!("no signal handler: {err}"));
+    let mut terminate = signal(SignalKind::terminate()).map_err(no_handler)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(no_handler)?;
     let (tx, rx) = watch::channel(false);
     tokio::spawn(async move {
-        terminate.recv().await;
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
         tx.send_replace(true);
         // The receiver must not see the sender go while the agent drains.
         tx.closed().await;
--- a/crates/agent/src/traffic.rs
+++ b/crates/agent/src/traffic.rs
@@ -1,7 +1,7 @@
 //! The traffic thread: every flow of the target, from the callers' packets to the target's bytes.
 //!
 //! The thread runs a single-threaded runtime of its own, so that flow state needs no locks and a
-//! slow control step never delays a packet. [`dispatch`] turns datagrams into decisions and does
+//! slow control step never delays a packet. `dispatch` turns datagrams into decisions and does
 //! what they say; each flow is a local task that owns its two ends. What the control thread knows
 //! comes in as commands.
 
--- a/crates/balancer/src/run.rs
+++ b/crates/balancer/src/run.rs
@@ -170,11 +170,15 @@
 }
 
 fn leave_on_signal(handle: ControlHandle) -> Result<watch::Receiver<bool>, Failure> {
-    let mut terminate = signal(SignalKind::terminate())
-        .map_err(|err| Failure::new(ErrorKind::Invalid, format!("no signal handler: {err}")))?;
+    let no_handler = |err| Failure::new(ErrorKind::Invalid, format!("no signal handler: {err}"));
+    let mut terminate = signal(SignalKind::terminate()).map_err(no_handler)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(no_handler)?;
     let (tx, rx) = watch::channel(false);
     tokio::spawn(async move {
-        terminate.recv().await;
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
         tx.send_replace(true);
         handle.leave().await;
     });
--- a/crates/operator/src/http.rs
+++ b/crates/operator/src/http.rs
@@ -20,7 +20,6 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
-use volo::net::incoming::DefaultIncoming;
 use volo_http::body::BodyConversion;
 use volo_http::http::{HeaderMap, StatusCode, header};
 use volo_http::request::Request;
@@ -32,6 +31,7 @@
 use crate::control::ControlHandle;
 use crate::documents::{Applied, ApplyRequest, Drafts};
 use crate::failure::Failure;
+use crate::listener;
 use crate::status::{DrainStatus, Status};
 use crate::token::Token;
 
@@ -54,15 +54,17 @@
     pub ok: bool,
 }
 
-/// Answers operators until the process is told to stop.
+/// Answers operators for as long as the process runs.
 ///
 /// # Errors
 ///
-/// The error of the listener.
+/// The error of the signal handlers.
 pub async fn serve(listener: TcpListener, token: Token, control: ControlHandle) -> io::Result<()> {
-    let incoming = DefaultIncoming::from(listener);
-    let server = Server::new(Desk { token, control }.router());
-    server.run(incoming).await.map_err(io::Error::other)
+    let desk = Desk { token, control };
+    listener::serve(listener, |incoming| {
+        Server::new(desk.router()).run(incoming)
+    })
+    .await
 }
 
 /// What every handler needs.
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod failure;
 pub mod http;
 pub mod input;
+pub mod listener;
 pub mod logging;
 pub mod metrics;
 pub mod problem;
--- a/crates/target/src/announce.rs
+++ b/crates/target/src/announce.rs
@@ -14,9 +14,8 @@
 use citronhollow_core::members::TargetState;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
-use tokio::net::TcpListener;
 use tokio::sync::watch;
-use volo::net::incoming::DefaultIncoming;
+use volo::net::incoming::MakeIncoming;
 use volo_http::http::StatusCode;
 use volo_http::server::route::{MethodRouter, get};
 use volo_http::server::{Router, Server};
@@ -136,16 +135,15 @@
     Ok(announcement)
 }
 
-/// Serves announcements until the task is dropped.
+/// Serves announcements until the process gets a signal.
 ///
 /// # Errors
 ///
 /// The error of the listener.
 pub async fn serve(
-    listener: TcpListener,
+    incoming: impl MakeIncoming,
     latest: watch::Sender<Latest>,
 ) -> Result<(), volo_http::error::BoxError> {
-    let incoming = DefaultIncoming::from(listener);
     Server::new(router(latest)).run(incoming).await
 }
 
