--- a/crates/balancer/src/control.rs
+++ b/crates/balancer/src/control.rs
@@ -223,6 +223,7 @@
                 self.drains.start(now, self.node.view(), &name, on, done);
             }
             Command::Fleet(reply) => {
+                self.node.want_lowest(now);
                 let _ = reply.send(self.fleet());
             }
             Command::Status(reply) => {
--- a/crates/balancer/src/control/fleet.rs
+++ b/crates/balancer/src/control/fleet.rs
@@ -13,7 +13,7 @@
     let peers = spreader.reachable_peers();
     FleetView {
         rank: peers.iter().filter(|peer| peer.id < me).count(),
-        lowest_reported: spreader.lowest_reported(),
+        lowest_reported: spreader.lowest_of_all(),
     }
 }
 
@@ -25,7 +25,7 @@
     let targets = view.targets(now).map(|news| target(now, spreader, &news));
     FleetStatus {
         revision: spreader.revision(),
-        lowest_reported: spreader.lowest_reported(),
+        lowest_reported: spreader.lowest_of_answering(),
         balancers: std::iter::once(own(spreader)).chain(balancers).collect(),
         targets: targets.collect(),
         is_isolated: view.is_isolated(now),
--- a/crates/balancer/src/control/node.rs
+++ b/crates/balancer/src/control/node.rs
@@ -10,15 +10,17 @@
 use citronhollow_core::clock::Millis;
 use citronhollow_core::config::Revision;
 use citronhollow_core::hash;
-use citronhollow_core::id::{GroupId, TargetId};
+use citronhollow_core::id::{BalancerId, GroupId, TargetId};
 use citronhollow_core::members::{
     BalancerRecord, REPORTERS, SLICES, View, reporters_for, slice_of,
 };
-use citronhollow_core::rumour::{Action, AgentReport, News, RevisionDelta, Spreader, Summary};
+use citronhollow_core::rumour::{
+    Action, AgentReport, BalancerReport, News, RevisionDelta, Spreader, Summary,
+};
 use citronhollow_operator::status::FleetStatus;
 use citronhollow_peer::message::{
-    Balancer, Digest, Heartbeat, HeartbeatReply, MembersReply, MembersRequest, RevisionReply,
-    RevisionRequest, Rumour, Version,
+    Balancer, Digest, Heartbeat, HeartbeatReply, LowestReply, LowestRequest, MembersReply,
+    MembersRequest, RevisionReply, RevisionRequest, Rumour, Version,
 };
 use citronhollow_peer::{
     Body, CodecError, RecordError, balancer_from_message, balancer_to_message, record_from_message,
@@ -31,6 +33,7 @@
 use super::pool::{self, PoolDigests};
 use super::revision_log::RevisionLog;
 use crate::publish::FleetView;
+use crate::publish::is_watcher;
 use crate::revisions::RevisionStore;
 
 /// Balancers that an agent is told of: those to report to, and some in case they do not answer.
@@ -39,6 +42,9 @@
 /// One in this many heartbeats is answered with the agent's best balancers in any case.
 const BALANCERS_ONE_IN: u32 = 16;
 
+/// Time for which the others are polled after the lowest revision was wanted.
+const LOWEST_WANTED_FOR: Millis = Millis::from_secs(10);
+
 /// What the loop is to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
@@ -65,6 +71,7 @@
     revisions: RevisionStore,
     log: RevisionLog,
     digests: PoolDigests,
+    lowest_wanted_until: Millis,
     rng: SmallRng,
     refused: u64,
 }
@@ -79,6 +86,7 @@
             revisions,
             log: RevisionLog::default(),
             digests: PoolDigests::default(),
+            lowest_wanted_until: Millis::ZERO,
             rng: SmallRng::seed_from_u64(seed),
             refused: 0,
         };
@@ -148,6 +156,8 @@
             Body::Heartbeat(heartbeat) => self.on_heartbeat(now, from, &heartbeat, effects),
             Body::Rumour(rumour) => self.on_rumour(now, from, &rumour, effects),
             Body::Digest(digest) => self.on_digest(now, &digest, effects),
+            Body::LowestRequest(_) => effects.push(self.lowest_reply(from)),
+            Body::LowestReply(reply) => self.on_lowest(now, reply),
             _ => self.refused += 1,
         }
     }
@@ -160,9 +170,39 @@
         for news in self.spreader.on_tick(now, &mut actions) {
             log::info!("members: target {} is {:?}", news.record.id, news.verdict);
         }
+        if is_watcher(self.fleet_view().rank) || now < self.lowest_wanted_until {
+            self.spreader.poll_lowest(now, &mut actions);
+        }
         self.carry_over(actions, effects);
     }
 
+    /// An operator wants to know the lowest revision of the fleet.
+    pub const fn want_lowest(&mut self, now: Millis) {
+        self.lowest_wanted_until = now.after(LOWEST_WANTED_FOR);
+    }
+
+    fn lowest_reply(&self, to: SocketAddr) -> Effect {
+        let reply = LowestReply {
+            sender: self.spreader.me().id.0,
+            revision: self.spreader.revision(),
+            lowest: self.spreader.lowest_here(),
+        };
+        Effect::Send {
+            to,
+            body: Body::LowestReply(reply),
+        }
+    }
+
+    fn on_lowest(&mut self, now: Millis, reply: LowestReply) {
+        let report = BalancerReport {
+            revision: reply.revision,
+            lowest: reply.lowest,
+            at: now,
+        };
+        self.spreader
+            .on_lowest(now, BalancerId(reply.sender), report);
+    }
+
     /// The reply to a request, none if it is no request.
     #[must_use]
     pub fn answer(&self, now: Millis, request: &Body) -> Option<Body> {
@@ -287,6 +327,10 @@
     /// Turns actions into messages and requests.
     fn carry_over(&self, actions: Vec<Action>, effects: &mut Vec<Effect>) {
         effects.extend(actions.into_iter().map(|action| match action {
+            Action::AskLowest { to } => Effect::Send {
+                to,
+                body: Body::LowestRequest(LowestRequest {}),
+            },
             Action::Push { to, news } => Effect::Send {
                 to,
                 body: Body::Rumour(self.rumour(&news)),
--- a/crates/core/src/rumour.rs
+++ b/crates/core/src/rumour.rs
@@ -10,6 +10,7 @@
 mod delta;
 mod liveness;
 mod peers;
+mod polls;
 mod queue;
 mod repair;
 mod reports;
@@ -19,6 +20,7 @@
 pub use delta::RevisionDelta;
 pub use liveness::{GONE_AFTER, Liveness, PROBE_RETRY, PROBE_SILENT_EVERY, PROBES_MAX};
 pub use peers::choose_peers;
+pub use polls::{POLL_AGAIN_AFTER, POLLS_UNANSWERED_MAX, Polls};
 pub use queue::{
     BUDGET_BURST, BUDGET_PER_S, FAN_OUT, Push, ROUND, Rumours, Topic, copies_for, rounds_for,
 };
--- a/crates/core/src/rumour/spreader.rs
+++ b/crates/core/src/rumour/spreader.rs
@@ -11,6 +11,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::liveness::Liveness;
+use super::polls::Polls;
 use super::queue::{ROUND, Rumours, Topic};
 use super::repair::{DIGEST_EVERY, comparable_digests, slices_to_fetch};
 use super::reports::{AgentReport, BalancerReport, Reports};
@@ -19,6 +20,9 @@
 use crate::id::{BalancerId, TargetId};
 use crate::members::{BalancerRecord, HeartbeatOutcome, SLICES, TargetNews, TargetRecord, View};
 
+/// Balancers asked for their lowest revision at one tick.
+const POLLS_AT_ONCE: usize = 1;
+
 /// Time between two attempts to join through the seeds.
 pub const JOIN_EVERY: Millis = Millis::from_secs(1);
 
@@ -62,6 +66,11 @@
 /// What is to be done.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Action {
+    /// Ask a balancer for the lowest revision among it and the agents that report to it.
+    AskLowest {
+        /// The balancer.
+        to: SocketAddr,
+    },
     /// Push news.
     Push {
         /// To whom.
@@ -99,6 +108,7 @@
     rumours: Rumours,
     liveness: Liveness,
     reports: Reports,
+    polls: Polls,
     rng: SmallRng,
     revision: u64,
     has_joined: bool,
@@ -130,6 +140,7 @@
             rumours,
             liveness: Liveness::default(),
             reports: Reports::default(),
+            polls: Polls::default(),
             rng: SmallRng::seed_from_u64(seed),
             revision: 0,
             has_joined: false,
@@ -161,14 +172,55 @@
         &self.reports
     }
 
-    /// Lowest revision of the whole fleet, as far as it is known to be alive.
+    /// Lowest revision among all that are not known to be gone. What depends on nobody being
+    /// behind uses this.
     #[must_use]
-    pub fn lowest_reported(&self) -> u64 {
-        let peers = self.reachable_peers();
-        let peers = peers.iter().map(|peer| peer.id);
+    pub fn lowest_of_all(&self) -> u64 {
+        let peers = self.view.balancers().present().map(|peer| peer.id);
         self.reports.lowest_of(self.revision, peers)
     }
 
+    /// Lowest revision among those that answer.
+    #[must_use]
+    pub fn lowest_of_answering(&self) -> u64 {
+        let peers = self.reachable_peers();
+        let answering = peers
+            .iter()
+            .map(|peer| peer.id)
+            .filter(|id| self.polls.is_answering(*id));
+        self.reports.lowest_of(self.revision, answering)
+    }
+
+    /// Lowest revision of this balancer and of the agents that report to it.
+    #[must_use]
+    pub fn lowest_here(&self) -> u64 {
+        self.reports.lowest_here(self.revision)
+    }
+
+    /// Asks some of the balancers that are behind for their lowest revision.
+    pub fn poll_lowest(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let reports = &self.reports;
+        let revision = self.revision;
+        let is_behind = |peer: &&BalancerRecord| {
+            let report = reports.balancer(peer.id);
+            report.is_none_or(|report| report.lowest < revision)
+        };
+        let behind = self.view.balancers().present().filter(is_behind).copied();
+        let due = self.polls.due(now, behind, POLLS_AT_ONCE);
+        let asks = due
+            .into_iter()
+            .map(|peer| Action::AskLowest { to: peer.control });
+        out.extend(asks);
+    }
+
+    /// A balancer answers such a question.
+    pub fn on_lowest(&mut self, now: Millis, id: BalancerId, report: BalancerReport) {
+        self.view.on_contact(now);
+        self.liveness.on_answer(id);
+        self.polls.on_answer(id);
+        self.reports.on_balancer(id, report);
+    }
+
     /// Whether a balancer answers, as far as is known.
     #[must_use]
     pub fn is_reachable(&self, id: BalancerId) -> bool {
@@ -281,6 +333,9 @@
     pub fn on_tick(&mut self, now: Millis, out: &mut Vec<Action>) -> Vec<TargetNews> {
         let verdicts = self.view.on_tick(now);
         self.reports.forget_gone(now, &self.view);
+        let balancers = self.view.balancers();
+        self.polls
+            .retain(|id| balancers.get(id).is_some_and(|record| !record.leaving));
         for news in &verdicts {
             self.rumours.add(Topic::Target(news.record.id));
         }
@@ -410,7 +465,7 @@
         let summary = Summary {
             sender: self.me,
             revision: self.revision,
-            lowest_revision: self.reports.lowest_here(self.revision),
+            lowest_revision: self.lowest_here(),
             members: comparable_digests(&self.view, now),
             wants_answer,
         };
--- a/crates/peer/src/message/control.rs
+++ b/crates/peer/src/message/control.rs
@@ -204,3 +204,21 @@
     #[prost(fixed64, tag = "3")]
     pub peers_digest: u64,
 }
+
+/// Asks for the lowest revision among the receiver and the agents that report to it.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct LowestRequest {}
+
+/// The lowest revision among the sender and the agents that report to it.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct LowestReply {
+    /// Identity of the sender.
+    #[prost(fixed64, tag = "1")]
+    pub sender: u64,
+    /// The sender's own revision.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// The lowest one.
+    #[prost(uint64, tag = "3")]
+    pub lowest: u64,
+}
