--- a/crates/core/tests/fleet/mod.rs
+++ b/crates/core/tests/fleet/mod.rs
@@ -271,6 +271,8 @@
 
     fn carry_out(&mut self, from: usize, action: Action) {
         match action {
+            // Only publishers and operators' balancers poll, and this fleet has neither.
+            Action::AskLowest { .. } => {}
             Action::Push { to, news } => {
                 let content = if news.carries_revision {
                     news.revision
