Ask the control tests which target is given new flows

Change: a target counts as chosen only if its state takes new flows, which also stops the tests from being content with a starting one.

--- a/crates/balancer/tests/fleet/mod.rs
+++ b/crates/balancer/tests/fleet/mod.rs
@@ -134,7 +134,9 @@
         };
         let routes = self.routes.load();
         let choice = routes.choose(&flow, &opening).ok()?;
-        Some(routes.target(choice.target).id)
+        // An agent whose target takes no new flow gets the packet only to refuse it or hand it on.
+        let member = routes.target(choice.target);
+        member.state.takes_new().then_some(member.id)
     }
 }
 
