Hand callers' packets to the kernel in batches

Cause: sending took 76 of 100 samples of the traffic thread, one system call for each packet. Ruled out: packets kept for a timer, which would delay an answer; a batch goes as soon as the tasks that are ready have run. Change: quinn-udp sends packets of one size to one address together and receives in batches; the throughput example also compares by the processor time of the two threads. Tests: 13 traffic and 3 pool tests pass.

--- a/crates/agent/examples/flow_throughput.rs
+++ b/crates/agent/examples/flow_throughput.rs
@@ -10,6 +10,7 @@
 use std::collections::HashMap;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread::{self, JoinHandle};
@@ -17,6 +18,7 @@
 
 use citronhollow_caller::packet;
 use citronhollow_core::flow::FlowId;
+use derive_more::Display;
 use tokio::net::TcpListener;
 
 use support::client::{Client, ClientSettings};
@@ -34,8 +36,7 @@
 /// Bytes that the target writes at once.
 const CHUNK: usize = 64 * 1_024;
 
-/// Bytes in a megabit.
-const MEGABIT: f64 = 125_000.0;
+const KILOBYTES_PER_MEGABIT: f64 = 125.0;
 
 #[derive(Default)]
 struct Meter {
@@ -45,10 +46,15 @@
 
 fn main() {
     let target = target(send_on);
-    let plain = measure(|meter| plain_drivers(target, meter));
-    println!("plain TCP splice: {plain:.0} Mbit/s");
-    let agent = measure(|meter| agent_drivers(target, meter));
-    println!("agent: {agent:.0} Mbit/s, ratio {:.2}", agent / plain);
+    let plain = measure("relay", |meter| plain_drivers(target, meter));
+    println!("plain TCP splice: {plain}");
+    let agent = measure("traffic", |meter| agent_drivers(target, meter));
+    println!("agent: {agent}");
+    println!("ratio: {:.2}", agent.rate / plain.rate);
+    println!(
+        "ratio by processor time: {:.2}",
+        agent.per_busy / plain.per_busy
+    );
 }
 
 fn send_on(mut stream: TcpStream) -> io::Result<()> {
@@ -58,20 +64,47 @@
     }
 }
 
-/// Megabits a second that the drivers take.
-fn measure(start: impl FnOnce(&Arc<Meter>) -> Vec<JoinHandle<()>>) -> f64 {
+/// What a path carried.
+#[derive(Clone, Copy, Debug, Display)]
+#[display("{rate:.0} Mbit/s, {per_busy:.0} Mbit a second of its thread's processor time")]
+struct Speed {
+    rate: f64,
+    per_busy: f64,
+}
+
+/// Processor time of the thread with this name.
+fn busy(thread: &str) -> Duration {
+    let tasks = std::fs::read_dir("/proc/self/task").unwrap();
+    let paths = tasks.map(|task| task.unwrap().path());
+    let named = |path: &PathBuf| {
+        std::fs::read_to_string(path.join("comm")).is_ok_and(|name| name.trim_end() == thread)
+    };
+    let path = paths.into_iter().find(named).unwrap();
+    let schedstat = std::fs::read_to_string(path.join("schedstat")).unwrap();
+    let nanos = schedstat.split_whitespace().next().unwrap();
+    Duration::from_nanos(nanos.parse().unwrap())
+}
+
+/// Lets the drivers take what `thread` carries.
+fn measure(thread: &str, start: impl FnOnce(&Arc<Meter>) -> Vec<JoinHandle<()>>) -> Speed {
     let meter = Arc::new(Meter::default());
     let drivers = start(&meter);
     thread::sleep(WARM_UP);
     let before = meter.bytes.load(Ordering::Relaxed);
+    let busy_before = busy(thread);
     thread::sleep(MEASURED);
     let after = meter.bytes.load(Ordering::Relaxed);
+    let busy = busy(thread).saturating_sub(busy_before);
     meter.is_over.store(true, Ordering::Relaxed);
     for driver in drivers {
         driver.join().unwrap();
     }
-    let bytes = u32::try_from((after - before) / 1_000).unwrap();
-    f64::from(bytes) * 1_000.0 / MEGABIT / MEASURED.as_secs_f64()
+    let kilobytes = u32::try_from((after - before) / 1_000).unwrap();
+    let megabits = f64::from(kilobytes) / KILOBYTES_PER_MEGABIT;
+    Speed {
+        rate: megabits / MEASURED.as_secs_f64(),
+        per_busy: megabits / busy.as_secs_f64(),
+    }
 }
 
 fn plain_drivers(target: SocketAddr, meter: &Arc<Meter>) -> Vec<JoinHandle<()>> {
@@ -96,7 +129,7 @@
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     listener.set_nonblocking(true).unwrap();
     let addr = listener.local_addr().unwrap();
-    thread::spawn(move || {
+    let relay = move || {
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_io()
             .build()
@@ -107,7 +140,11 @@
                 tokio::spawn(splice(caller, target));
             }
         });
-    });
+    };
+    let relay = thread::Builder::new()
+        .name(String::from("relay"))
+        .spawn(relay);
+    assert!(relay.is_ok(), "no thread for the relay");
     addr
 }
 
--- a/crates/agent/src/link.rs
+++ b/crates/agent/src/link.rs
@@ -58,9 +58,9 @@
                     self.$name.load(Ordering::Relaxed)
                 }
 
-                /// Counts one more.
-                pub fn $count(&self) {
-                    self.$name.fetch_add(1, Ordering::Relaxed);
+                /// Counts so many more.
+                pub fn $count(&self, more: usize) {
+                    self.$name.fetch_add(more as u64, Ordering::Relaxed);
                 }
             )*
         }
--- a/crates/agent/src/traffic.rs
+++ b/crates/agent/src/traffic.rs
@@ -6,6 +6,7 @@
 //! comes in as commands.
 
 mod agent;
+mod datagrams;
 mod dispatch;
 mod flow;
 mod lingering;
--- a/crates/agent/src/traffic/agent.rs
+++ b/crates/agent/src/traffic/agent.rs
@@ -16,9 +16,9 @@
 use citronhollow_core::id::TargetId;
 use citronhollow_peer::{Body, Codec, Envelope, MAX_DATAGRAM};
 use citronhollow_target::splice;
-use tokio::net::UdpSocket;
 use tokio::sync::mpsc::UnboundedSender;
 
+use super::datagrams::Datagrams;
 use super::lingering::Lingering;
 use super::tasks::Tasks;
 use crate::link::{ControlCommand, TrafficFigures};
@@ -51,7 +51,7 @@
 pub(super) struct Agent {
     pub(super) me: TargetId,
     pub(super) clock: Clock,
-    pub(super) socket: UdpSocket,
+    pub(super) datagrams: Datagrams,
     pub(super) fabric: Vec<SocketAddr>,
     pub(super) codec: Codec,
     pub(super) flows: RefCell<Flows<Bytes>>,
@@ -87,7 +87,8 @@
             return;
         };
         let fabric = self.fabric[usize::try_from(index).unwrap_or(0)];
-        self.send(packet, fabric);
+        let lost = self.datagrams.send_soon(packet, fabric);
+        self.figures.count_unsent(lost);
     }
 
     /// Sends a message to a peer, if its address is known.
@@ -95,7 +96,7 @@
         let addr = self.peers.borrow().get(&to).copied();
         match addr {
             Some(addr) => self.send_message(addr, body),
-            None => self.figures.count_unsent(),
+            None => self.figures.count_unsent(1),
         }
     }
 
@@ -123,16 +124,15 @@
         frame.clear();
         self.codec.seal(&Envelope::from(body), &mut frame);
         if frame.len() > MAX_DATAGRAM {
-            self.figures.count_unsent();
+            self.figures.count_unsent(1);
             return;
         }
         self.send(&frame, to);
     }
 
     fn send(&self, datagram: &[u8], to: SocketAddr) {
-        // A datagram that the kernel has no room for is lost like one on the way.
-        if self.socket.try_send_to(datagram, to).is_err() {
-            self.figures.count_unsent();
+        if !self.datagrams.send(datagram, to) {
+            self.figures.count_unsent(1);
         }
     }
 }
--- /dev/null
+++ b/crates/agent/src/traffic/datagrams.rs
@@ -0,0 +1,201 @@
+//! The traffic thread's UDP socket, many datagrams to a system call.
+//!
+//! A system call for each datagram is most of the cost of a packet. Packets to the same address of
+//! the fabric are collected until the tasks that are ready have run, and handed to the kernel
+//! together as long as they have the same size; what came in is taken in batches likewise.
+
+use std::cell::RefCell;
+use std::io::{self, IoSliceMut};
+use std::net::SocketAddr;
+
+use quinn_udp::{BATCH_SIZE, RecvMeta, Transmit, UdpSocketState};
+use tokio::io::Interest;
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+
+/// Room for datagrams that the kernel coalesced, in bytes.
+const RECEIVE_LEN: usize = 64 * 1_024;
+
+/// Bytes handed to the kernel at once, below the largest that an IP packet can describe.
+const BATCH_LEN: usize = 60 * 1_024;
+
+/// Batches read before the flows' tasks run again.
+const BATCHES_PER_WAKE: usize = 8;
+
+/// Packets to one address, all of one size except a shorter last one.
+#[derive(Debug)]
+struct Batch {
+    to: SocketAddr,
+    bytes: Vec<u8>,
+    size: usize,
+    count: usize,
+}
+
+/// The socket.
+#[derive(Debug)]
+pub(super) struct Datagrams {
+    socket: UdpSocket,
+    state: UdpSocketState,
+    batches: RefCell<Vec<Batch>>,
+    has_batches: Notify,
+}
+
+/// Buffers for datagrams that come in.
+pub(super) struct Incoming {
+    bufs: Vec<Vec<u8>>,
+}
+
+impl Incoming {
+    pub(super) fn new() -> Self {
+        Self {
+            bufs: vec![vec![0; RECEIVE_LEN]; BATCH_SIZE],
+        }
+    }
+}
+
+impl Datagrams {
+    /// Takes over a socket that does not block.
+    pub(super) fn new(socket: std::net::UdpSocket) -> io::Result<Self> {
+        let socket = UdpSocket::from_std(socket)?;
+        let state = UdpSocketState::new((&socket).into())?;
+        Ok(Self {
+            socket,
+            state,
+            batches: RefCell::new(Vec::new()),
+            has_batches: Notify::new(),
+        })
+    }
+
+    /// Waits until there is something to read.
+    pub(super) async fn readable(&self) -> io::Result<()> {
+        self.socket.readable().await
+    }
+
+    /// Reads what is there, up to a bound, and gives every datagram to `f`.
+    pub(super) fn receive(&self, incoming: &mut Incoming, mut f: impl FnMut(&[u8], SocketAddr)) {
+        let mut metas = [RecvMeta::default(); BATCH_SIZE];
+        for _ in 0..BATCHES_PER_WAKE {
+            let Some(count) = self.receive_batch(incoming, &mut metas) else {
+                return;
+            };
+            for (buf, meta) in incoming.bufs.iter().zip(&metas[..count]) {
+                // A length of zero is an empty datagram.
+                for datagram in buf[..meta.len].chunks(meta.stride.max(1)) {
+                    f(datagram, meta.addr);
+                }
+                if meta.len == 0 {
+                    f(&[], meta.addr);
+                }
+            }
+        }
+    }
+
+    /// Sends one datagram at once. One that the kernel has no room for is lost.
+    pub(super) fn send(&self, datagram: &[u8], to: SocketAddr) -> bool {
+        self.socket.try_send_to(datagram, to).is_ok()
+    }
+
+    /// Sends a packet when the ready tasks have run. Returns how many were lost until now.
+    pub(super) fn send_soon(&self, packet: &[u8], to: SocketAddr) -> usize {
+        let mut batches = self.batches.borrow_mut();
+        self.has_batches.notify_one();
+        let Some(batch) = batches.iter_mut().find(|batch| batch.to == to) else {
+            batches.push(Batch::new(packet, to));
+            return 0;
+        };
+        if batch.fits(packet, self.state.max_gso_segments()) {
+            batch.push(packet);
+            return 0;
+        }
+        let lost = self.transmit(batch);
+        batch.restart(packet);
+        lost
+    }
+
+    /// Waits for packets that are to be sent.
+    pub(super) async fn has_batches(&self) {
+        self.has_batches.notified().await;
+    }
+
+    /// Sends what was collected, and returns how many packets were lost.
+    pub(super) fn flush(&self) -> usize {
+        let mut lost = 0;
+        for batch in self.batches.borrow_mut().iter_mut() {
+            lost += self.transmit(batch);
+            batch.clear();
+        }
+        lost
+    }
+
+    fn receive_batch(
+        &self,
+        incoming: &mut Incoming,
+        metas: &mut [RecvMeta; BATCH_SIZE],
+    ) -> Option<usize> {
+        let mut bufs = incoming.bufs.iter_mut();
+        let mut slices: [IoSliceMut<'_>; BATCH_SIZE] = std::array::from_fn(|_| {
+            let buf: &mut [u8] = bufs.next().map_or(&mut [], Vec::as_mut_slice);
+            IoSliceMut::new(buf)
+        });
+        let count = self.socket.try_io(Interest::READABLE, || {
+            self.state.recv((&self.socket).into(), &mut slices, metas)
+        });
+        count.ok()
+    }
+
+    fn transmit(&self, batch: &Batch) -> usize {
+        if batch.count == 0 {
+            return 0;
+        }
+        let transmit = Transmit {
+            destination: batch.to,
+            ecn: None,
+            contents: &batch.bytes,
+            segment_size: (batch.count > 1).then_some(batch.size),
+            src_ip: None,
+        };
+        let sent = self.socket.try_io(Interest::WRITABLE, || {
+            self.state.try_send((&self.socket).into(), &transmit)
+        });
+        if sent.is_ok() { 0 } else { batch.count }
+    }
+}
+
+impl Batch {
+    fn new(packet: &[u8], to: SocketAddr) -> Self {
+        Self {
+            to,
+            bytes: packet.to_vec(),
+            size: packet.len(),
+            count: 1,
+        }
+    }
+
+    /// Whether the packet may follow: none may be longer than the first, nor follow a shorter one.
+    fn fits(&self, packet: &[u8], segments_max: usize) -> bool {
+        if self.count == 0 {
+            return true;
+        }
+        let is_even = self.bytes.len() == self.size * self.count;
+        let is_room = self.bytes.len() + packet.len() <= BATCH_LEN && self.count < segments_max;
+        is_even && is_room && packet.len() <= self.size
+    }
+
+    fn push(&mut self, packet: &[u8]) {
+        if self.count == 0 {
+            self.size = packet.len();
+        }
+        self.bytes.extend_from_slice(packet);
+        self.count += 1;
+    }
+
+    fn clear(&mut self) {
+        self.bytes.clear();
+        self.count = 0;
+    }
+
+    fn restart(&mut self, packet: &[u8]) {
+        self.clear();
+        self.push(packet);
+    }
+}
--- a/crates/agent/src/traffic/dispatch.rs
+++ b/crates/agent/src/traffic/dispatch.rs
@@ -23,7 +23,7 @@
 /// Takes a datagram from a balancer or a peer.
 pub(super) fn on_datagram(agent: &Rc<Agent>, datagram: &[u8], from: SocketAddr) {
     let Ok(envelope) = agent.codec.open(datagram) else {
-        agent.figures.count_malformed();
+        agent.figures.count_malformed(1);
         return;
     };
     let result = match envelope.body {
@@ -41,13 +41,13 @@
         }
         // Another version's message, or one that is not for an agent's traffic.
         _ => {
-            agent.figures.count_malformed();
+            agent.figures.count_malformed(1);
             Ok(())
         }
     };
     if let Err(err) = result {
         log::debug!("traffic: message from {from} dropped: {err}");
-        agent.figures.count_malformed();
+        agent.figures.count_malformed(1);
     }
 }
 
@@ -177,7 +177,7 @@
         Action::Close { flow, reason } => close(agent, &flow, reason),
         Action::Drop { reason } => {
             tracing::debug!(?reason, "packet dropped");
-            agent.figures.count_dropped();
+            agent.figures.count_dropped(1);
         }
     }
 }
@@ -195,7 +195,7 @@
         bytes: packet.bytes.clone(),
     };
     if !mailbox.push(delivery) {
-        agent.figures.count_dropped();
+        agent.figures.count_dropped(1);
     }
 }
 
@@ -206,7 +206,7 @@
 
 fn refuse(agent: &Rc<Agent>, packet: &Packet<Bytes>, kind: ErrorKind, retry_after: Millis) {
     tracing::debug!(%kind, "flow refused");
-    agent.figures.count_refused();
+    agent.figures.count_refused(1);
     match kind.answer().flow {
         FlowAnswer::Silence => {}
         FlowAnswer::Reset => reset(agent, packet),
--- a/crates/agent/src/traffic/run.rs
+++ b/crates/agent/src/traffic/run.rs
@@ -15,26 +15,23 @@
 use citronhollow_core::flows::{FlowLimits, Flows};
 use citronhollow_core::id::TargetId;
 use citronhollow_core::members::TargetRecord;
-use citronhollow_peer::{Body, Codec, Keyring, MAX_DATAGRAM};
+use citronhollow_peer::{Body, Codec, Keyring};
 use citronhollow_target::splice;
 use rand::TryRngCore;
 use rand::rngs::OsRng;
-use tokio::net::UdpSocket;
 use tokio::runtime::Runtime;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::task::LocalSet;
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::agent::{Agent, Clock};
+use super::datagrams::{Datagrams, Incoming};
 use super::lingering::Lingering;
 use super::tasks::Tasks;
 use super::{dispatch, wire};
 use crate::link::{ControlCommand, TrafficCommand, TrafficFigures};
 use crate::settings::Settings;
 
-/// Datagrams read before the flows' tasks run again.
-const BATCH: usize = 256;
-
 /// Room that the kernel keeps for datagrams, in bytes.
 const SOCKET_BUFFER: usize = 4 * 1_024 * 1_024;
 
@@ -87,7 +84,8 @@
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut ticks_done = 0_u32;
-    let mut buf = vec![0; MAX_DATAGRAM + 1];
+    let mut incoming = Incoming::new();
+    tokio::task::spawn_local(flush(Rc::clone(agent)));
     loop {
         tokio::select! {
             biased;
@@ -99,9 +97,11 @@
                 ticks_done = ticks_done.wrapping_add(1);
                 on_tick(agent, ticks_done);
             }
-            readable = agent.socket.readable() => {
+            readable = agent.datagrams.readable() => {
                 if readable.is_ok() {
-                    receive(agent, &mut buf);
+                    agent.datagrams.receive(&mut incoming, |datagram, from| {
+                        dispatch::on_datagram(agent, datagram, from);
+                    });
                 }
                 tokio::task::yield_now().await;
             }
@@ -109,15 +109,14 @@
     }
 }
 
-/// Reads the datagrams that are there, up to a batch.
-fn receive(agent: &Rc<Agent>, buf: &mut [u8]) {
-    for _ in 0..BATCH {
-        match agent.socket.try_recv_from(buf) {
-            Ok((len, from)) => dispatch::on_datagram(agent, &buf[..len], from),
-            Err(err) if err.kind() == io::ErrorKind::WouldBlock => return,
-            // An earlier datagram did not reach its receiver.
-            Err(_) => {}
-        }
+/// Sends packets to callers whenever the tasks that made them have run.
+async fn flush(agent: Rc<Agent>) {
+    loop {
+        agent.datagrams.has_batches().await;
+        // The tasks that are ready by now may have more for the same batch.
+        tokio::task::yield_now().await;
+        let lost = agent.datagrams.flush();
+        agent.figures.count_unsent(lost);
     }
 }
 
@@ -182,7 +181,7 @@
     Ok(Agent {
         me,
         clock: Clock::new(),
-        socket: UdpSocket::from_std(socket)?,
+        datagrams: Datagrams::new(socket)?,
         fabric: settings.fabric.clone(),
         codec: Codec::new(keys),
         flows: RefCell::new(flows),
