--- a/crates/agent/src/traffic/run.rs
+++ b/crates/agent/src/traffic/run.rs
@@ -144,7 +144,11 @@
 }
 
 fn set_peers(agent: &Agent, now: Millis, peers: &[TargetRecord]) {
-    let addrs = peers.iter().map(|peer| (peer.id, peer.agent)).collect();
+    let addrs = peers
+        .iter()
+        .filter(|peer| peer.state.may_hold())
+        .map(|peer| (peer.id, peer.agent))
+        .collect();
     agent.peers.replace(addrs);
     agent.flows.borrow_mut().set_peers(now, peers);
 }
--- a/crates/agent/src/traffic/wire.rs
+++ b/crates/agent/src/traffic/wire.rs
@@ -9,8 +9,8 @@
 use citronhollow_peer::{AddrError, addr_from_bytes, addr_to_bytes};
 use thiserror::Error;
 
-/// Targets of a chain that are looked at.
-const CHAIN_MAX: usize = 16;
+/// Targets of a chain that are kept, so that the largest packet and its chain fit into a datagram.
+const CHAIN_MAX: usize = 8;
 
 /// An authentic message that makes no sense.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
@@ -54,10 +54,11 @@
         Relay::Hand => message::Relay::Hand,
         Relay::Pass => message::Relay::Pass,
     };
+    let chain = packet.chain.into_iter().take(CHAIN_MAX);
     Forward {
         packet: packet.bytes,
         revision: 0,
-        chain: packet.chain.into_iter().map(|target| target.0).collect(),
+        chain: chain.map(|target| target.0).collect(),
         hops: packet.hops + 1,
         trace: packet.trace,
         relay: relay.into(),
--- a/crates/peer/tests/codec.rs
+++ b/crates/peer/tests/codec.rs
@@ -9,6 +9,9 @@
 /// Largest packet that has to fit into a datagram, in bytes.
 const PACKET_MAX: usize = 1_320;
 
+/// Most targets that a packet may name.
+const CHAIN_MAX: usize = 8;
+
 fn key(id: u8) -> Key {
     Key {
         id,
@@ -25,7 +28,7 @@
     Envelope::from(Body::Forward(Forward {
         packet: Bytes::copy_from_slice(packet),
         revision: u64::MAX,
-        chain: vec![u64::MAX; 4],
+        chain: vec![u64::MAX; CHAIN_MAX],
         hops: 3,
         trace: u64::MAX,
         relay: Relay::Pass.into(),
