--- a/crates/agent/src/traffic/dispatch.rs
+++ b/crates/agent/src/traffic/dispatch.rs
@@ -24,7 +24,7 @@
 /// Takes a datagram from a balancer or a peer.
 pub(super) fn on_datagram(agent: &Rc<Agent>, datagram: &[u8], from: SocketAddr) {
     let Ok(envelope) = agent.codec.open(datagram) else {
-        agent.figures.count_malformed();
+        agent.figures.count_malformed(1);
         return;
     };
     let result = match envelope.body {
@@ -42,13 +42,13 @@
         }
         // Another version's message, or one that is not for an agent's traffic.
         _ => {
-            agent.figures.count_malformed();
+            agent.figures.count_malformed(1);
             Ok(())
         }
     };
     if let Err(err) = result {
         log::debug!("traffic: message from {from} dropped: {err}");
-        agent.figures.count_malformed();
+        agent.figures.count_malformed(1);
     }
 }
 
@@ -149,7 +149,7 @@
     match action {
         Action::Open { packet } => {
             let span = hop(Hop::Agent, &packet);
-            agent.figures.count_opened();
+            agent.figures.count_opened(1);
             flow::open(agent, &packet);
             span.outcome("accepted");
         }
@@ -162,7 +162,7 @@
             agent.send_to_peer(to, Body::Forward(forward));
         }
         Action::Ask { to, flow } => {
-            agent.figures.count_asked();
+            agent.figures.count_asked(1);
             let question = wire::question(agent.me, &flow);
             agent.send_to_peer(to, Body::Question(question));
         }
@@ -173,7 +173,7 @@
             retry_after,
         } => refuse(agent, &packet, kind, retry_after),
         Action::Close { flow, reason } => close(agent, &flow, reason),
-        Action::Drop { .. } => agent.figures.count_dropped(),
+        Action::Drop { .. } => agent.figures.count_dropped(1),
     }
 }
 
@@ -187,11 +187,11 @@
 fn count_relay(agent: &Agent, span: &HopSpan, relay: Relay) {
     match relay {
         Relay::Hand => {
-            agent.figures.count_handed();
+            agent.figures.count_handed(1);
             span.outcome("handed");
         }
         Relay::Pass => {
-            agent.figures.count_passed();
+            agent.figures.count_passed(1);
             span.outcome("passed");
         }
     }
@@ -210,7 +210,7 @@
         bytes: packet.bytes.clone(),
     };
     if !mailbox.push(delivery) {
-        agent.figures.count_dropped();
+        agent.figures.count_dropped(1);
     }
 }
 
@@ -221,7 +221,7 @@
 
 fn refuse(agent: &Rc<Agent>, packet: &Packet<Bytes>, kind: ErrorKind, retry_after: Millis) {
     hop(Hop::Agent, packet).refused(kind);
-    agent.figures.count_refused();
+    agent.figures.count_refused(1);
     match kind.answer().flow {
         FlowAnswer::Silence => {}
         FlowAnswer::Reset => reset(agent, packet),
