Prove the publisher against races, pauses and a failing platform

Each state of the store is held against the one before it: number, epoch and accepted drafts never go back, the set is whole and checked and is what the drafts were, one writer for each epoch, no lower epoch after a higher one's verdict, no address with two owners among live processes.

Ruled out: the lease as the safety of a write.

--- a/crates/balancer/tests/publish.rs
+++ b/crates/balancer/tests/publish.rs
@@ -36,6 +36,14 @@
 }
 
 fn start_balancer(platform: &StandIn, rank: usize) -> Balancer {
+    start_balancer_with(platform, rank, |_| {})
+}
+
+fn start_balancer_with(
+    platform: &StandIn,
+    rank: usize,
+    adjust: fn(&mut PublishSettings),
+) -> Balancer {
     let revisions = RevisionStore::default();
     let (stop, stopped) = watch::channel(false);
     let mut cfg = PublishSettings::new(format!("balancer-{rank}"));
@@ -44,6 +52,7 @@
     cfg.lease.ttl = Millis(1_500);
     cfg.lease.renew_every = Millis(300);
     cfg.lease.look_every = Millis(300);
+    adjust(&mut cfg);
     let view = move || FleetView {
         rank,
         lowest_reported: 0,
@@ -252,4 +261,21 @@
         tokio::time::sleep(Duration::from_secs(1)).await;
         assert_eq!(platform.counts().total(), 0);
     };
+
+    split_set_reaches_every_follower => {
+        let platform = StandIn::start(loopback()).await.expect("a stand-in");
+        let balancers = [0, 1].map(|rank| start_balancer_with(&platform, rank, |cfg| {
+            cfg.publication.max_inline_bytes = 600;
+        }));
+        let operator = client(&platform);
+        for (run, last) in [(1, 450), (2, 451)] {
+            let ports: Vec<u16> = (440..=last).collect();
+            apply(&operator, &documents(&ports), run).await;
+            for balancer in &balancers {
+                await_services(balancer, ports.len()).await;
+                assert_eq!(balancer.revisions.latest().documents, documents(&ports));
+            }
+        }
+        assert!(platform.store().list("part", "").objects.len() > 2);
+    };
 }
--- a/crates/core/tests/publisher/main.rs
+++ b/crates/core/tests/publisher/main.rs
@@ -5,7 +5,7 @@
 use citronhollow_core::clock::Millis;
 use citronhollow_core::config::{Documents, Pool, Problem, Refusal, Rule, Service, check};
 use citronhollow_core::publisher::{
-    Content, Document, DraftStatus, Kind, MAX_INLINE_BYTES, part_name, split,
+    Content, Document, DraftStatus, Index, Kind, LoadError, MAX_INLINE_BYTES, part_name, split,
 };
 use proptest::collection::vec;
 use proptest::prelude::*;
@@ -258,6 +258,41 @@
         assert_eq!(world.status("rule.rule-0", version), DraftStatus::Published(2));
     };
 
+    sweep_of_a_former_holder_spares_its_successors_parts => {
+        let mut world = World::new(2, SPLIT_ALWAYS);
+        apply_base(&mut world);
+        world.run_freely(Millis::from_secs(3));
+        let slow = world.holder().expect("a holder");
+        for _ in 0..40 {
+            world.advance_slow(Millis(250), slow);
+        }
+        assert_eq!(world.holders(), 2);
+        let sweeps = world.counts.sweeps;
+        // The successor has written its parts and is about to write the index.
+        world.pause(slow);
+        world.apply(service(2, 3));
+        world.pauses_at_index = true;
+        world.advance(Millis(250), &mut std::iter::empty());
+        world.pauses_at_index = false;
+        let parts = world.store.now().list(Kind::Part).objects.len();
+        world.resume(slow, &mut std::iter::empty());
+        world.advance(Millis(500), &mut std::iter::empty());
+        assert_eq!(world.counts.sweeps, sweeps + 1);
+        assert_eq!(world.store.now().list(Kind::Part).objects.len(), parts);
+        world.resume_all();
+        assert_eq!(number(&world), 2);
+    };
+
+    sole_holder_regains_its_lease_at_once => {
+        let mut world = World::new(1, MAX_INLINE_BYTES);
+        world.run_freely(Millis::from_secs(2));
+        world.pause(0);
+        world.run_freely(Millis::from_secs(10));
+        world.resume(0, &mut std::iter::empty());
+        world.advance(Millis(1), &mut std::iter::empty());
+        assert!(world.holds(0));
+    };
+
     stopped_holder_hands_over => {
         let mut world = World::new(2, MAX_INLINE_BYTES);
         apply_base(&mut world);
@@ -361,6 +396,21 @@
         assert_eq!(new, 1, "a change to one service writes one part");
     };
 
+    missing_or_damaged_part_is_refused => {
+        let documents = large_set(100);
+        let (content, parts) = split(&documents, 8_000).expect("it fits");
+        let index = Index { content, number: 3, ..Index::default() };
+        let revision = index.assemble(&parts).expect("a whole set");
+        assert_eq!(revision.documents.services.len(), 100);
+        let name = parts.keys().next().expect("a part").clone();
+        let mut damaged = parts.clone();
+        damaged.get_mut(&name).expect("the part").services.clear();
+        assert_eq!(index.assemble(&damaged), Err(LoadError::Damaged(name.clone())));
+        let mut fewer = parts;
+        fewer.remove(&name);
+        assert_eq!(index.assemble(&fewer), Err(LoadError::Missing(name)));
+    };
+
     rules_of_a_service_keep_their_order_in_parts => {
         let mut documents = large_set(50);
         documents.rules = (0..50).map(|number| Rule {
--- a/crates/core/tests/publisher/world.rs
+++ b/crates/core/tests/publisher/world.rs
@@ -70,6 +70,7 @@
     pub fenced_writes: u64,
     pub part_sets: u64,
     pub swept_parts: u64,
+    pub sweeps: u64,
 }
 
 #[derive(Debug)]
@@ -77,6 +78,8 @@
     pub store: Store,
     pub now: Millis,
     pub counts: Counts,
+    /// A process is paused right before it writes the index.
+    pub pauses_at_index: bool,
     /// Revision of an agent that follows late.
     pub agent: Revision,
     nodes: Vec<Node>,
@@ -87,7 +90,8 @@
     operator_sequence: u64,
     verified: usize,
     writers: BTreeMap<u64, String>,
-    by_number: BTreeMap<u64, Documents>,
+    /// Epoch and documents of each revision as it was first published.
+    by_number: BTreeMap<u64, (u64, Documents)>,
 }
 
 impl World {
@@ -102,6 +106,7 @@
             now: Millis(1_000),
             counts: Counts::default(),
             agent: Revision::default(),
+            pauses_at_index: false,
             nodes: Vec::new(),
             queue: VecDeque::new(),
             delayed: Vec::new(),
@@ -332,13 +337,15 @@
         match action {
             Action::Call { id, call, .. } => {
                 self.counts.calls += 1;
+                self.counts.sweeps += u64::from(call == Call::List(Kind::Part));
                 self.queue.push_back(Sent { node, id, call });
             }
             Action::Published(revision) => {
                 self.verify();
-                let truth = &self.by_number[&revision.number];
+                let (epoch, documents) = &self.by_number[&revision.number];
+                assert_eq!(*epoch, revision.epoch, "another publisher's revision");
                 assert_eq!(
-                    *truth, revision.documents,
+                    *documents, revision.documents,
                     "said to be published, and is not"
                 );
                 self.counts.published += 1;
@@ -372,6 +379,9 @@
         while let Some(sent) = self.queue.pop_front() {
             steps += 1;
             assert!(steps < 2_000, "calls without end: {sent:?}");
+            if self.pauses_at_index && is_index_write(&sent.call) {
+                self.pause(sent.node);
+            }
             if self.nodes[sent.node].is_paused {
                 let node = sent.node;
                 self.nodes[node].held_calls.push(sent);
@@ -485,11 +495,11 @@
             new.epoch
         );
         assert_eq!(check(documents, &[]), [], "an unchecked set is published");
-        let truth = self
+        let first = self
             .by_number
             .entry(new.number)
-            .or_insert_with(|| documents.clone());
-        assert_eq!(*truth, *documents, "revision {} changed", new.number);
+            .or_insert_with(|| (new.epoch, documents.clone()));
+        assert_eq!(first.1, *documents, "revision {} changed", new.number);
         self.counts.part_sets += u64::from(!new.part_names().is_empty());
         if new.number > 0 {
             self.verify_drafts(new, documents);
@@ -514,10 +524,8 @@
     fn verify_addresses(&self) {
         let mut owners: BTreeMap<SocketAddr, &str> = BTreeMap::new();
         let balancers = self.nodes.iter().map(|node| &node.in_force.documents);
-        let latest = self
-            .by_number
-            .last_key_value()
-            .map(|(_, documents)| documents);
+        let latest = self.by_number.last_key_value();
+        let latest = latest.map(|(_, (_, documents))| documents);
         for documents in balancers.chain([&self.agent.documents]).chain(latest) {
             for service in &documents.services {
                 for address in &service.addresses {
@@ -528,3 +536,7 @@
         }
     }
 }
+
+fn is_index_write(call: &Call) -> bool {
+    matches!(call, Call::Put { key, .. } if key.kind == Kind::Published)
+}
