--- a/crates/core/src/publisher/lease.rs
+++ b/crates/core/src/publisher/lease.rs
@@ -78,12 +78,16 @@
 #[derive(Clone, Debug)]
 enum Pending {
     Look,
-    Write {
-        write: Write,
-        epoch: u64,
-        sent: Millis,
-        is_release: bool,
-    },
+    Write(LeaseWrite),
+}
+
+/// A write of the lease under way.
+#[derive(Clone, Debug)]
+struct LeaseWrite {
+    write: Write,
+    epoch: u64,
+    sent: Millis,
+    is_release: bool,
 }
 
 /// One process's side of the lease.
@@ -149,7 +153,7 @@
             return None;
         }
         match (&self.pending, self.held) {
-            (Some(Pending::Write { write, .. }), _) => Some(write.call()),
+            (Some(Pending::Write(lease)), _) => Some(lease.write.call()),
             (Some(Pending::Look), _) => Some(Self::look()),
             (None, Some(held)) if self.is_stopping => Some(self.release(now, held)),
             (None, Some(held)) => Some(self.renew(now, held)),
@@ -165,12 +169,7 @@
     pub(super) fn on_answer(&mut self, now: Millis, answer: Answer) {
         match self.pending.take() {
             Some(Pending::Look) => self.on_look(now, answer),
-            Some(Pending::Write {
-                write,
-                epoch,
-                sent,
-                is_release,
-            }) => self.on_write(now, answer, write, epoch, sent, is_release),
+            Some(Pending::Write(lease)) => self.on_write(now, answer, lease),
             None => {}
         }
     }
@@ -235,7 +234,7 @@
 
     fn current_call(&self) -> Call {
         match &self.pending {
-            Some(Pending::Write { write, .. }) => write.call(),
+            Some(Pending::Write(lease)) => lease.write.call(),
             Some(Pending::Look) | None => Self::look(),
         }
     }
@@ -254,46 +253,30 @@
         };
         let value = serde_json::to_value(lease).unwrap_or_default();
         let write = Write::new(Key::only(Kind::Lease), version, value, stamp);
-        self.pending = Some(Pending::Write {
+        self.pending = Some(Pending::Write(LeaseWrite {
             write,
             epoch,
             sent: now,
             is_release,
-        });
+        }));
         self.due = now;
     }
 
-    fn on_write(
-        &mut self,
-        now: Millis,
-        answer: Answer,
-        mut write: Write,
-        epoch: u64,
-        sent: Millis,
-        is_release: bool,
-    ) {
-        match write.on_answer(answer) {
-            Step::Done { .. } if is_release => self.look_again(now),
-            Step::Done { version } => self.hold(now, epoch, version, sent),
+    fn on_write(&mut self, now: Millis, answer: Answer, mut lease: LeaseWrite) {
+        match lease.write.on_answer(answer) {
+            Step::Done { .. } if lease.is_release => self.look_again(now),
+            Step::Done { version } => self.hold(now, lease.epoch, version, lease.sent),
             Step::Overtaken(_) | Step::Refused => self.look_again(now),
-            step @ (Step::Next | Step::Wait) => {
-                let is_wait = step == Step::Wait;
-                let wait = if is_wait {
-                    self.times.retry_after
-                } else {
-                    Millis::ZERO
-                };
-                self.due = now.after(wait);
-                self.pending = Some(Pending::Write {
-                    write,
-                    epoch,
-                    sent,
-                    is_release,
-                });
-            }
+            Step::Next => self.call_again(now, lease),
+            Step::Wait => self.call_again(now.after(self.times.retry_after), lease),
         }
     }
 
+    fn call_again(&mut self, due: Millis, lease: LeaseWrite) {
+        self.due = due;
+        self.pending = Some(Pending::Write(lease));
+    }
+
     fn hold(&mut self, now: Millis, epoch: u64, version: u64, sent: Millis) {
         let valid_for = self.times.ttl.since(self.times.margin);
         let held = Held {
--- a/crates/core/tests/publisher/main.rs
+++ b/crates/core/tests/publisher/main.rs
@@ -321,6 +321,16 @@
         assert_eq!(world.status("rule.rule-0", version), DraftStatus::Published(2));
     };
 
+    change_during_a_listing_is_heard => {
+        let mut world = World::new(1, MAX_INLINE_BYTES);
+        apply_base(&mut world);
+        world.run_freely(Millis::from_secs(5));
+        world.apply(rule(0, 5));
+        world.apply_at_listing = Some(rule(1, 5));
+        world.run_freely(Millis::from_secs(2));
+        assert_eq!(number(&world), 3);
+    };
+
     racing_operators_get_true_answers => {
         let mut world = World::new(1, MAX_INLINE_BYTES);
         apply_base(&mut world);
--- a/crates/core/tests/publisher/world.rs
+++ b/crates/core/tests/publisher/world.rs
@@ -80,6 +80,8 @@
     pub counts: Counts,
     /// A process is paused right before it writes the index.
     pub pauses_at_index: bool,
+    /// An operator writes this while the next listing of the drafts is on its way back.
+    pub apply_at_listing: Option<Document>,
     /// Revision of an agent that follows late.
     pub agent: Revision,
     nodes: Vec<Node>,
@@ -107,6 +109,7 @@
             counts: Counts::default(),
             agent: Revision::default(),
             pauses_at_index: false,
+            apply_at_listing: None,
             nodes: Vec::new(),
             queue: VecDeque::new(),
             delayed: Vec::new(),
@@ -397,6 +400,7 @@
     fn make(&mut self, sent: Sent, fault: Fault) {
         let Sent { node, id, call } = &sent;
         let (node, id) = (*node, *id);
+        let is_listing = *call == Call::List(Kind::Draft);
         let answer = match fault {
             Fault::None | Fault::PauseBeforeAnswer | Fault::KillBeforeAnswer => {
                 self.store.run(call)
@@ -427,6 +431,9 @@
             }
             Fault::KillBeforeSend => return self.kill(node),
         };
+        if is_listing && let Some(document) = self.apply_at_listing.take() {
+            self.apply(document);
+        }
         match fault {
             Fault::PauseBeforeAnswer => self.pause(node),
             Fault::KillBeforeAnswer => return self.kill(node),
