--- a/crates/core/src/rumour/queue.rs
+++ b/crates/core/src/rumour/queue.rs
@@ -19,7 +19,7 @@
 pub const BUDGET_PER_S: u32 = 1_200;
 
 /// Bytes that pushes may take at once after a calm time.
-pub const BUDGET_BURST: u32 = 16_384;
+pub const BUDGET_BURST: u32 = 24_576;
 
 /// Bytes of a datagram that carry news, the rest being headers and tag.
 const PUSH_BYTES_MAX: usize = 1_300;
@@ -30,8 +30,14 @@
 /// Largest encoded target, in bytes.
 const TARGET_BYTES: usize = 80;
 
+/// Bytes that the number of a revision takes.
+pub const NUMBER_BYTES: usize = 12;
+
+/// Rounds in which a push carries a revision's content.
+const CONTENT_ROUNDS: u32 = 2;
+
 /// Largest encoded verdict, in bytes.
-const VERDICT_BYTES: usize = 40;
+const VERDICT_BYTES: usize = 32;
 
 /// Largest encoded balancer, in bytes.
 const BALANCER_BYTES: usize = 64;
@@ -64,6 +70,16 @@
     rounds: u32,
 }
 
+impl Hot {
+    /// Most of those that get a late push have the content by then, and the others fetch it.
+    const fn topic_to_push(&self) -> Topic {
+        match self.topic {
+            Topic::Revision(_) if self.rounds >= CONTENT_ROUNDS => Topic::Revision(NUMBER_BYTES),
+            topic => topic,
+        }
+    }
+}
+
 /// News that this process still pushes.
 #[derive(Clone, Debug)]
 pub struct Rumours {
@@ -135,24 +151,25 @@
         // The sort is stable, so that the newest stay last among equals.
         self.hot.sort_by_key(urgency);
         for hot in self.hot.iter_mut().rev() {
-            let size = size_of(hot.topic);
+            let topic = hot.topic_to_push();
+            let size = size_of(topic);
             if bytes + size > bytes_max {
                 continue;
             }
             bytes += size;
             hot.rounds += 1;
-            topics.push(hot.topic);
+            topics.push(topic);
         }
         self.hot.retain(|hot| hot.rounds < rounds_max);
         (topics, bytes)
     }
 }
 
-/// Copies of one piece of news that each balancer sends, so that less than one balancer in a
-/// hundred spreadings is left out: the logarithm of the fleet and a margin.
+/// Copies of one piece of news that each balancer sends: the logarithm of the fleet, which reaches
+/// all but about one balancer, and a margin, which leaves none out of a rack's worth of news.
 #[must_use]
 pub fn copies_for(fleet: usize) -> u32 {
-    const MARGIN: u32 = 4;
+    const MARGIN: u32 = 7;
     fleet.max(1).ilog2() * 7 / 10 + MARGIN
 }
 
--- a/crates/core/src/rumour/spreader.rs
+++ b/crates/core/src/rumour/spreader.rs
@@ -11,7 +11,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::liveness::Liveness;
-use super::queue::{ROUND, Rumours, Topic};
+use super::queue::{NUMBER_BYTES, ROUND, Rumours, Topic};
 use super::repair::{
     DIGEST_EVERY, DIGEST_EVERY_IN_REPAIR, REPAIR_FOR, comparable_digests, slices_to_fetch,
 };
@@ -30,9 +30,6 @@
 /// Longest content of a revision that a push carries, in bytes. A longer one is fetched.
 pub const INLINE_MAX: usize = 400;
 
-/// Bytes that a push takes for the number of a revision.
-const NUMBER_BYTES: usize = 12;
-
 /// News, pushed from one balancer to another.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct News {
--- a/crates/core/tests/fleet/scenarios.rs
+++ b/crates/core/tests/fleet/scenarios.rs
@@ -10,7 +10,7 @@
 
 const SEED: u64 = 0x7370_7265_6164;
 
-/// A heartbeat and its reply with the headers of IP and UDP.
+/// A heartbeat and its reply with the headers of IP and UDP, in bytes.
 const HEARTBEAT_BYTES: u64 = 104;
 const REPLY_BYTES: u64 = 62;
 
@@ -63,12 +63,10 @@
     }
 }
 
-/// Bytes a second of heartbeats at one balancer, received and sent, headers included.
-pub fn heartbeat_bytes_per_s() -> String {
+/// Bytes a second of heartbeats and their replies at one balancer of the design size.
+pub fn heartbeat_bytes_per_s() -> u64 {
     let per_1000_s = 19_000 * REPORTERS as u64 * 1_000_000 / 1_800 / HEARTBEAT.0;
-    let received = per_1000_s * HEARTBEAT_BYTES / 1_000;
-    let sent = per_1000_s * REPLY_BYTES / 1_000;
-    format!("{received} B received, {sent} B sent")
+    per_1000_s * (HEARTBEAT_BYTES + REPLY_BYTES) / 1_000
 }
 
 /// One target changes.
--- /dev/null
+++ b/crates/core/tests/rumour.rs
@@ -0,0 +1,369 @@
+//! One process's part in spreading.
+
+use std::net::SocketAddr;
+
+use citronhollow_core::clock::Millis;
+use citronhollow_core::config::{Documents, Pool, Refusal, Revision, Rule, Service};
+use citronhollow_core::id::{BalancerId, DomainId, GroupId, TargetId};
+use citronhollow_core::members::{BalancerRecord, TargetNews, TargetRecord, TargetState, Verdict};
+use citronhollow_core::rumour::{
+    Action, BUDGET_BURST, BUDGET_PER_S, DIGEST_EVERY, FAN_OUT, INLINE_MAX, News, PROBES_MAX, ROUND,
+    RevisionDelta, Rumours, Spreader, Summary, Topic, choose_peers, rounds_for,
+};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+fn balancer(number: u16) -> BalancerRecord {
+    BalancerRecord {
+        id: BalancerId::of(&format!("b{number}")),
+        domain: DomainId(u64::from(number % 4)),
+        control: SocketAddr::from(([127, 0, 0, 1], 7_000 + number)),
+        leaving: false,
+        incarnation: 1,
+        sequence: 1,
+    }
+}
+
+fn target(number: u64) -> TargetRecord {
+    TargetRecord {
+        id: TargetId::of(&format!("desk-{number}")),
+        group: GroupId(1),
+        domain: DomainId(1),
+        agent: SocketAddr::from(([127, 0, 0, 1], 9_000)),
+        slots: 2,
+        state: TargetState::Ready,
+        incarnation: 1,
+        sequence: 1,
+    }
+}
+
+/// A process that has joined a fleet.
+fn joined(fleet: u16) -> Spreader {
+    let mut spreader = Spreader::new(balancer(0), Vec::new());
+    let others: Vec<_> = (1..fleet).map(balancer).collect();
+    spreader.on_members(Millis::ZERO, &[], &others);
+    spreader
+}
+
+/// Actions of some time without answers.
+fn run(spreader: &mut Spreader, from: Millis, span: Millis) -> Vec<Action> {
+    let mut actions = Vec::new();
+    let end = from.after(span);
+    let mut now = from;
+    while now < end {
+        now = now.after(Millis(50));
+        spreader.on_tick(now, &mut actions);
+    }
+    actions
+}
+
+fn pushes(actions: &[Action]) -> Vec<&News> {
+    let news = actions.iter().filter_map(|action| match action {
+        Action::Push { news, .. } => Some(news),
+        _ => None,
+    });
+    news.collect()
+}
+
+fn summary(sender: BalancerRecord, revision: u64) -> Summary {
+    Summary {
+        sender,
+        revision,
+        members: vec![1; 64],
+        wants_answer: false,
+    }
+}
+
+fn fetches(actions: &[Action]) -> Vec<&Action> {
+    let fetch = |action: &&Action| {
+        matches!(
+            action,
+            Action::FetchMembers { .. } | Action::FetchRevision { .. }
+        )
+    };
+    actions.iter().filter(fetch).collect()
+}
+
+macro_rules! cases {
+    ($($name:ident => $body:expr;)*) => {
+        $(#[test] fn $name() { $body })*
+    };
+}
+
+cases! {
+    news_is_pushed_for_a_bounded_number_of_rounds => {
+        let mut spreader = joined(100);
+        run(&mut spreader, Millis::ZERO, Millis::from_secs(5));
+        spreader.on_heartbeat(Millis::from_secs(5), target(1), true);
+        let actions = run(&mut spreader, Millis::from_secs(5), Millis::from_secs(10));
+        let copies = pushes(&actions).len();
+        assert_eq!(copies, FAN_OUT * rounds_for(100) as usize);
+    };
+
+    what_is_known_is_not_pushed_on => {
+        let mut spreader = joined(100);
+        let news = News {
+            targets: vec![TargetNews::heard(target(1))],
+            ..News::default()
+        };
+        let mut out = Vec::new();
+        spreader.on_news(Millis::ZERO, balancer(1).control, &news, &mut out);
+        run(&mut spreader, Millis::ZERO, Millis::from_secs(5));
+        spreader.on_news(Millis::from_secs(5), balancer(2).control, &news, &mut out);
+        let actions = run(&mut spreader, Millis::from_secs(5), Millis::from_secs(5));
+        assert!(pushes(&actions).is_empty());
+    };
+
+    one_peer_is_near_and_one_is_far => {
+        let peers: Vec<_> = (1..200).map(balancer).collect();
+        let mut rng = SmallRng::seed_from_u64(7);
+        for _ in 0..200 {
+            let chosen = choose_peers(&balancer(0), &peers, FAN_OUT, &mut rng);
+            assert_eq!(chosen.len(), FAN_OUT);
+            assert!(chosen.iter().any(|peer| peer.domain == balancer(0).domain));
+            assert!(chosen.iter().any(|peer| peer.domain != balancer(0).domain));
+            let mut ids: Vec<_> = chosen.iter().map(|peer| peer.id).collect();
+            ids.sort_unstable();
+            ids.dedup();
+            assert_eq!(ids.len(), FAN_OUT, "no peer gets the same push twice");
+        }
+    };
+
+    flood_of_news_stays_within_the_budget => {
+        const VERDICT_BYTES: usize = 26;
+        const SECONDS: u32 = 60;
+        let peers: Vec<_> = (1..100).map(balancer).collect();
+        let mut rumours = Rumours::new(1);
+        for number in 0..3_000 {
+            rumours.add(Topic::Verdict(TargetId(number)));
+        }
+        let mut bytes = 0;
+        let mut now = Millis::ZERO;
+        while now < Millis::from_secs(u64::from(SECONDS)) {
+            now = now.after(ROUND);
+            if let Some(push) = rumours.round(now, &balancer(0), &peers) {
+                bytes += push.to.len() * push.topics.len() * VERDICT_BYTES;
+            }
+        }
+        let budget = (BUDGET_BURST + BUDGET_PER_S * SECONDS) as usize;
+        assert!((budget / 2..=budget).contains(&bytes), "{bytes} of {budget} bytes");
+    };
+
+    revision_goes_before_a_flood_and_the_newest_before_the_rest => {
+        let peers: Vec<_> = (1..100).map(balancer).collect();
+        let mut rumours = Rumours::new(1);
+        rumours.add(Topic::Revision(INLINE_MAX));
+        for number in 0..3_000 {
+            rumours.add(Topic::Verdict(TargetId(number)));
+        }
+        let push = rumours.round(ROUND, &balancer(0), &peers).expect("a push");
+        assert_eq!(push.topics[0], Topic::Revision(INLINE_MAX));
+        assert_eq!(push.topics[1], Topic::Verdict(TargetId(2_999)));
+        let next = rumours.round(ROUND.after(ROUND), &balancer(0), &peers).expect("a push");
+        assert!(!next.topics.contains(&push.topics[1]), "others have their turn");
+    };
+
+    verdict_on_unspread_news_carries_the_record => {
+        let peers: Vec<_> = (1..100).map(balancer).collect();
+        let mut rumours = Rumours::new(1);
+        let id = target(1).id;
+        rumours.add(Topic::Target(id));
+        rumours.add(Topic::Verdict(id));
+        let push = rumours.round(ROUND, &balancer(0), &peers).expect("a push");
+        assert_eq!(push.topics, [Topic::Target(id)]);
+    };
+
+    verdict_is_taken_for_the_known_version_only => {
+        let mut spreader = joined(10);
+        spreader.on_heartbeat(Millis::ZERO, target(1), true);
+        let suspect = TargetNews::heard(target(1)).judged(Verdict::Suspect);
+        let mut verdict = citronhollow_core::members::VerdictNews::from(suspect);
+        verdict.version = (1, 0);
+        let mut out = Vec::new();
+        for (version, expected) in [((1, 0), Verdict::Alive), ((1, 1), Verdict::Suspect)] {
+            verdict.version = version;
+            let news = News { verdicts: vec![verdict], ..News::default() };
+            spreader.on_news(Millis::ZERO, balancer(1).control, &news, &mut out);
+            let known = spreader.view().target(Millis::ZERO, target(1).id).expect("known");
+            assert_eq!(known.verdict, expected);
+        }
+    };
+
+    higher_revision_is_fetched_from_who_has_it_and_once_at_a_time => {
+        let mut spreader = joined(10);
+        let mut out = Vec::new();
+        let news = News { revision: 7, ..News::default() };
+        spreader.on_news(Millis(10), balancer(3).control, &news, &mut out);
+        spreader.on_news(Millis(20), balancer(4).control, &news, &mut out);
+        let from = balancer(3).control;
+        assert_eq!(out, [Action::FetchRevision { from }]);
+        let lower = News { revision: 6, ..News::default() };
+        spreader.on_revision(7, 100);
+        spreader.on_news(Millis::from_secs(60), from, &lower, &mut out);
+        assert_eq!(out.len(), 1);
+        spreader.on_revision(6, 100);
+        assert_eq!(spreader.revision(), 7);
+    };
+
+    slices_with_a_change_on_its_way_are_not_fetched => {
+        let mut spreader = joined(10);
+        let mut out = Vec::new();
+        let later = Millis::from_secs(20);
+        spreader.on_heartbeat(later, target(1), true);
+        let changed = citronhollow_core::members::slice_of(target(1).id.0);
+        let mut theirs = summary(balancer(1), 0);
+        theirs.members = vec![0; 64];
+        theirs.members[changed] = 5;
+        spreader.on_summary(later, &theirs, &mut out);
+        assert!(fetches(&out).is_empty(), "{out:?}");
+        spreader.on_summary(later.after(Millis::from_secs(9)), &theirs, &mut out);
+        assert_eq!(fetches(&out).len(), 1, "the difference has lasted");
+    };
+
+    two_that_know_the_same_have_nothing_to_fetch => {
+        let (mut a, mut b) = (joined(10), Spreader::new(balancer(1), Vec::new()));
+        let me = BalancerRecord { sequence: 2, ..balancer(0) };
+        let others: Vec<_> = std::iter::once(me).chain((2..10).map(balancer)).collect();
+        b.on_members(Millis::ZERO, &[], &others);
+        let known = BalancerRecord { sequence: 2, ..balancer(1) };
+        let news = News { balancers: vec![known], ..News::default() };
+        let mut out = Vec::new();
+        a.on_news(Millis::ZERO, known.control, &news, &mut out);
+        let later = Millis::from_secs(60);
+        let actions = run(&mut a, later, DIGEST_EVERY.after(DIGEST_EVERY));
+        let compared = actions.iter().find_map(|action| match action {
+            Action::Compare { summary, .. } => Some(summary.clone()),
+            _ => None,
+        });
+        out.clear();
+        b.on_summary(later.after(DIGEST_EVERY), &compared.expect("a comparison"), &mut out);
+        assert!(fetches(&out).is_empty(), "{out:?}");
+    };
+
+    peer_that_does_not_answer_gets_no_pushes_until_it_does => {
+        let mut spreader = joined(2);
+        run(&mut spreader, Millis::ZERO, Millis::from_secs(60));
+        let asked = Millis::from_secs(60);
+        spreader.on_heartbeat(asked, target(1), true);
+        let actions = run(&mut spreader, asked, Millis::from_secs(20));
+        assert!(pushes(&actions).is_empty(), "after {PROBES_MAX} probes");
+        let probes = actions.iter().filter(|it| matches!(it, Action::Compare { .. }));
+        assert!(probes.count() >= 1, "it is still probed");
+        let mut out = Vec::new();
+        let back = asked.after(Millis::from_secs(20));
+        spreader.on_summary(back, &summary(balancer(1), 0), &mut out);
+        let actions = run(&mut spreader, back, Millis::from_secs(1));
+        assert!(!pushes(&actions).is_empty());
+    };
+
+    own_leaving_said_by_others_is_refuted => {
+        let mut spreader = joined(10);
+        run(&mut spreader, Millis::ZERO, Millis::from_secs(5));
+        let said = BalancerRecord { leaving: true, ..*spreader.me() };
+        let news = News { balancers: vec![said], ..News::default() };
+        let mut out = Vec::new();
+        let now = Millis::from_secs(5);
+        spreader.on_news(now, balancer(1).control, &news, &mut out);
+        let me = *spreader.me();
+        assert!(!me.leaving && me.sequence > said.sequence);
+        let actions = run(&mut spreader, now, Millis::from_secs(1));
+        assert!(pushes(&actions).iter().any(|news| news.balancers.contains(&me)));
+    };
+}
+
+fn name(number: u8) -> String {
+    format!("n{number}")
+}
+
+/// Numbers of names with variants, each number once and in any order.
+fn entries() -> impl Strategy<Value = Vec<(u8, u8)>> {
+    prop::collection::btree_map(0_u8..8, 0_u8..3, 0..8)
+        .prop_map(|map| map.into_iter().collect::<Vec<_>>())
+        .prop_shuffle()
+}
+
+/// Documents of few names in any order, so that most pairs share some.
+fn revision(number: u64) -> impl Strategy<Value = Revision> {
+    (entries(), entries(), entries()).prop_map(move |(services, pools, rules)| Revision {
+        number,
+        epoch: number,
+        documents: Documents {
+            services: services
+                .into_iter()
+                .map(|(id, variant)| Service {
+                    name: name(id),
+                    addresses: vec![SocketAddr::from(([10, 0, 0, id], 443))],
+                    pool: name(variant),
+                    refusal: Refusal::Reset,
+                    new_flows_per_s: None,
+                    new_flows_per_s_per_caller: None,
+                })
+                .collect(),
+            pools: pools
+                .into_iter()
+                .map(|(id, variant)| Pool {
+                    name: name(id),
+                    groups: vec![name(variant)],
+                    flows_per_target: None,
+                })
+                .collect(),
+            rules: rules
+                .into_iter()
+                .map(|(id, variant)| Rule {
+                    name: name(id),
+                    service: name(variant),
+                    pool: name(variant),
+                    percent: variant,
+                })
+                .collect(),
+        },
+    })
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 256,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(0x6465_6c74),
+        ..Config::default()
+    })]
+
+    #[test]
+    fn difference_gives_exactly_the_new_revision(old in revision(3), new in revision(5)) {
+        if let Some(delta) = RevisionDelta::between(&old, &new) {
+            let json = serde_json::to_vec(&delta).expect("JSON");
+            let delta: RevisionDelta = serde_json::from_slice(&json).expect("JSON");
+            prop_assert_eq!(delta.apply(&old), Some(new.clone()));
+            let later = Revision { number: 4, ..old.clone() };
+            prop_assert_eq!(delta.apply(&later), None, "only its own base will do");
+            prop_assert_eq!(delta.apply(&new), None, "never twice");
+        }
+    }
+
+    #[test]
+    fn removed_document_is_part_of_the_difference(old in revision(3)) {
+        let mut new = Revision { number: 4, ..old.clone() };
+        new.documents.services.pop();
+        let delta = RevisionDelta::between(&old, &new);
+        prop_assert_eq!(delta.expect("order is kept").apply(&old), Some(new));
+    }
+
+    #[test]
+    fn one_changed_document_makes_a_short_difference(old in revision(3), id in 0_u8..8) {
+        let mut new = Revision { number: 4, ..old.clone() };
+        let pool = Pool {
+            name: name(id),
+            groups: vec![String::from("changed")],
+            flows_per_target: Some(9),
+        };
+        match new.documents.pools.iter_mut().find(|it| it.name == pool.name) {
+            Some(found) => *found = pool,
+            None => new.documents.pools.push(pool),
+        }
+        let delta = RevisionDelta::between(&old, &new);
+        let json = serde_json::to_vec(&delta.expect("order is kept")).expect("JSON");
+        prop_assert!(json.len() <= INLINE_MAX, "{} bytes", json.len());
+    }
+}
