Follow one flow through three processes by its spans

Cause: spans and metrics were shown by their own packages only, not by the programs.

Change: the testkit's fleet can be given an observer, to whom every process sends its spans and metrics.

--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -77,6 +77,7 @@
     /// Targets, in the order of their start.
     pub targets: Vec<TargetNode>,
     started: usize,
+    observer: Option<SocketAddr>,
 }
 
 impl Fleet {
@@ -104,6 +105,7 @@
             balancers: Vec::new(),
             targets: Vec::new(),
             started: 0,
+            observer: None,
         };
         for _ in 0..balancers {
             fleet.add_balancer()?;
@@ -111,6 +113,12 @@
         Ok(fleet)
     }
 
+    /// Lets the processes that are started from now on trace every flow, and send spans and
+    /// metrics to this UDP address.
+    pub const fn set_observer(&mut self, observer: SocketAddr) {
+        self.observer = Some(observer);
+    }
+
     /// Starts one more balancer, which joins through those that run.
     ///
     /// # Errors
@@ -132,6 +140,9 @@
             "platform": self.platform_addr,
             "keys": keys(),
             "operator_token": TOKEN,
+            "trace_one_in": u32::from(self.observer.is_some()),
+            "traces": self.observer,
+            "metrics": self.observer,
         });
         let file = self.write(&name, &settings)?;
         let args = ["balancer", "--settings", &file];
@@ -162,6 +173,8 @@
             "fabric": [self.fabric],
             "seeds": self.seeds(),
             "keys": keys(),
+            "traces": self.observer,
+            "metrics": self.observer,
         });
         let agent_name = format!("agent-{}", plan.name);
         let file = self.write(&agent_name, &settings)?;
