--- a/crates/core/src/rumour/spreader.rs
+++ b/crates/core/src/rumour/spreader.rs
@@ -13,13 +13,16 @@
 use super::liveness::Liveness;
 use super::polls::Polls;
 use super::queue::{ROUND, Rumours, Topic};
-use super::repair::{DIGEST_EVERY, comparable_digests, slices_to_fetch};
+use super::repair::{
+    DIGEST_EVERY, DIGEST_EVERY_IN_REPAIR, REPAIR_FOR, comparable_digests, slices_to_fetch,
+};
 use super::reports::{AgentReport, BalancerReport, Reports};
 use crate::clock::Millis;
 use crate::hash;
 use crate::id::{BalancerId, TargetId};
 use crate::members::{
-    BalancerRecord, HEARTBEAT, HeartbeatOutcome, SLICES, TargetNews, TargetRecord, View,
+    BalancerRecord, HEARTBEAT, HeartbeatOutcome, SLICES, TargetNews, TargetRecord, VerdictNews,
+    View,
 };
 
 /// Time after its start when a balancer that no peer has told anything has heard every agent that
@@ -46,6 +49,8 @@
 pub struct News {
     /// Targets that changed.
     pub targets: Vec<TargetNews>,
+    /// Verdicts on targets that did not change otherwise.
+    pub verdicts: Vec<VerdictNews>,
     /// Balancers that changed.
     pub balancers: Vec<BalancerRecord>,
     /// Highest revision that the sender has.
@@ -130,6 +135,7 @@
     join: Millis,
     fetch_revision: Millis,
     fetch_members: Millis,
+    repair_until: Millis,
 }
 
 impl Spreader {
@@ -140,10 +146,13 @@
         let seeds = seeds.into_iter().filter(|it| *it != me.control).collect();
         let mut rumours = Rumours::new(seed);
         rumours.add(Topic::Balancer(me.id));
+        // Everybody else's digests count this balancer, so its own must too.
+        let mut view = View::new();
+        view.merge_balancer(Millis::ZERO, me);
         Self {
             me,
             seeds,
-            view: View::new(),
+            view,
             rumours,
             liveness: Liveness::default(),
             reports: Reports::default(),
@@ -161,7 +170,7 @@
         &self.me
     }
 
-    /// All members as known here, this balancer not counted.
+    /// All members as known here, this balancer included.
     #[must_use]
     pub const fn view(&self) -> &View {
         &self.view
@@ -189,11 +198,18 @@
         &self.reports
     }
 
+    /// The other balancers that are not known to be gone.
+    fn peers(&self) -> impl Iterator<Item = &BalancerRecord> {
+        let me = self.me.id;
+        let present = self.view.balancers().present();
+        present.filter(move |peer| peer.id != me)
+    }
+
     /// Lowest revision among all that are not known to be gone. What depends on nobody being
     /// behind uses this.
     #[must_use]
     pub fn lowest_of_all(&self) -> u64 {
-        let peers = self.view.balancers().present().map(|peer| peer.id);
+        let peers = self.peers().map(|peer| peer.id);
         self.reports.lowest_of(self.revision, peers)
     }
 
@@ -222,8 +238,9 @@
             let report = reports.balancer(peer.id);
             report.is_none_or(|report| report.lowest < revision)
         };
-        let behind = self.view.balancers().present().filter(is_behind).copied();
-        let due = self.polls.due(now, behind, POLLS_AT_ONCE);
+        let behind = self.peers().filter(is_behind).copied();
+        let behind: Vec<_> = behind.collect();
+        let due = self.polls.due(now, behind.into_iter(), POLLS_AT_ONCE);
         let asks = due
             .into_iter()
             .map(|peer| Action::AskLowest { to: peer.control });
@@ -255,9 +272,9 @@
     }
 
     /// This balancer is about to exit.
-    pub fn leave(&mut self) {
+    pub fn leave(&mut self, now: Millis) {
         self.me.leaving = true;
-        self.announce_self();
+        self.announce_self(now);
     }
 
     /// An agent's heartbeat.
@@ -288,6 +305,11 @@
         for target in &news.targets {
             self.merge_target(now, *target);
         }
+        for verdict in &news.verdicts {
+            if self.view.merge_verdict(now, verdict) {
+                self.rumours.add(Topic::Verdict(verdict.id));
+            }
+        }
         for balancer in &news.balancers {
             self.merge_balancer(now, *balancer);
         }
@@ -338,7 +360,7 @@
         for balancer in balancers.iter().filter(|it| it.id != self.me.id) {
             self.view.merge_balancer(now, *balancer);
         }
-        self.announce_self();
+        self.announce_self(now);
     }
 
     /// A fetch of a revision ended.
@@ -355,15 +377,16 @@
         self.polls
             .retain(|id| balancers.get(id).is_some_and(|record| !record.leaving));
         for news in &verdicts {
-            self.rumours.add(Topic::Target(news.record.id));
+            self.rumours.add(Topic::Verdict(news.record.id));
         }
         if now >= self.timers.round {
             self.timers.round = now.after(ROUND);
             self.push(now, out);
         }
         if now >= self.timers.compare {
-            let jitter = self.rng.random_range(0..DIGEST_EVERY.0 / 2);
-            self.timers.compare = now.after(Millis(DIGEST_EVERY.0 * 3 / 4 + jitter));
+            let every = self.compare_every(now);
+            let jitter = self.rng.random_range(0..every.0 / 2);
+            self.timers.compare = now.after(Millis(every.0 * 3 / 4 + jitter));
             self.probe(now, out);
         }
         self.retry_probes(now, out);
@@ -371,6 +394,15 @@
         verdicts
     }
 
+    fn compare_every(&self, now: Millis) -> Millis {
+        let is_in_repair = self.timers.repair_until > now || self.liveness.has_silent();
+        if is_in_repair {
+            DIGEST_EVERY_IN_REPAIR
+        } else {
+            DIGEST_EVERY
+        }
+    }
+
     fn push(&mut self, now: Millis, out: &mut Vec<Action>) {
         if self.rumours.is_empty() {
             return;
@@ -394,7 +426,10 @@
         for topic in topics {
             match topic {
                 Topic::Target(id) => news.targets.extend(self.view.target(now, *id)),
-                Topic::Balancer(id) if *id == self.me.id => news.balancers.push(self.me),
+                Topic::Verdict(id) => {
+                    let target = self.view.target(now, *id);
+                    news.verdicts.extend(target.map(VerdictNews::from));
+                }
                 Topic::Balancer(id) => news.balancers.extend(self.view.balancers().get(*id)),
                 Topic::Revision(bytes) => news.carries_revision = *bytes > NUMBER_BYTES,
             }
@@ -402,9 +437,10 @@
         news
     }
 
-    /// Asks a peer what it has: a silent one that is due, or else any.
+    /// Asks a peer what it has: every other time a silent one that is due, or else any.
     fn probe(&mut self, now: Millis, out: &mut Vec<Action>) {
         let silent = self.liveness.next_probe(now, self.view.balancers());
+        let silent = silent.filter(|_| self.rng.random());
         let peer = silent.or_else(|| {
             let reachable = self.reachable_peers();
             reachable.into_iter().choose(&mut self.rng)
@@ -442,7 +478,7 @@
         self.view
             .balancers()
             .present()
-            .filter(|peer| self.liveness.is_reachable(peer.id))
+            .filter(|peer| peer.id != self.me.id && self.liveness.is_reachable(peer.id))
             .copied()
             .collect()
     }
@@ -456,26 +492,27 @@
     /// What others say about this balancer is refuted rather than merged.
     fn merge_balancer(&mut self, now: Millis, record: BalancerRecord) {
         if record.id == self.me.id {
-            self.refute(&record);
+            self.refute(now, &record);
         } else if self.view.merge_balancer(now, record) {
             self.rumours.add(Topic::Balancer(record.id));
         }
     }
 
-    fn refute(&mut self, record: &BalancerRecord) {
+    fn refute(&mut self, now: Millis, record: &BalancerRecord) {
         let mine = (self.me.incarnation, self.me.sequence);
         let theirs = (record.incarnation, record.sequence);
         let is_contradicted = theirs == mine && record.leaving != self.me.leaving;
         if theirs > mine || is_contradicted {
             self.me.incarnation = record.incarnation;
             self.me.sequence = record.sequence;
-            self.announce_self();
+            self.announce_self(now);
         }
     }
 
     /// Makes the own record newer than anything that is said about it.
-    fn announce_self(&mut self) {
+    fn announce_self(&mut self, now: Millis) {
         self.me.sequence += 1;
+        self.view.merge_balancer(now, self.me);
         self.rumours.add(Topic::Balancer(self.me.id));
     }
 
@@ -520,6 +557,7 @@
         };
         if !slices.is_empty() {
             self.timers.fetch_members = now.after(FETCH_AGAIN_AFTER);
+            self.timers.repair_until = now.after(REPAIR_FOR);
             out.push(Action::FetchMembers { from, slices });
         }
     }
