--- a/crates/core/tests/rumour.rs
+++ b/crates/core/tests/rumour.rs
@@ -71,6 +71,7 @@
     Summary {
         sender,
         revision,
+        lowest_revision: 0,
         members: vec![1; 64],
         wants_answer: false,
     }
