--- a/crates/agent/tests/spans.rs
+++ b/crates/agent/tests/spans.rs
@@ -14,32 +14,40 @@
 
 const TRACE: u64 = 0x7ace;
 
-/// Sends the trace of every new span of an agent.
-struct Traces(Sender<u64>);
+/// Sends the trace of every new span of an agent's hop.
+struct Traces(Sender<String>);
 
-struct TraceOf(Option<u64>);
+#[derive(Default)]
+struct HopOf {
+    hop: String,
+    trace: String,
+}
 
-impl Visit for TraceOf {
-    fn record_u64(&mut self, field: &Field, value: u64) {
+impl Visit for HopOf {
+    fn record_str(&mut self, field: &Field, value: &str) {
         if field.name() == "trace" {
-            self.0 = Some(value);
+            value.clone_into(&mut self.trace);
         }
     }
 
-    fn record_debug(&mut self, _: &Field, _: &dyn Debug) {}
+    fn record_debug(&mut self, field: &Field, value: &dyn Debug) {
+        if field.name() == "hop" {
+            self.hop = format!("{value:?}");
+        }
+    }
 }
 
 impl<S: tracing::Subscriber> Layer<S> for Traces {
     fn on_new_span(&self, attrs: &Attributes<'_>, _: &tracing::span::Id, _: Context<'_, S>) {
-        let mut trace = TraceOf(None);
-        attrs.record(&mut trace);
-        if let Some(trace) = trace.0.filter(|_| attrs.metadata().name() == "agent") {
-            let _ = self.0.send(trace);
+        let mut found = HopOf::default();
+        attrs.record(&mut found);
+        if found.hop == "agent" {
+            let _ = self.0.send(found.trace);
         }
     }
 }
 
-fn traces() -> Receiver<u64> {
+fn traces() -> Receiver<String> {
     let (tx, rx) = channel();
     let subscriber = tracing_subscriber::registry().with(Traces(tx));
     tracing::subscriber::set_global_default(subscriber).unwrap();
@@ -61,6 +69,6 @@
     establish(&fabric, &agent, 40_000);
     fabric.trace = TRACE;
     establish(&fabric, &agent, 40_001);
-    assert_eq!(traces.recv_timeout(HANG), Ok(TRACE));
+    assert_eq!(traces.recv_timeout(HANG), Ok(format!("{TRACE:016x}")));
     agent.stop();
 }
