Hand an opening packet on where the peer knows better, and age old reports

Change: an agent that was handed an opening packet compares once more, since it knows its own load exactly, and may hand it on, three times in all and never back; then the flow is opened or refused. A repeated packet follows the first one's redirects, and the sender is told where the flow went. Old reports approach the mean of the pool at the pace at which requests end, which each agent observes.

Tests: two that wanted a handed flow never to be handed on are replaced by five that want it handed on, at most so often, not back, and refused only when nobody may hand it on; fixtures that force a flow open use the last hand.

--- a/crates/core/src/flows.rs
+++ b/crates/core/src/flows.rs
@@ -43,6 +43,7 @@
 pub use counters::Counters;
 pub use limits::FlowLimits;
 pub use load::LoadReport;
+pub use opening::MAX_HANDS;
 pub use packet::{Action, Arrival, CloseReason, DropReason, Holding, Packet, Relay};
 
 use bucket::{Bucket, Rate};
@@ -145,7 +146,9 @@
 
     /// Whether a request of the flow waits for the target's answer.
     pub fn on_busy(&mut self, flow: &FlowId, busy: bool) {
-        self.held.set_busy(flow, busy);
+        if self.held.set_busy(flow, busy) && !busy {
+            self.own.on_request_ended();
+        }
     }
 
     /// The endpoint is gone.
@@ -241,6 +244,7 @@
         self.close_reassigned(now, out);
         self.close_timed_out(now, out);
         self.held.forget_ended(now);
+        self.own.on_tick(now, self.held.busy());
         self.serve_queue(now, out);
         self.tick_searches(now, out);
         self.counters.count(&out[before..]);
--- a/crates/core/src/flows/held.rs
+++ b/crates/core/src/flows/held.rs
@@ -102,12 +102,13 @@
         }
     }
 
-    pub(super) fn set_busy(&mut self, flow: &FlowId, is_busy: bool) {
+    /// Notes whether a request of the flow is in progress, and says whether that is news.
+    pub(super) fn set_busy(&mut self, flow: &FlowId, is_busy: bool) -> bool {
         let Some(connection) = self.established.get_mut(flow) else {
-            return;
+            return false;
         };
         if connection.is_busy == is_busy {
-            return;
+            return false;
         }
         connection.is_busy = is_busy;
         if is_busy {
@@ -115,6 +116,7 @@
         } else {
             self.busy -= 1;
         }
+        true
     }
 
     /// Whether a peer should be told now that the flow is here, which counts as done.
--- a/crates/core/src/flows/load.rs
+++ b/crates/core/src/flows/load.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::clock::Millis;
 use crate::id::TargetId;
 
 /// True load of a target as its own agent sees it.
@@ -34,6 +35,11 @@
     pub const fn version(&self) -> (u64, u64) {
         (self.incarnation, self.sequence)
     }
+
+    /// Requests in progress and waiting, in thousandths.
+    fn requests_milli(&self) -> u64 {
+        (u64::from(self.busy) + u64::from(self.queued)) * REQUEST_MILLI
+    }
 }
 
 /// Work of one request, in thousandths of a request.
@@ -47,6 +53,42 @@
 /// Slots of a target that never reported, as a part of what it announced.
 const UNREPORTED_SLOTS_MILLI: u64 = 250;
 
+/// What is expected of a peer whose report is old.
+///
+/// A report says less the older it is: requests end and others begin meanwhile, and after a few
+/// times the length of a request the peer is as likely as any to be busy. Its requests are
+/// therefore taken to approach the mean of all targets. Without that, every agent follows the same
+/// old report and the peer that was idle is flooded.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Outlook {
+    /// Requests in progress at all targets, in thousandths of their slots.
+    pub(super) mean_milli: u64,
+    /// Time that a request keeps a slot.
+    pub(super) request_time: Millis,
+    /// Age above which a report counts as stale.
+    pub(super) max_age: Millis,
+}
+
+impl Outlook {
+    /// Requests to expect, in thousandths, at a peer that reported `told_milli` some time ago.
+    fn requests_milli(&self, told_milli: u64, milli_slots: u64, age: Millis) -> u64 {
+        let expected = self.mean_milli * milli_slots / 1_000;
+        let span = (self.request_time.0 + age.0).max(1);
+        (told_milli * self.request_time.0 + expected * age.0) / span
+    }
+}
+
+/// Requests in progress at all targets that reported, in thousandths of their slots.
+pub(super) fn mean_milli<'a>(reports: impl Iterator<Item = &'a LoadReport>) -> u64 {
+    let (requests, slots) = reports.fold((0, 0), |(requests, slots), report| {
+        (
+            requests + report.requests_milli(),
+            slots + u64::from(report.milli_slots),
+        )
+    });
+    requests * 1_000 / slots.max(1)
+}
+
 /// Load of one target, for comparison with others.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Estimate {
@@ -65,6 +107,17 @@
         }
     }
 
+    /// A target that reported some time ago.
+    pub(super) fn aged(report: &LoadReport, age: Millis, outlook: &Outlook) -> Self {
+        let now = Self::from(report);
+        let told = report.requests_milli();
+        let expected = outlook.requests_milli(told, now.milli_slots, age);
+        Self {
+            work_milli: now.work_milli - told + expected,
+            ..now
+        }
+    }
+
     /// At least one request for every slot.
     pub(super) fn or_full(self) -> Self {
         Self {
@@ -90,9 +143,8 @@
 
 impl From<&LoadReport> for Estimate {
     fn from(report: &LoadReport) -> Self {
-        let requests = u64::from(report.busy) + u64::from(report.queued);
         Self {
-            work_milli: requests * REQUEST_MILLI + u64::from(report.open) * OPEN_FLOW_MILLI,
+            work_milli: report.requests_milli() + u64::from(report.open) * OPEN_FLOW_MILLI,
             milli_slots: u64::from(report.milli_slots),
             is_failing: report.milli_failures > MAX_FAILURES_MILLI,
         }
--- a/crates/core/src/flows/ongoing.rs
+++ b/crates/core/src/flows/ongoing.rs
@@ -82,7 +82,7 @@
         out.push(Action::Send { to, relay, packet });
     }
 
-    /// Tells the peer that passed a packet where the flow is.
+    /// Tells the peer that passed or handed a packet where the flow is.
     pub(super) fn notify_sender(
         &mut self,
         now: Millis,
@@ -91,7 +91,7 @@
         to: TargetId,
         out: &mut Vec<Action<B>>,
     ) {
-        let Arrival::Passed(sender) = arrival else {
+        let Some(sender) = arrival.sender() else {
             return;
         };
         if self.redirects.is_notice_due(now, &flow, sender) {
--- a/crates/core/src/flows/opening.rs
+++ b/crates/core/src/flows/opening.rs
@@ -1,9 +1,10 @@
 //! Where a new flow goes.
 //!
 //! The agent that gets an opening packet knows the load of its peers, and the balancer that sent
-//! it here does not. So it may hand the packet to a peer, once: the peer accepts or refuses the
-//! flow itself, and no opening packet wanders. A repeated opening packet follows the redirect of
-//! the first.
+//! it here does not. So it may hand the packet to a peer. What it knows of the peer is old, while
+//! the peer knows its own load exactly, so the peer compares once more and may hand the packet on.
+//! After [`MAX_HANDS`] the flow is opened or refused, and no opening packet wanders. A repeated
+//! opening packet follows the redirects of the first.
 
 use rand::Rng;
 
@@ -12,7 +13,7 @@
 use crate::id::TargetId;
 
 use super::connection::Connection;
-use super::load::{Estimate, JITTER_MILLI};
+use super::load::{Estimate, JITTER_MILLI, Outlook, mean_milli};
 use super::notice::LastNotice;
 use super::ongoing::may_pass;
 use super::packet::{Action, Arrival, CloseReason, DropReason, Packet, Relay};
@@ -21,6 +22,9 @@
 use super::services::{PoolKey, ServiceKey};
 use super::{Flows, drop_for};
 
+/// Agents that may hand one opening packet on, so that the last one opens or refuses the flow.
+pub const MAX_HANDS: u32 = 3;
+
 /// Where a new flow is to be opened.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Place {
@@ -81,8 +85,8 @@
     /// Chooses the target for a new flow.
     fn place(&mut self, now: Millis, service: ServiceKey, packet: &Packet<B>) -> Place {
         let pool = self.services.pool_for(service, &packet.flow);
-        if let Arrival::Handed(_) = packet.arrival {
-            return self.place_handed(pool);
+        if is_last(packet) {
+            return self.place_last(pool);
         }
         let here = self.score_here(now, pool);
         let here = here.map(|score| (score, Place::Here));
@@ -99,8 +103,8 @@
         }
     }
 
-    /// A peer chose this target: the flow is opened or refused here, whatever others could do.
-    fn place_handed(&self, pool: PoolKey) -> Place {
+    /// The flow is opened or refused here, whatever others could do.
+    fn place_last(&self, pool: PoolKey) -> Place {
         if self.has_room(pool) {
             Place::Here
         } else if self.own.takes_new() {
@@ -131,8 +135,8 @@
         if !self.has_room(pool) || (!is_member && has_members) {
             return None;
         }
-        let jitter = self.rng.random_range(0..JITTER_MILLI);
-        Some(Estimate::from(&self.report(now)).score(jitter))
+        // What this agent knows of itself is exact, so nothing is added to it.
+        Some(Estimate::from(&self.report(now)).score(0))
     }
 
     fn best_peer(
@@ -142,7 +146,7 @@
         avoid: Option<TargetId>,
     ) -> Option<((bool, u64), TargetId)> {
         let limit = self.services.flows_per_target(pool);
-        let max_age = self.limits.load_max_age;
+        let outlook = self.outlook(now);
         let mut best = None;
         for peer in self.peers.iter() {
             let id = peer.record.id;
@@ -151,7 +155,7 @@
                 continue;
             }
             let jitter = self.rng.random_range(0..JITTER_MILLI);
-            let score = peer.estimate(now, max_age).score(jitter);
+            let score = peer.estimate(now, &outlook).score(jitter);
             if best.is_none_or(|(other, _)| score < other) {
                 best = Some((score, id));
             }
@@ -159,6 +163,17 @@
         best
     }
 
+    /// What the agents told last, taken together with this target's own load.
+    fn outlook(&mut self, now: Millis) -> Outlook {
+        let own = self.report(now);
+        let told = self.peers.iter().filter_map(Peer::report);
+        Outlook {
+            mean_milli: mean_milli(std::iter::once(&own).chain(told)),
+            request_time: self.own.request_time(),
+            max_age: self.limits.load_max_age,
+        }
+    }
+
     /// Whether this target may open another flow of the pool.
     pub(super) fn has_room(&self, pool: PoolKey) -> bool {
         let limit = self.services.flows_per_target(pool).min(self.limits.flows);
@@ -209,7 +224,7 @@
         service: ServiceKey,
         packet: &Packet<B>,
     ) -> Option<Redirect> {
-        if let Arrival::Handed(_) = packet.arrival {
+        if is_last(packet) {
             return None;
         }
         let redirect = self.usable_redirect(service, packet)?;
@@ -261,3 +276,8 @@
         is_usable.then_some(redirect)
     }
 }
+
+/// Whether the packet has been handed on as often as it may be.
+const fn is_last<B>(packet: &Packet<B>) -> bool {
+    matches!(packet.arrival, Arrival::Handed(_)) && packet.hops >= MAX_HANDS
+}
--- a/crates/core/src/flows/own.rs
+++ b/crates/core/src/flows/own.rs
@@ -15,6 +15,52 @@
 /// Connects below which a failure counts for less.
 const MIN_CONNECTS: u32 = 3;
 
+/// Length of a request while none has been observed.
+const REQUEST_TIME_AT_FIRST: Millis = Millis(250);
+/// Least and greatest length of a request that decisions count with.
+const REQUEST_TIMES: (Millis, Millis) = (Millis(20), Millis::from_secs(10));
+/// Time after which the observed length of a request is brought up to date.
+const REQUESTS_SPAN: Millis = Millis::from_secs(5);
+/// Part of the old value that stays at such a time, of this many parts.
+const REQUEST_TIME_PARTS: u64 = 4;
+
+/// Observes how long requests take, by the time that slots were busy and the requests that ended.
+#[derive(Clone, Copy, Debug)]
+struct Requests {
+    time: Millis,
+    span_start: Millis,
+    last_tick: Millis,
+    busy_time: u64,
+    ended: u64,
+}
+
+impl Requests {
+    const fn new() -> Self {
+        Self {
+            time: REQUEST_TIME_AT_FIRST,
+            span_start: Millis::ZERO,
+            last_tick: Millis::ZERO,
+            busy_time: 0,
+            ended: 0,
+        }
+    }
+
+    fn on_tick(&mut self, now: Millis, busy: u32) {
+        self.busy_time += now.since(self.last_tick).0 * u64::from(busy);
+        self.last_tick = now;
+        if now.since(self.span_start) < REQUESTS_SPAN || self.busy_time == 0 {
+            return;
+        }
+        let observed = self.busy_time / self.ended.max(1);
+        let kept = self.time.0 * (REQUEST_TIME_PARTS - 1);
+        let time = Millis((kept + observed) / REQUEST_TIME_PARTS);
+        self.time = time.clamp(REQUEST_TIMES.0, REQUEST_TIMES.1);
+        self.span_start = now;
+        self.busy_time = 0;
+        self.ended = 0;
+    }
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Connects {
     started: u32,
@@ -31,6 +77,7 @@
     span_start: Millis,
     current: Connects,
     previous: Connects,
+    requests: Requests,
 }
 
 impl Own {
@@ -48,6 +95,7 @@
                 started: 0,
                 failed: 0,
             },
+            requests: Requests::new(),
         }
     }
 
@@ -88,6 +136,21 @@
         u32::try_from(milli).unwrap_or(u32::MAX)
     }
 
+    /// Time passes with `busy` requests in progress.
+    pub(super) fn on_tick(&mut self, now: Millis, busy: u32) {
+        self.requests.on_tick(now, busy);
+    }
+
+    /// A request was answered.
+    pub(super) const fn on_request_ended(&mut self) {
+        self.requests.ended += 1;
+    }
+
+    /// Time that a request keeps a slot.
+    pub(super) const fn request_time(&self) -> Millis {
+        self.requests.time
+    }
+
     pub(super) fn on_connect_started(&mut self, now: Millis) {
         self.advance(now);
         self.current.started += 1;
--- a/crates/core/src/flows/peers.rs
+++ b/crates/core/src/flows/peers.rs
@@ -9,7 +9,7 @@
 use crate::id::TargetId;
 use crate::members::{TargetRecord, TargetState};
 
-use super::load::{Estimate, LoadReport};
+use super::load::{Estimate, LoadReport, Outlook};
 
 /// Peers kept that the balancers do not list.
 const MAX_ABSENT: usize = 256;
@@ -66,17 +66,22 @@
         self.told.is_some_and(|told| now.since(told.at) > max_age)
     }
 
+    /// What it reported last.
+    pub(super) fn report(&self) -> Option<&LoadReport> {
+        self.told.as_ref().map(|told| &told.report)
+    }
+
     /// Its load now, as far as one can tell.
-    pub(super) fn estimate(&self, now: Millis, max_age: Millis) -> Estimate {
-        let reported = self.told.map_or_else(
-            || Estimate::unreported(self.record.slots),
-            |told| Estimate::from(&told.report),
-        );
-        let is_fresh = self.told.is_some_and(|told| now.since(told.at) <= max_age);
-        let known = if is_fresh {
-            reported
+    pub(super) fn estimate(&self, now: Millis, outlook: &Outlook) -> Estimate {
+        let Some(told) = &self.told else {
+            let unreported = Estimate::unreported(self.record.slots);
+            return unreported.or_full().with_requests(self.handed);
+        };
+        let age = now.since(told.at);
+        let known = if age <= outlook.max_age {
+            Estimate::aged(&told.report, age, outlook)
         } else {
-            reported.or_full()
+            Estimate::from(&told.report).or_full()
         };
         known.with_requests(self.handed)
     }
--- a/crates/core/tests/flows/admission.rs
+++ b/crates/core/tests/flows/admission.rs
@@ -11,8 +11,8 @@
 use proptest::test_runner::TestCaseResult;
 
 use crate::fixture::{
-    Actions, Bytes, START, agent, agent_with, establish, flow, handed, id, idle, on_packet, ready,
-    revision, sent, service, syn,
+    Actions, Bytes, START, agent, agent_with, establish, flow, handed, handed_last, id, idle,
+    on_packet, ready, revision, sent, service, syn,
 };
 
 const LIMIT: usize = 2;
@@ -106,7 +106,7 @@
 
     waiting_flow_that_was_handed_here_is_not_handed_on => {
         let mut flows = full_agent(2);
-        on_packet(&mut flows, START, handed(2, syn(1, 5)));
+        on_packet(&mut flows, START, handed_last(2, syn(1, 5)));
         flows.on_load(at(50), idle(2, 2));
         assert!(on_tick(&mut flows, at(50)).is_empty());
         assert_eq!(refused_as(&on_tick(&mut flows, at(200))), Some(ErrorKind::Overloaded));
@@ -213,7 +213,7 @@
     handed_flow_is_not_counted_again => {
         let mut flows = limited_agent(1, Some(1), None);
         for number in 0..9 {
-            assert!(is_opened(&on_packet(&mut flows, START, handed(2, syn(number, 5)))));
+            assert!(is_opened(&on_packet(&mut flows, START, handed_last(2, syn(number, 5)))));
         }
     };
 
--- a/crates/core/tests/flows/draining.rs
+++ b/crates/core/tests/flows/draining.rs
@@ -6,8 +6,8 @@
 use citronhollow_core::routes::Routes;
 
 use crate::fixture::{
-    Actions, Bytes, START, ack, agent, busy, establish, flow, handed, id, idle, is_delivered,
-    on_packet, passed, ready, record, revision, sent, syn,
+    Actions, Bytes, START, ack, agent, busy, establish, flow, handed, handed_last, id, idle,
+    is_delivered, on_packet, passed, ready, record, revision, sent, syn,
 };
 
 fn is_refused(actions: &Actions) -> bool {
@@ -44,7 +44,9 @@
 
     draining_agent_opens_nothing_that_is_handed_or_passed => {
         let mut flows = draining_agent();
-        assert!(is_refused(&on_packet(&mut flows, START, handed(2, syn(1, 5)))));
+        assert!(is_refused(&on_packet(&mut flows, START, handed_last(2, syn(1, 5)))));
+        let actions = on_packet(&mut flows, START, handed(2, syn(2, 5)));
+        assert_eq!(sent(&actions), Some((id(3), Relay::Hand)), "not back to its sender");
         flows.on_load(START, idle(2, 1));
         flows.on_load(START, busy(3, 1, 50));
         let actions = on_packet(&mut flows, START, passed(2, syn(1, 5)));
--- a/crates/core/tests/flows/fixture.rs
+++ b/crates/core/tests/flows/fixture.rs
@@ -5,7 +5,9 @@
 use citronhollow_core::clock::Millis;
 use citronhollow_core::config::{Documents, Pool, Refusal, Revision, Service};
 use citronhollow_core::flow::{FlowId, Segment};
-use citronhollow_core::flows::{Action, Arrival, FlowLimits, Flows, LoadReport, Packet, Relay};
+use citronhollow_core::flows::{
+    Action, Arrival, FlowLimits, Flows, LoadReport, MAX_HANDS, Packet, Relay,
+};
 use citronhollow_core::id::{DomainId, GroupId, TargetId};
 use citronhollow_core::members::{TargetRecord, TargetState};
 
@@ -169,6 +171,14 @@
     }
 }
 
+/// The packet as a peer hands it over that nobody may hand on any more.
+pub fn handed_last(from: u16, packet: Packet<Bytes>) -> Packet<Bytes> {
+    Packet {
+        hops: MAX_HANDS,
+        ..handed(from, packet)
+    }
+}
+
 /// The actions that one packet causes.
 pub fn on_packet(flows: &mut Flows<Bytes>, now: Millis, packet: Packet<Bytes>) -> Actions {
     let mut out = Vec::new();
@@ -198,7 +208,7 @@
 
 /// Opens a flow at an agent as a peer's handed one, and finishes its handshake.
 pub fn establish(flows: &mut Flows<Bytes>, now: Millis, number: u16, seq: u32, isn: u32) {
-    let actions = on_packet(flows, now, handed(99, syn(number, seq)));
+    let actions = on_packet(flows, now, handed_last(99, syn(number, seq)));
     assert!(matches!(actions[..], [Action::Open { .. }]), "{actions:?}");
     flows.on_isn(&flow(number), isn);
     let packet = ack(number, seq.wrapping_add(1), isn.wrapping_add(1));
--- a/crates/core/tests/flows/handshake.rs
+++ b/crates/core/tests/flows/handshake.rs
@@ -6,8 +6,8 @@
 };
 
 use crate::fixture::{
-    Bytes, START, ack, agent, agent_with, establish, flow, handed, id, is_delivered, on_packet,
-    sent, syn,
+    Bytes, START, ack, agent, agent_with, establish, flow, handed_last, id, is_delivered,
+    on_packet, sent, syn,
 };
 
 const CALLER_ISN: u32 = u32::MAX;
@@ -16,7 +16,7 @@
 /// Agent 1 of 3 with a half-open flow.
 fn half_open_agent() -> Flows<Bytes> {
     let mut flows = agent(1, 3);
-    on_packet(&mut flows, START, handed(2, syn(1, CALLER_ISN)));
+    on_packet(&mut flows, START, handed_last(2, syn(1, CALLER_ISN)));
     flows.on_isn(&flow(1), ISN);
     flows
 }
@@ -63,7 +63,7 @@
 
     acknowledgement_before_the_endpoint_has_answered_is_not_delivered => {
         let mut flows = agent(1, 3);
-        on_packet(&mut flows, START, handed(2, syn(1, CALLER_ISN)));
+        on_packet(&mut flows, START, handed_last(2, syn(1, CALLER_ISN)));
         assert!(!is_delivered(&on_packet(&mut flows, START, ack(1, 0, 1))));
     };
 
--- a/crates/core/tests/flows/services.rs
+++ b/crates/core/tests/flows/services.rs
@@ -5,8 +5,8 @@
 use citronhollow_core::id::GroupId;
 
 use crate::fixture::{
-    Actions, Bytes, START, ack, addr, agent, establish, flow, handed, id, is_delivered, on_packet,
-    packet, pool, revision, sent, service, syn,
+    Actions, Bytes, START, ack, addr, agent, establish, flow, handed_last, id, is_delivered,
+    on_packet, packet, pool, revision, sent, service, syn,
 };
 
 const CALLER_ISN: u32 = 5;
@@ -42,7 +42,7 @@
 fn agent_with_flows() -> Flows<Bytes> {
     let mut flows = agent(1, 3);
     establish(&mut flows, START, 1, CALLER_ISN, ISN);
-    on_packet(&mut flows, START, handed(2, syn(2, CALLER_ISN)));
+    on_packet(&mut flows, START, handed_last(2, syn(2, CALLER_ISN)));
     flows
 }
 
--- a/crates/core/tests/flows/steering.rs
+++ b/crates/core/tests/flows/steering.rs
@@ -6,8 +6,8 @@
 use citronhollow_core::members::TargetState;
 
 use crate::fixture::{
-    Bytes, START, ack, agent, agent_with, busy, establish, handed, id, idle, is_delivered,
-    on_packet, passed, ready, record, sent, syn,
+    Bytes, START, ack, agent, agent_with, busy, establish, handed, handed_last, id, idle,
+    is_delivered, on_packet, passed, ready, record, sent, syn,
 };
 
 /// Agent 1 of 3, busy itself, with an idle peer 2 and a busy peer 3.
@@ -83,16 +83,38 @@
         assert!(is_delivered(&actions), "{actions:?}");
     };
 
-    handed_flow_is_never_handed_on => {
+    handed_flow_is_handed_on_by_an_agent_that_knows_better => {
         let mut flows = busy_agent(FlowLimits::default());
         let actions = on_packet(&mut flows, START, handed(3, syn(1, 5)));
+        assert_eq!(sent(&actions), Some((id(2), Relay::Hand)), "not back to the sender");
+    };
+
+    flow_handed_as_often_as_allowed_is_opened => {
+        let mut flows = busy_agent(FlowLimits::default());
+        let actions = on_packet(&mut flows, START, handed_last(3, syn(1, 5)));
         assert!(matches!(actions[..], [Action::Open { .. }]), "{actions:?}");
     };
 
-    handed_flow_is_refused_by_an_agent_that_drains => {
+    repeated_handed_packet_follows_the_first => {
+        let mut flows = busy_agent(FlowLimits::default());
+        on_packet(&mut flows, START, handed(3, syn(1, 5)));
+        flows.on_load(START, idle(2, 2));
+        let repeated = on_packet(&mut flows, START, handed(3, syn(1, 5)));
+        assert_eq!(sent(&repeated), Some((id(2), Relay::Hand)));
+        assert_eq!(flows.redirect_count(), 1);
+    };
+
+    handed_flow_is_handed_on_by_an_agent_that_drains => {
         let mut flows = busy_agent(FlowLimits::default());
         flows.set_state(START, TargetState::Draining);
         let actions = on_packet(&mut flows, START, handed(3, syn(1, 5)));
+        assert_eq!(sent(&actions), Some((id(2), Relay::Hand)));
+    };
+
+    handed_flow_is_refused_by_an_agent_that_drains_and_may_not_hand_it_on => {
+        let mut flows = busy_agent(FlowLimits::default());
+        flows.set_state(START, TargetState::Draining);
+        let actions = on_packet(&mut flows, START, handed_last(3, syn(1, 5)));
         assert!(
             matches!(actions[..], [Action::Refuse { kind: ErrorKind::NoTarget, .. }]),
             "{actions:?}"
--- a/crates/testkit/examples/measure/agents.rs
+++ b/crates/testkit/examples/measure/agents.rs
@@ -33,6 +33,8 @@
         from: usize,
         /// The agent that gets it.
         to: usize,
+        /// Agents that have handed it on.
+        hops: u32,
     },
     /// A report, by its number.
     Report {
@@ -104,15 +106,20 @@
     pub fn on_arrival(&mut self, now: u64, number: usize, flow: FlowId) {
         self.numbers.insert(number, flow);
         let at = self.table_choice(&flow);
-        self.feed(now, at, number, Arrival::Balancer);
+        self.feed(now, at, number, Arrival::Balancer, 0);
     }
 
     /// A message arrives.
     pub fn on_step(&mut self, now: u64, step: Step) {
         match step {
-            Step::Hand { flow, from, to } => {
+            Step::Hand {
+                flow,
+                from,
+                to,
+                hops,
+            } => {
                 let arrival = Arrival::Handed(self.ids[from]);
-                self.feed(now, to, flow, arrival);
+                self.feed(now, to, flow, arrival, hops);
             }
             Step::Report { report, to } => {
                 let report = self.reports[report];
@@ -175,7 +182,7 @@
         f64::from(self.sent) * f64::from(REPORT_BYTES) / f64::from(count) / f64::from(secs)
     }
 
-    fn feed(&mut self, now: u64, at: usize, number: usize, arrival: Arrival) {
+    fn feed(&mut self, now: u64, at: usize, number: usize, arrival: Arrival, hops: u32) {
         let Some(flow) = self.numbers.get(&number).copied() else {
             return;
         };
@@ -184,7 +191,7 @@
             segment: opening(&flow),
             arrival,
             chain: Vec::new(),
-            hops: 0,
+            hops,
             trace: 0,
             bytes: number,
         };
@@ -201,7 +208,7 @@
                     to,
                     relay: Relay::Hand,
                     packet,
-                } => self.hand(now, at, to, packet.bytes),
+                } => self.hand(now, at, to, &packet),
                 Action::Refuse { .. } => self.refused += 1,
                 _ => {}
             }
@@ -214,13 +221,19 @@
         self.opened.push((packet.bytes, at));
     }
 
-    fn hand(&mut self, now: u64, from: usize, to: TargetId, flow: usize) {
+    fn hand(&mut self, now: u64, from: usize, to: TargetId, packet: &Packet<usize>) {
         let Some(to) = self.position(to) else {
             return;
         };
         self.handed += 1;
         let arrives = now + self.fleet.delay_us(from, to);
-        self.steps.push((arrives, Step::Hand { flow, from, to }));
+        let step = Step::Hand {
+            flow: packet.bytes,
+            from,
+            to,
+            hops: packet.hops + 1,
+        };
+        self.steps.push((arrives, step));
     }
 
     fn report(&mut self, now: u64, from: usize) {
