Hand a new flow back to its sender before it is refused

Cause: an agent passes an opening packet to the peer that held an earlier connection of the same two ends. If that peer drains and the sender is the only other target, the peer refused the flow although the sender had room. A pool with more peers than a second's worth of questions could search for nothing.

Change: a passed opening packet is handed to its sender if nobody else takes it; what is handed is opened or refused there, so it goes no further. A search of more peers than the budget takes the whole budget. No notice goes to a peer about itself.

Ruled out: treating the sender like any other peer. It is the likeliest one to have been full a moment ago.

Conclusion: the last ready target of two gets the flow.

--- a/crates/core/src/flows/ongoing.rs
+++ b/crates/core/src/flows/ongoing.rs
@@ -94,7 +94,7 @@
         let Arrival::Passed(sender) = arrival else {
             return;
         };
-        if self.redirects.is_notice_due(now, &flow, sender) {
+        if sender != to && self.redirects.is_notice_due(now, &flow, sender) {
             self.notify(now, sender, flow, Holding::At(to), out);
         }
     }
--- a/crates/core/src/flows/opening.rs
+++ b/crates/core/src/flows/opening.rs
@@ -86,7 +86,13 @@
         }
         let here = self.score_here(now, pool);
         let here = here.map(|score| (score, Place::Here));
-        let peer = self.best_peer(now, pool, packet.arrival.sender());
+        let sender = packet.arrival.sender();
+        let mut peer = self.best_peer(now, pool, sender);
+        // The sender asked for an old connection first. It may open the new one, if nobody else
+        // does: what is handed to it is not handed on.
+        if here.is_none() && peer.is_none() {
+            peer = self.best_peer(now, pool, None);
+        }
         let peer = peer.map(|(score, id)| (score, Place::Peer(id)));
         let best = here.into_iter().chain(peer).min_by_key(|(score, _)| *score);
         if let Some((_, place)) = best {
--- a/crates/core/src/flows/searching.rs
+++ b/crates/core/src/flows/searching.rs
@@ -127,7 +127,9 @@
     fn ask(&mut self, now: Millis, flow: FlowId, out: &mut Vec<Action<B>>) -> bool {
         let unanswered = self.unanswered(&flow);
         let rate = Rate::per_s(self.limits.questions_per_s);
-        if !self.questions.take(now, rate, unanswered.len()) {
+        // More peers than a second's worth of questions must not forbid every search.
+        let tokens = unanswered.len().min(self.limits.questions_per_s as usize);
+        if !self.questions.take(now, rate, tokens) {
             return false;
         }
         if let Some(search) = self.searches.get_mut(&flow) {
--- a/crates/core/tests/flows/traces.rs
+++ b/crates/core/tests/flows/traces.rs
@@ -406,6 +406,7 @@
         work_handed_since_the_last_report_counts
     ;
     search:
+        more_peers_than_questions_forbid_no_search
         agent_in_the_middle_tells_where_the_flow_is
         answer_that_names_an_unknown_target_forbids_the_reset
         chain_that_names_an_unknown_target_forbids_the_reset
@@ -459,6 +460,7 @@
         tick_closes_the_flows_of_a_reassigned_address
     ;
     draining:
+        draining_agent_hands_a_passed_flow_back_if_nobody_else_takes_it
         draining_agent_hands_new_flows_to_peers_however_busy
         draining_agent_keeps_its_flows_and_redirects
         draining_agent_opens_nothing_that_is_handed_or_passed
