Send no probe to a caller whose flow was just established

Cause: a keepalive that is set after the handshake makes the stack probe at once, a packet and its answer for every new flow. Ruled out: setting it before the handshake only for some flows; the half-open stage sends none. Change: the keepalive is set when the endpoint is made.

--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -5,6 +5,7 @@
 #[path = "../../../caller/tests/support/mod.rs"]
 pub mod client;
 
+use std::cell::RefCell;
 use std::io::{self, Read};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::sync::{Arc, mpsc};
@@ -21,6 +22,8 @@
 use citronhollow_core::members::{TargetRecord, TargetState};
 use citronhollow_peer::message::{Forward, Relay};
 use citronhollow_peer::{Body, Codec, Envelope, Key, Keyring};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
 use client::{Client, ClientSettings};
@@ -28,6 +31,7 @@
 /// A test that takes longer hangs.
 pub const HANG: Duration = Duration::from_mins(1);
 
+const SEED: u64 = 0x5eed;
 const GROUP: &str = "match-desk";
 const LARGEST_DATAGRAM: usize = 2_048;
 
@@ -170,6 +174,11 @@
     pub trace: u64,
     /// Targets that may hold the flows.
     pub chain: Vec<TargetId>,
+    /// Packets lost, in percent.
+    pub loss: u32,
+    /// Packets repeated, in percent.
+    pub repeats: u32,
+    rng: RefCell<SmallRng>,
 }
 
 impl Fabric {
@@ -184,6 +193,9 @@
             start: Instant::now(),
             trace: 0,
             chain: Vec::new(),
+            loss: 0,
+            repeats: 0,
+            rng: RefCell::new(SmallRng::seed_from_u64(SEED)),
         }
     }
 
@@ -202,6 +214,20 @@
     }
 
     pub fn forward(&self, to: SocketAddr, packet: &[u8]) {
+        if self.happens(self.loss) {
+            return;
+        }
+        let copies = 1 + u32::from(self.happens(self.repeats));
+        for _ in 0..copies {
+            self.forward_one(to, packet);
+        }
+    }
+
+    fn happens(&self, percent: u32) -> bool {
+        self.rng.borrow_mut().random_ratio(percent, 100)
+    }
+
+    fn forward_one(&self, to: SocketAddr, packet: &[u8]) {
         let forward = Forward {
             packet: Bytes::copy_from_slice(packet),
             revision: 1,
@@ -222,6 +248,9 @@
     pub fn recv(&self) -> Option<Vec<u8>> {
         let mut buf = [0; LARGEST_DATAGRAM];
         let (len, _) = self.socket.recv_from(&mut buf).ok()?;
+        if self.happens(self.loss) {
+            return None;
+        }
         Some(buf[..len].to_vec())
     }
 
--- a/crates/caller/src/endpoint.rs
+++ b/crates/caller/src/endpoint.rs
@@ -98,7 +98,7 @@
     pub fn new(now: Millis, flow: FlowId, seed: u64, settings: Settings) -> Self {
         let iface = new_interface(now, &flow, seed);
         let mut sockets = SocketSet::new(Vec::with_capacity(1));
-        let handle = sockets.add(new_socket(&flow));
+        let handle = sockets.add(new_socket(&flow, settings));
         Self {
             flow,
             settings,
@@ -380,13 +380,15 @@
     iface
 }
 
-fn new_socket(flow: &FlowId) -> tcp::Socket<'static> {
+fn new_socket(flow: &FlowId, settings: Settings) -> tcp::Socket<'static> {
     let rx = tcp::SocketBuffer::new(vec![0; BUFFER_LEN]);
     let tx = tcp::SocketBuffer::new(vec![0; BUFFER_LEN]);
     let mut socket = tcp::Socket::new(rx, tx);
     socket.set_tsval_generator(Some(|| HINT.get()));
     // What the target wrote is passed on as it comes.
     socket.set_nagle_enabled(false);
+    // Set later, it would send a probe at once.
+    socket.set_keep_alive(Some(duration(settings.keepalive)));
     // Listening fails only on port zero, which no parsed packet has; the endpoint then refuses
     // every packet.
     let _ = socket.listen(flow.service);
--- a/crates/caller/tests/endpoint/main.rs
+++ b/crates/caller/tests/endpoint/main.rs
@@ -230,6 +230,26 @@
     assert_eq!(parsed.segment.echo, HINT);
 }
 
+#[test]
+fn a_new_flow_is_not_probed_at_once() {
+    let (mut endpoint, isn, next) = open(1);
+    let answer = Odd {
+        flags: 0b0010_0101,
+        seq: 0,
+        ack: 1,
+        window: 100,
+        payload: 0,
+    };
+    let packet = answer.build(isn, next);
+    let parsed = packet::parse_verified(&packet).unwrap();
+    let mut out = Vec::new();
+    assert!(endpoint.on_packet(Millis(10), &parsed, &packet, &mut out));
+    assert_eq!(endpoint.stage(), Stage::Established);
+    let due = endpoint.poll(Millis(10), &mut out);
+    assert!(out.is_empty());
+    assert_eq!(due, Some(Millis(10).after(KEEPALIVE)));
+}
+
 #[test]
 fn sequence_numbers_differ_between_seeds() {
     let (_, first, _) = open(1);
