Give the caller the whole answer of a target that fails after it

Cause: a target that answers and closes with a part of the request unread resets its connection, and the reset went to the caller ahead of up to 4 KB of the answer that still waited. Ruled out: reading on after a failed write as before, since the kernel reports the error once and an end in order after it, so that a cut answer would have looked whole. Change: after a failure what came before still goes to the caller, then the reset; the bytes between the two ends are a module of their own. A test repeats a caller's last segment after the flow. Proof: an_answer_that_a_reset_follows_comes_whole fails before and passes after; 15 traffic, 5 pool and 1 span tests pass.

--- a/crates/agent/src/traffic.rs
+++ b/crates/agent/src/traffic.rs
@@ -11,6 +11,7 @@
 mod flow;
 mod lingering;
 mod mailbox;
+mod pump;
 mod refusal;
 mod run;
 mod tasks;
--- a/crates/agent/src/traffic/flow.rs
+++ b/crates/agent/src/traffic/flow.rs
@@ -13,11 +13,12 @@
 use citronhollow_core::clock::Millis;
 use citronhollow_core::flow::FlowId;
 use citronhollow_core::flows::Packet;
-use citronhollow_target::splice::{Progress, TargetStream};
+use citronhollow_target::splice::TargetStream;
 
 use super::agent::Agent;
 use super::dispatch::parsed;
 use super::mailbox::{Dismissal, Mailbox};
+use super::pump::{Pump, Wants};
 
 /// Opens the flow of an opening packet.
 pub(super) fn open(agent: &Rc<Agent>, packet: &Packet<Bytes>) {
@@ -119,13 +120,6 @@
     Dismissed,
 }
 
-/// Directions that wait for the target's connection.
-#[derive(Clone, Copy, Debug, Default)]
-struct Wants {
-    read: bool,
-    write: bool,
-}
-
 struct FlowTask {
     side: CallerSide,
     mailbox: Rc<Mailbox>,
@@ -212,8 +206,11 @@
     /// Moves packets and bytes as far as they go.
     fn pass(&mut self, pump: &mut Pump, target: &TargetStream) -> Result<Wants, End> {
         self.step()?;
-        let wants = pump.pass(&mut self.side.endpoint, target)?;
-        self.note_busy(pump.is_waiting);
+        let wants = pump.pass(&mut self.side.endpoint, target);
+        self.note_busy(pump.is_waiting());
+        if pump.is_broken(&self.side.endpoint) {
+            return Err(End::Reset);
+        }
         self.side.poll();
         self.check()?;
         Ok(wants)
@@ -276,75 +273,3 @@
         self.side.agent.clock.now()
     }
 }
-
-/// The bytes between the two ends.
-#[derive(Debug, Default)]
-struct Pump {
-    is_to_target_done: bool,
-    is_to_caller_done: bool,
-    /// Whether the caller spoke last, which means that the target has work to do.
-    is_waiting: bool,
-}
-
-impl Pump {
-    const fn is_done(&self) -> bool {
-        self.is_to_target_done && self.is_to_caller_done
-    }
-
-    fn pass(&mut self, endpoint: &mut Endpoint, target: &TargetStream) -> Result<Wants, End> {
-        let write = self.pass_to_target(endpoint, target)?;
-        let read = self.pass_to_caller(endpoint, target)?;
-        Ok(Wants { read, write })
-    }
-
-    /// Returns whether bytes wait for room at the target.
-    fn pass_to_target(
-        &mut self,
-        endpoint: &mut Endpoint,
-        target: &TargetStream,
-    ) -> Result<bool, End> {
-        while endpoint.can_read() {
-            let mut progress = Progress::Blocked;
-            endpoint.read_with(|bytes| {
-                progress = target.try_write(bytes);
-                progress.passed()
-            });
-            match progress {
-                Progress::Passed(_) => self.is_waiting = true,
-                Progress::Blocked => return Ok(true),
-                Progress::Finished | Progress::Failed => return Err(End::Reset),
-            }
-        }
-        if !self.is_to_target_done && endpoint.is_read_finished() {
-            target.finish();
-            self.is_to_target_done = true;
-        }
-        Ok(false)
-    }
-
-    /// Returns whether there is room for bytes of the target.
-    fn pass_to_caller(
-        &mut self,
-        endpoint: &mut Endpoint,
-        target: &TargetStream,
-    ) -> Result<bool, End> {
-        while !self.is_to_caller_done && endpoint.can_write() {
-            let mut progress = Progress::Blocked;
-            endpoint.write_with(|room| {
-                progress = target.try_read(room);
-                progress.passed()
-            });
-            match progress {
-                Progress::Passed(_) => self.is_waiting = false,
-                Progress::Blocked => return Ok(true),
-                Progress::Failed => return Err(End::Reset),
-                Progress::Finished => {
-                    endpoint.finish();
-                    self.is_to_caller_done = true;
-                    self.is_waiting = false;
-                }
-            }
-        }
-        Ok(false)
-    }
-}
--- a/crates/agent/tests/traffic.rs
+++ b/crates/agent/tests/traffic.rs
@@ -9,6 +9,7 @@
 use socket2::{Domain, SockRef, Socket, Type};
 
 use citronhollow_agent::link::{ControlCommand, TrafficCommand};
+use citronhollow_caller::packet;
 use citronhollow_core::clock::Millis;
 use citronhollow_core::config::Refusal;
 use citronhollow_core::members::TargetState;
@@ -233,3 +234,70 @@
     assert_eq!(exchange(&bed, 40_000, b"card"), b"card");
     bed.agent.stop();
 }
+
+/// Answers without reading the request, which makes the target's kernel reset the connection.
+fn answer_unread(mut stream: TcpStream) -> io::Result<()> {
+    stream.peek(&mut [0; 1])?;
+    stream.write_all(&body(30_000))
+}
+
+#[test]
+fn an_answer_that_a_reset_follows_comes_whole() {
+    let bed = Bed::new(answer_unread);
+    let mut client = caller(40_000);
+    let mut is_sent = false;
+    let mut answer = Vec::new();
+    bed.fabric.run(&mut client, bed.agent.addr, |client| {
+        if client.socket().may_send() && !is_sent {
+            is_sent = client.send(b"1") == 1;
+        }
+        answer.extend(client.recv());
+        client.state() == tcp::State::Closed
+    });
+    assert!(answer == body(30_000), "bytes differ");
+    assert!(
+        !client.is_finished(),
+        "the reset looks like an end in order"
+    );
+    bed.agent.stop();
+}
+
+fn answer_and_end(mut stream: TcpStream) -> io::Result<()> {
+    stream.write_all(b"board")?;
+    stream.shutdown(std::net::Shutdown::Write)?;
+    stream.read_to_end(&mut Vec::new()).map(drop)
+}
+
+#[test]
+fn a_repeated_end_of_the_caller_is_acknowledged() {
+    let bed = Bed::new(answer_and_end);
+    let mut client = caller(40_000);
+    let mut end = None;
+    let agent = bed.agent.addr;
+    let note_end = |sent: &[u8]| {
+        let is_end = packet::parse(sent).unwrap().segment.fin;
+        end = is_end.then(|| sent.to_vec()).or(end.take());
+        agent
+    };
+    bed.fabric.run_via(&mut client, note_end, |client| {
+        client.recv();
+        if client.is_finished() {
+            client.socket().close();
+        }
+        client.state() == tcp::State::Closed
+    });
+    eventually("the flow's end", || bed.agent.figures.open() == 0);
+    while bed.fabric.recv().is_some() {}
+    let end = end.unwrap();
+    bed.fabric.forward(agent, &end);
+    let mut answer = None;
+    eventually("the answer", || {
+        answer = bed.fabric.recv();
+        answer.is_some()
+    });
+    let sent = packet::parse(&end).unwrap().segment;
+    let answer = packet::parse_verified(&answer.unwrap()).unwrap().segment;
+    assert!(answer.ack && !answer.rst);
+    assert_eq!(answer.ack_seq, sent.seq.wrapping_add(sent.payload + 1));
+    bed.agent.stop();
+}
