Apply to the drafts that were checked

A change in between was written over without a conflict. The states of drafts were worked out in two places.

Change: apply_to writes on condition of the listing that was checked, and the balancer uses it. The verdicts of the publisher are one type of the platform client, used for drafts, changes and the status.

A draft that it does not write may change meanwhile; the publisher's check sees that.

--- a/crates/balancer/src/documents.rs
+++ b/crates/balancer/src/documents.rs
@@ -9,52 +9,15 @@
 
 use citronhollow_core::config::{self, Documents, HeldAddress, Revision};
 use citronhollow_core::error::ErrorKind;
-use citronhollow_core::publisher::{
-    DraftChange, DraftStatus, Index, Kind, Listing, ONLY, Report, documents_of, draft_status,
-    stamp_of,
-};
+use citronhollow_core::publisher::{DraftChange, DraftStatus, Index, Listing, documents_of};
 use citronhollow_operator::documents::{
     Applied, AppliedDraft, ApplyRequest, DraftState, Drafts, refusal,
 };
 use citronhollow_operator::failure::Failure;
-use citronhollow_platform::client::decode;
-use citronhollow_platform::drafts::{self, DraftsError, Outcome};
+use citronhollow_platform::drafts::{self, DraftsError, Outcome, Verdicts};
 use citronhollow_platform::published::read_index;
 use citronhollow_platform::{Client, PlatformError};
 
-/// What the publisher last said.
-#[derive(Clone, Debug, Default)]
-pub struct Verdicts {
-    /// The index of the published set, none before the first.
-    pub index: Option<Index>,
-    /// What the last check refused, none if nothing yet.
-    pub report: Option<Report>,
-}
-
-impl Verdicts {
-    /// Reads both.
-    ///
-    /// # Errors
-    ///
-    /// [`PlatformError`] if one cannot be read.
-    pub async fn read(client: &Client) -> Result<Self, PlatformError> {
-        let index = read_index(client).await?;
-        let kind = Kind::Report.to_string();
-        let report = client.get(&kind, ONLY).await?;
-        let report = report.map(|object| decode(&kind, ONLY, object.value));
-        Ok(Self {
-            index,
-            report: report.transpose()?,
-        })
-    }
-
-    /// State of a change.
-    #[must_use]
-    pub fn on(&self, change: &DraftChange) -> DraftStatus {
-        draft_status(change, self.index.as_ref(), self.report.as_ref())
-    }
-}
-
 /// What an apply is checked against besides the set itself.
 #[derive(Clone, Copy, Debug)]
 pub struct InForce<'a> {
@@ -75,18 +38,12 @@
         .await
         .map_err(|error| platform_failure(&error))?;
     let documents = documents_of(&listing).map_err(|errors| refusal(&errors))?;
-    let states = listing.objects.iter().map(|object| {
-        let change = DraftChange {
-            name: object.name.clone(),
-            version: object.version,
-            is_removal: false,
-        };
-        DraftState {
-            status: verdicts.on(&change),
-            writer: stamp_of(&object.value).map(|stamp| stamp.writer),
-            name: change.name,
-            version: change.version,
-        }
+    let states = verdicts.states_of(&listing).into_iter();
+    let states = states.map(|state| DraftState {
+        name: state.name,
+        version: state.version,
+        writer: state.writer,
+        status: state.status,
     });
     Ok(Drafts {
         version: listing.version,
@@ -139,7 +96,8 @@
         let drafts = Vec::new();
         return Ok(Applied { changes, drafts });
     }
-    let applied = drafts::apply(client, &request.documents, writer, request.prune).await;
+    let given = &request.documents;
+    let applied = drafts::apply_to(client, &listing, given, writer, request.prune).await;
     let drafts = applied.map_err(drafts_failure)?;
     Ok(Applied {
         changes,
@@ -148,7 +106,7 @@
 }
 
 async fn list(client: &Client) -> Result<Listing, Failure> {
-    let listing = client.list(&Kind::Draft.to_string(), "").await;
+    let listing = drafts::list(client).await;
     listing.map_err(|error| platform_failure(&error))
 }
 
--- a/crates/balancer/src/operator_http/platform_view.rs
+++ b/crates/balancer/src/operator_http/platform_view.rs
@@ -12,11 +12,10 @@
 use citronhollow_operator::problem::Problem;
 use citronhollow_operator::status::{PlatformStatus, PublishStatus, RejectedDraft};
 use citronhollow_platform::client::decode;
+use citronhollow_platform::drafts::Verdicts;
 use citronhollow_platform::{Client, PlatformError};
 use tokio::time::Instant;
 
-use crate::documents::Verdicts;
-
 /// Time for which a view is kept.
 const KEEP_FOR: Duration = Duration::from_secs(5);
 
--- a/crates/platform/src/drafts.rs
+++ b/crates/platform/src/drafts.rs
@@ -140,11 +140,25 @@
     writer: &str,
     prune: bool,
 ) -> Result<Vec<Applied>, DraftsError> {
-    let errors = config::check_names(documents);
-    if !errors.is_empty() {
-        return Err(DraftsError::Names(errors));
-    }
+    check_names(documents)?;
     let listing = list(client).await?;
+    apply_to(client, &listing, documents, writer, prune).await
+}
+
+/// The same as [`apply`] for drafts that were listed before. A draft that was changed since is a
+/// conflict.
+///
+/// # Errors
+///
+/// [`DraftsError`] if nothing was written at all.
+pub async fn apply_to(
+    client: &Client,
+    listing: &Listing,
+    documents: &Documents,
+    writer: &str,
+    prune: bool,
+) -> Result<Vec<Applied>, DraftsError> {
+    check_names(documents)?;
     let standing: BTreeMap<&str, &Object> = listing
         .objects
         .iter()
@@ -164,10 +178,10 @@
         results.push(Applied { name, outcome });
     }
     if prune {
-        for object in listing.objects {
+        for object in &listing.objects {
             if !wanted.contains(&object.name) {
                 let name = object.name.clone();
-                let outcome = remove(client, &object).await;
+                let outcome = remove(client, object).await;
                 results.push(Applied { name, outcome });
             }
         }
@@ -182,21 +196,60 @@
 /// [`DraftsError`] if it cannot be read.
 pub async fn read_statuses(client: &Client) -> Result<Vec<DraftState>, DraftsError> {
     let listing = list(client).await?;
-    let (index, report) = read_verdicts(client).await?;
-    let states = listing.objects.into_iter().map(|object| {
-        let change = DraftChange {
-            name: object.name.clone(),
-            version: object.version,
-            is_removal: false,
-        };
-        DraftState {
-            status: draft_status(&change, index.as_ref(), report.as_ref()),
-            writer: stamp_of(&object.value).map(|stamp| stamp.writer),
-            name: object.name,
-            version: object.version,
-        }
-    });
-    Ok(states.collect())
+    let verdicts = Verdicts::read(client).await?;
+    Ok(verdicts.states_of(&listing))
+}
+
+/// What the publisher last said.
+#[derive(Clone, Debug, Default)]
+pub struct Verdicts {
+    /// The index of the published set, none before the first.
+    pub index: Option<Index>,
+    /// What the last check refused, none if nothing yet.
+    pub report: Option<Report>,
+}
+
+impl Verdicts {
+    /// Reads both.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatformError`] if one cannot be read.
+    pub async fn read(client: &Client) -> Result<Self, PlatformError> {
+        let index = read_index(client).await?;
+        let kind = Kind::Report.to_string();
+        let report = client.get(&kind, ONLY).await?;
+        let report = report.map(|object| decode(&kind, ONLY, object.value));
+        Ok(Self {
+            index,
+            report: report.transpose()?,
+        })
+    }
+
+    /// State of a change.
+    #[must_use]
+    pub fn on(&self, change: &DraftChange) -> DraftStatus {
+        draft_status(change, self.index.as_ref(), self.report.as_ref())
+    }
+
+    /// State of every draft of a listing.
+    #[must_use]
+    pub fn states_of(&self, listing: &Listing) -> Vec<DraftState> {
+        let states = listing.objects.iter().map(|object| {
+            let change = DraftChange {
+                name: object.name.clone(),
+                version: object.version,
+                is_removal: false,
+            };
+            DraftState {
+                status: self.on(&change),
+                writer: stamp_of(&object.value).map(|stamp| stamp.writer),
+                name: change.name,
+                version: change.version,
+            }
+        });
+        states.collect()
+    }
 }
 
 /// State of one change.
@@ -208,8 +261,8 @@
     client: &Client,
     change: &DraftChange,
 ) -> Result<DraftStatus, PlatformError> {
-    let (index, report) = read_verdicts(client).await?;
-    Ok(draft_status(change, index.as_ref(), report.as_ref()))
+    let verdicts = Verdicts::read(client).await?;
+    Ok(verdicts.on(change))
 }
 
 /// State of one change once the publisher has judged it, or [`DraftStatus::Pending`] after `limit`.
@@ -233,18 +286,23 @@
     }
 }
 
-async fn list(client: &Client) -> Result<Listing, PlatformError> {
-    client.list(&Kind::Draft.to_string(), "").await
+/// Names become names of objects, so a bad one must not get as far as the platform.
+fn check_names(documents: &Documents) -> Result<(), DraftsError> {
+    let errors = config::check_names(documents);
+    if errors.is_empty() {
+        Ok(())
+    } else {
+        Err(DraftsError::Names(errors))
+    }
 }
 
-async fn read_verdicts(client: &Client) -> Result<(Option<Index>, Option<Report>), PlatformError> {
-    let index = read_index(client).await?;
-    let kind = Kind::Report.to_string();
-    let report = client.get(&kind, ONLY).await?;
-    let report = report
-        .map(|object| decode(&kind, ONLY, object.value))
-        .transpose()?;
-    Ok((index, report))
+/// The drafts as they stand at one moment.
+///
+/// # Errors
+///
+/// [`PlatformError`] if they cannot be read.
+pub async fn list(client: &Client) -> Result<Listing, PlatformError> {
+    client.list(&Kind::Draft.to_string(), "").await
 }
 
 async fn apply_one(
--- a/crates/testkit/tests/drafts.rs
+++ b/crates/testkit/tests/drafts.rs
@@ -100,6 +100,20 @@
         assert_eq!(platform.counts().total(), 0);
     };
 
+    change_since_the_listing_is_a_conflict => {
+        let (_platform, client) = start().await;
+        apply(&client, &documents(5), "run-1").await;
+        let listing = drafts::list(&client).await.expect("drafts");
+        apply(&client, &documents(6), "anna").await;
+        let applied = drafts::apply_to(&client, &listing, &documents(7), "run-3", false).await;
+        let applied = applied.expect("the platform answers");
+        let Outcome::Conflict { writer, .. } = outcome(&applied, "rule.canary") else {
+            panic!("{applied:?}");
+        };
+        assert_eq!(writer, "anna");
+        assert_eq!(drafts::read_drafts(&client).await.expect("drafts"), documents(6));
+    };
+
     lost_answers_are_recognised => {
         let (platform, client) = start().await;
         platform.set_faults(Faults { lost_answers: 1, ..Faults::default() });
