Index the parts of a revision by group, and prove the control threads' rules

Cause: the part of a revision for one group was found by searching all pools for every service, 13.7 million comparisons at 3,700 services, for each group whose agents report here and after every revision. Rules of leases, of the agent's record and of its choice of balancers had no test of their own.

--- a/crates/balancer/src/control.rs
+++ b/crates/balancer/src/control.rs
@@ -36,7 +36,6 @@
 pub use drain::{DRAIN_RETRY, DRAIN_TIMEOUT};
 pub use handle::{ControlHandle, DrainStatus, Status};
 pub use node::{Effect, Node};
-pub use pool::slice_digest;
 pub use streams::CONNECTIONS_MAX;
 
 use drain::Drains;
--- a/crates/balancer/src/control/node.rs
+++ b/crates/balancer/src/control/node.rs
@@ -26,7 +26,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::pool::{self, PoolDigests};
+use super::pool::Parts;
 use super::revision_log::RevisionLog;
 use crate::revisions::RevisionStore;
 
@@ -61,7 +61,7 @@
     spreader: Spreader,
     revisions: RevisionStore,
     log: RevisionLog,
-    digests: PoolDigests,
+    parts: Parts,
     rng: SmallRng,
     refused: u64,
 }
@@ -75,7 +75,7 @@
             spreader: Spreader::new(me, seeds),
             revisions,
             log: RevisionLog::default(),
-            digests: PoolDigests::default(),
+            parts: Parts::default(),
             rng: SmallRng::seed_from_u64(seed),
             refused: 0,
         };
@@ -147,7 +147,7 @@
 
     /// The reply to a request, none if it is no request.
     #[must_use]
-    pub fn answer(&self, now: Millis, request: &Body) -> Option<Body> {
+    pub fn answer(&mut self, now: Millis, request: &Body) -> Option<Body> {
         match request {
             Body::MembersRequest(request) => Some(Body::MembersReply(self.members(now, request))),
             Body::RevisionRequest(request) => {
@@ -159,12 +159,10 @@
             Body::PoolRequest(request) => {
                 let revision = self.revisions.latest();
                 let group = GroupId(request.group);
-                Some(Body::PoolReply(pool::reply(
-                    now,
-                    self.view(),
-                    &revision,
-                    group,
-                )))
+                let view = self.spreader.view();
+                Some(Body::PoolReply(
+                    self.parts.reply(now, view, &revision, group),
+                ))
             }
             _ => None,
         }
@@ -212,7 +210,7 @@
         });
         let reply = HeartbeatReply {
             revision: revision.number,
-            peers_digest: self.digests.of(now, view, &revision, record.group),
+            peers_digest: self.parts.digest(now, view, &revision, record.group),
             balancers: self.balancers_for(record.id, heartbeat.wants_balancers),
             refute_above,
         };
--- a/crates/balancer/src/control/pool.rs
+++ b/crates/balancer/src/control/pool.rs
@@ -1,12 +1,15 @@
 //! What the agents of one group must know.
 //!
 //! An agent serves only its own group's services, so it gets the part of the revision that
-//! concerns them, with all their pools, and the targets that any of those pools selects.
+//! concerns them, with all their pools, and the targets that any of those pools selects. Every
+//! heartbeat is answered with a digest of that part, so the parts are found through an index that
+//! is built once for each revision, and the digests are kept until something changes.
 
 use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
 
 use citronhollow_core::clock::Millis;
-use citronhollow_core::config::{Documents, Revision};
+use citronhollow_core::config::{Documents, Pool, Revision};
 use citronhollow_core::hash;
 use citronhollow_core::id::GroupId;
 use citronhollow_core::members::{TargetNews, View, digest_of_targets};
@@ -14,112 +17,152 @@
 use citronhollow_peer::target_to_message;
 
 /// Seed of the digest of a part of a revision.
-const SLICE_SEED: u64 = 0x736c_6963;
+const PART_SEED: u64 = 0x7061_7274;
 
-/// Digests by group, for as long as neither the revision nor the membership changes.
+/// Parts of the revision in force and their digests.
 #[derive(Debug, Default)]
-pub struct PoolDigests {
-    by_group: HashMap<GroupId, u64>,
-    revision: u64,
+pub struct Parts {
+    revision: Arc<Revision>,
+    index: Index,
+    digests: HashMap<GroupId, u64>,
     changes: u64,
 }
 
-impl PoolDigests {
+/// Places of documents in their lists.
+#[derive(Debug, Default)]
+struct Index {
+    services_by_group: HashMap<GroupId, BTreeSet<usize>>,
+    pools_by_service: Vec<BTreeSet<usize>>,
+    rules_by_service: Vec<Vec<usize>>,
+}
+
+impl Parts {
     /// Digest of what the agents of `group` must know.
-    pub fn of(&mut self, now: Millis, view: &View, revision: &Revision, group: GroupId) -> u64 {
-        let changes = view.changes();
-        if (self.revision, self.changes) != (revision.number, changes) {
-            self.by_group.clear();
-            self.revision = revision.number;
-            self.changes = changes;
+    pub fn digest(
+        &mut self,
+        now: Millis,
+        view: &View,
+        revision: &Arc<Revision>,
+        group: GroupId,
+    ) -> u64 {
+        self.follow(view, revision);
+        if let Some(digest) = self.digests.get(&group) {
+            return *digest;
         }
-        *self.by_group.entry(group).or_insert_with(|| {
-            let slice = slice_for(revision, group);
-            let peers = peers_of(now, view, &slice, group);
-            digest_of(&slice, &peers)
-        })
+        let part = self.part(group);
+        let digest = digest_of(&part, &peers_of(now, view, &part, group));
+        self.digests.insert(group, digest);
+        digest
     }
-}
 
-/// The reply to a request for a group.
-#[must_use]
-pub fn reply(now: Millis, view: &View, revision: &Revision, group: GroupId) -> PoolReply {
-    let slice = slice_for(revision, group);
-    let peers = peers_of(now, view, &slice, group);
-    PoolReply {
-        peers: peers.iter().map(target_to_message).collect(),
-        peers_digest: digest_of(&slice, &peers),
-        revision_json: serde_json::to_vec(&slice).unwrap_or_default(),
+    /// The reply to a request for a group.
+    pub fn reply(
+        &mut self,
+        now: Millis,
+        view: &View,
+        revision: &Arc<Revision>,
+        group: GroupId,
+    ) -> PoolReply {
+        self.follow(view, revision);
+        let part = self.part(group);
+        let peers = peers_of(now, view, &part, group);
+        PoolReply {
+            peers: peers.iter().map(target_to_message).collect(),
+            peers_digest: digest_of(&part, &peers),
+            revision_json: serde_json::to_vec(&part).unwrap_or_default(),
+        }
     }
-}
-
-/// Digest of the documents of a revision, whatever its number.
-#[must_use]
-pub fn slice_digest(documents: &Documents) -> u64 {
-    let json = serde_json::to_vec(documents).unwrap_or_default();
-    hash::bytes(&json, SLICE_SEED)
-}
 
-fn digest_of(slice: &Revision, peers: &[TargetNews]) -> u64 {
-    hash::pair(
-        slice_digest(&slice.documents),
-        digest_of_targets(peers.iter()),
-    )
-}
+    /// Drops what no longer holds.
+    fn follow(&mut self, view: &View, revision: &Arc<Revision>) {
+        let is_new = self.revision.number != revision.number;
+        if is_new {
+            self.revision = Arc::clone(revision);
+            self.index = Index::of(&revision.documents);
+        }
+        if is_new || self.changes != view.changes() {
+            self.digests.clear();
+            self.changes = view.changes();
+        }
+    }
 
-/// The services whose pools select the group, with all their pools and rules.
-fn slice_for(revision: &Revision, group: GroupId) -> Revision {
-    let all = &revision.documents;
-    let services: Vec<_> = all
-        .services
-        .iter()
-        .filter(|service| {
-            all.pools_of(service)
-                .any(|pool| pool.group_ids().any(|id| id == group))
-        })
-        .cloned()
-        .collect();
-    let names: BTreeSet<&str> = services.iter().map(|it| it.name.as_str()).collect();
-    let pools: BTreeSet<&str> = services
-        .iter()
-        .flat_map(|service| all.pools_of(service))
-        .map(|pool| pool.name.as_str())
-        .collect();
-    let documents = Documents {
-        pools: all
-            .pools
+    /// The services whose pools select the group, with all their pools and rules.
+    fn part(&self, group: GroupId) -> Revision {
+        let all = &self.revision.documents;
+        let services = self.index.services_by_group.get(&group);
+        let services: Vec<usize> = services.into_iter().flatten().copied().collect();
+        let pools: BTreeSet<usize> = services
             .iter()
-            .filter(|pool| pools.contains(pool.name.as_str()))
-            .cloned()
-            .collect(),
-        rules: all
-            .rules
+            .flat_map(|service| &self.index.pools_by_service[*service])
+            .copied()
+            .collect();
+        let rules: BTreeSet<usize> = services
             .iter()
-            .filter(|rule| names.contains(rule.service.as_str()))
-            .cloned()
-            .collect(),
-        services: services.clone(),
-    };
-    Revision {
-        number: revision.number,
-        epoch: revision.epoch,
-        documents,
+            .flat_map(|service| &self.index.rules_by_service[*service])
+            .copied()
+            .collect();
+        Revision {
+            number: self.revision.number,
+            epoch: self.revision.epoch,
+            documents: Documents {
+                services: services
+                    .iter()
+                    .map(|it| all.services[*it].clone())
+                    .collect(),
+                pools: pools.iter().map(|it| all.pools[*it].clone()).collect(),
+                rules: rules.iter().map(|it| all.rules[*it].clone()).collect(),
+            },
+        }
+    }
+}
+
+impl Index {
+    fn of(documents: &Documents) -> Self {
+        let places = documents.services.iter().enumerate();
+        let service_places: HashMap<&str, usize> = places
+            .map(|(place, it)| (it.name.as_str(), place))
+            .collect();
+        let places = documents.pools.iter().enumerate();
+        let pool_places: HashMap<&str, usize> = places
+            .map(|(place, it)| (it.name.as_str(), place))
+            .collect();
+        let own_pool = |name: &str| pool_places.get(name).copied().into_iter().collect();
+        let pools = documents.services.iter().map(|it| own_pool(&it.pool));
+        let mut index = Self {
+            services_by_group: HashMap::new(),
+            pools_by_service: pools.collect(),
+            rules_by_service: vec![Vec::new(); documents.services.len()],
+        };
+        for (place, rule) in documents.rules.iter().enumerate() {
+            if let Some(service) = service_places.get(rule.service.as_str()) {
+                index.rules_by_service[*service].push(place);
+                index.pools_by_service[*service].extend(pool_places.get(rule.pool.as_str()));
+            }
+        }
+        for (service, pools) in index.pools_by_service.iter().enumerate() {
+            let groups = pools.iter().flat_map(|it| documents.pools[*it].group_ids());
+            for group in groups {
+                let services = index.services_by_group.entry(group).or_default();
+                services.insert(service);
+            }
+        }
+        index
     }
 }
 
+/// The number is left out, so that a revision that changes nothing here changes no digest.
+fn digest_of(part: &Revision, peers: &[TargetNews]) -> u64 {
+    let json = serde_json::to_vec(&part.documents).unwrap_or_default();
+    let documents = hash::bytes(&json, PART_SEED);
+    hash::pair(documents, digest_of_targets(peers.iter()))
+}
+
 /// The targets that the pools select, and those of the group itself even if no pool does.
-fn peers_of(now: Millis, view: &View, slice: &Revision, group: GroupId) -> Vec<TargetNews> {
-    let mut groups: BTreeSet<GroupId> = slice
-        .documents
-        .pools
-        .iter()
-        .flat_map(citronhollow_core::config::Pool::group_ids)
-        .collect();
+fn peers_of(now: Millis, view: &View, part: &Revision, group: GroupId) -> Vec<TargetNews> {
+    let pools = part.documents.pools.iter();
+    let mut groups: BTreeSet<GroupId> = pools.flat_map(Pool::group_ids).collect();
     groups.insert(group);
-    let mut peers: Vec<TargetNews> = view
-        .targets(now)
+    view.targets(now)
         .filter(|news| groups.contains(&news.record.group))
-        .collect();
-    peers.sort_unstable_by_key(|news| news.record.id);
-    peers
+        .collect()
 }
--- a/crates/balancer/tests/control.rs
+++ b/crates/balancer/tests/control.rs
@@ -1,12 +1,19 @@
 //! Control threads of balancers and agents together.
 
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use bytes::BytesMut;
 use citronhollow_agent::link::ControlCommand;
 use citronhollow_balancer::revisions::RevisionStore;
 use citronhollow_core::error::ErrorKind;
 use citronhollow_core::id::TargetId;
 use citronhollow_core::members::TargetState;
+use citronhollow_peer::message::{HeartbeatReply, PoolReply};
+use citronhollow_peer::{Body, Codec, Envelope, exchange};
 use citronhollow_target::announce::AnnouncedState;
-use tokio::net::UdpSocket;
+use tokio::net::{TcpListener, UdpSocket};
 use volo_http::http::StatusCode;
 
 mod fleet;
@@ -54,6 +61,45 @@
     sum
 }
 
+/// A balancer that claims ever higher revisions and hands out those given, one after another.
+async fn fake_balancer<const N: usize>(numbers: [u64; N]) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind(any_port()).await.expect("a free port");
+    let addr = listener.local_addr().expect("a bound socket");
+    let socket = UdpSocket::bind(addr).await.expect("the same port");
+    let asked = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&asked);
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let answer = async |_| {
+                let place = count.fetch_add(1, Ordering::Relaxed);
+                let number = numbers[place.min(N - 1)];
+                Some(Body::PoolReply(PoolReply {
+                    peers: Vec::new(),
+                    revision_json: serde_json::to_vec(&revision(number)).expect("JSON"),
+                    peers_digest: number,
+                }))
+            };
+            let served = exchange::serve(stream, keyring("a"), answer).await;
+            served.expect("the agent's request");
+        }
+    });
+    tokio::spawn(async move {
+        let codec = Codec::new(keyring("a"));
+        let mut buf = [0; 1_500];
+        while let Ok((_, from)) = socket.recv_from(&mut buf).await {
+            let reply = HeartbeatReply {
+                revision: 11,
+                peers_digest: 11,
+                ..HeartbeatReply::default()
+            };
+            let mut frame = BytesMut::new();
+            codec.seal(&Envelope::from(Body::HeartbeatReply(reply)), &mut frame);
+            socket.send_to(&frame, from).await.expect("loopback");
+        }
+    });
+    (addr, asked)
+}
+
 cases! {
     announced_target_reaches_every_balancer_and_learns_its_services => async {
         let (first, second, mut agent) = two_and_a_target().await;
@@ -83,6 +129,20 @@
         .await;
     };
 
+    lower_revision_from_a_balancer_that_lags_is_refused => async {
+        let numbers = [9, 3, 11];
+        let (addr, asked) = fake_balancer(numbers).await;
+        let mut agent = Agent::start("desk-1", &[addr], any_port()).await;
+        agent.announce(AnnouncedState::Ready).await;
+        eventually("the last revision", async || {
+            // Listening fails if a revision ever goes back.
+            agent.listen();
+            (agent.services.number == 11).then_some(())
+        })
+        .await;
+        assert_eq!(asked.load(Ordering::Relaxed), numbers.len(), "the lower one was offered");
+    };
+
     balancer_that_starts_without_the_platform_takes_the_highest_revision => async {
         let (first, second, _agent) = two_and_a_target().await;
         assert!(second.revisions.offer(revision(9)));
@@ -137,6 +197,7 @@
         agent.task.await.expect("a clean end");
         eventually("the last word", async || {
             let status = first.handle.status().await.expect("a running balancer");
+            assert_eq!(status.targets.suspect, 0, "nobody had to find out");
             (status.targets.dead == 1).then_some(())
         })
         .await;
