Split the largest modules of control and spreading

Change: messages and actions of spreading, the answers over TCP and what an agent learns stand in modules of their own. No decision changed.

Ruled out: splitting the spreader's timers from its handlers; they share all of their state.

--- /dev/null
+++ b/crates/agent/src/control/learning.rs
@@ -0,0 +1,81 @@
+//! What the agent learns from balancers: peers, services and the number of the revision.
+
+use std::net::SocketAddr;
+
+use citronhollow_core::config::Revision;
+use citronhollow_peer::message::{HeartbeatReply, PoolReply, PoolRequest};
+use citronhollow_peer::{Body, exchange};
+
+use super::{Control, Millis, TrafficCommand};
+
+/// Time between two pulls, so that balancers with uneven views do not keep the agent busy.
+const PULL_EVERY: Millis = Millis::from_secs(1);
+
+impl Control {
+    /// Finds out whether the balancer knows something that this agent does not.
+    pub(super) fn compare(&mut self, reply: &HeartbeatReply, from: SocketAddr) {
+        if reply.revision < self.known.revision.number {
+            return;
+        }
+        if self.known.digest == Some(reply.peers_digest) {
+            self.raise_revision(reply.revision);
+            return;
+        }
+        let now = self.now();
+        if now < self.pulls.next_at {
+            return;
+        }
+        self.pulls.next_at = now.after(PULL_EVERY);
+        self.pull(from);
+    }
+
+    /// The digest covers the services, so under an equal one only the number is new.
+    fn raise_revision(&mut self, number: u64) {
+        if number > self.known.revision.number {
+            self.known.revision.number = number;
+            self.tell_traffic(TrafficCommand::Services(self.known.revision.clone()));
+        }
+    }
+
+    fn pull(&self, from: SocketAddr) {
+        let Some(record) = self.record.current() else {
+            return;
+        };
+        let group = record.group.0;
+        let keys = self.keys.clone();
+        let tx = self.pulls.tx.clone();
+        tokio::spawn(async move {
+            let body = Body::PoolRequest(PoolRequest { group });
+            match exchange::request(from, keys, body).await {
+                Ok(Body::PoolReply(reply)) => {
+                    // The receiver is gone only when the process stops.
+                    let _ = tx.send(reply).await;
+                }
+                Ok(_) => log::debug!("control: {from} answered something else"),
+                Err(error) => log::debug!("control: pull from {from} failed: {error}"),
+            }
+        });
+    }
+
+    pub(super) fn on_pool(&mut self, reply: &PoolReply) {
+        let revision: Revision = match serde_json::from_slice(&reply.revision_json) {
+            Ok(revision) => revision,
+            Err(error) => {
+                log::warn!("control: services refused: {error}");
+                return;
+            }
+        };
+        if revision.number < self.known.revision.number {
+            return;
+        }
+        self.known.digest = Some(reply.peers_digest);
+        if self.peers.merge(&reply.peers, revision.number) {
+            self.tell_traffic(TrafficCommand::Peers(self.peers.records()));
+        }
+        if revision != self.known.revision {
+            log::info!("control: revision {} is in force", revision.number);
+            self.known.revision = revision.clone();
+            self.tell_traffic(TrafficCommand::Services(revision));
+        }
+    }
+}
--- a/crates/balancer/src/control.rs
+++ b/crates/balancer/src/control.rs
@@ -1,6 +1,6 @@
 //! The balancer's control thread.
 //!
-//! One loop owns all control state, so nothing in it needs a lock. [`node`] decides, without
+//! One loop owns all control state, so nothing in it needs a lock. [`Node`] decides, without
 //! sockets: messages and the time go in, messages and fetches come out. The loop does what it
 //! says, serves requests over TCP, and builds new routes for the traffic threads whenever the
 //! revision or the membership changed, at most once in [`REBUILD_AFTER`].
--- a/crates/balancer/src/control/node.rs
+++ b/crates/balancer/src/control/node.rs
@@ -4,20 +4,15 @@
 //! adds what agents are told. Everything is soft state that the next heartbeats and the next
 //! comparison of digests bring back.
 
-use std::collections::HashSet;
 use std::net::SocketAddr;
 
 use citronhollow_core::clock::Millis;
-use citronhollow_core::config::Revision;
 use citronhollow_core::hash;
-use citronhollow_core::id::{GroupId, TargetId};
-use citronhollow_core::members::{
-    BalancerRecord, REPORTERS, SLICES, View, reporters_for, slice_of,
-};
-use citronhollow_core::rumour::{Action, News, RevisionDelta, Spreader, Summary};
+use citronhollow_core::id::TargetId;
+use citronhollow_core::members::{BalancerRecord, REPORTERS, View, reporters_for};
+use citronhollow_core::rumour::{Action, News, Spreader, Summary};
 use citronhollow_peer::message::{
-    Balancer, Digest, Heartbeat, HeartbeatReply, MembersReply, MembersRequest, RevisionReply,
-    RevisionRequest, Rumour, Version,
+    Balancer, Digest, Heartbeat, HeartbeatReply, MembersRequest, RevisionRequest, Rumour, Version,
 };
 use citronhollow_peer::{
     Body, CodecError, RecordError, balancer_from_message, balancer_to_message, record_from_message,
@@ -30,6 +25,8 @@
 use super::revision_log::RevisionLog;
 use crate::revisions::RevisionStore;
 
+mod answers;
+
 /// Balancers that an agent is told of: those to report to, and some in case they do not answer.
 const BALANCERS_TOLD: usize = 2 * REPORTERS;
 
@@ -145,46 +142,6 @@
         self.carry_over(actions, effects);
     }
 
-    /// The reply to a request, none if it is no request.
-    #[must_use]
-    pub fn answer(&mut self, now: Millis, request: &Body) -> Option<Body> {
-        match request {
-            Body::MembersRequest(request) => Some(Body::MembersReply(self.members(now, request))),
-            Body::RevisionRequest(request) => {
-                let revision = self.revisions.latest();
-                Some(Body::RevisionReply(
-                    self.log.reply(request.known, &revision),
-                ))
-            }
-            Body::PoolRequest(request) => {
-                let revision = self.revisions.latest();
-                let group = GroupId(request.group);
-                let view = self.spreader.view();
-                Some(Body::PoolReply(
-                    self.parts.reply(now, view, &revision, group),
-                ))
-            }
-            _ => None,
-        }
-    }
-
-    /// A fetch ended, with a reply or without.
-    pub fn on_fetched(&mut self, now: Millis, from: SocketAddr, body: Option<Body>) {
-        match body {
-            Some(Body::MembersReply(reply)) => {
-                let targets = self.parse(&reply.targets, target_from_message);
-                let balancers = self.parse(&reply.balancers, balancer_from_message);
-                self.spreader.on_members(now, &targets, &balancers);
-            }
-            Some(Body::RevisionReply(reply)) => {
-                self.spreader.on_revision_fetched(now);
-                self.on_revision_reply(&reply);
-            }
-            Some(_) => log::debug!("control: {from} answered something else"),
-            None => {}
-        }
-    }
-
     fn on_heartbeat(
         &mut self,
         now: Millis,
@@ -293,59 +250,6 @@
         }
     }
 
-    fn on_revision_reply(&mut self, reply: &RevisionReply) {
-        for json in &reply.deltas_json {
-            self.offer_delta(json);
-        }
-        if !reply.json.is_empty() {
-            let revision = serde_json::from_slice(&reply.json);
-            self.offer(revision.map(Some));
-        }
-    }
-
-    fn offer_delta(&mut self, json: &[u8]) {
-        let known = self.revisions.latest();
-        let delta = serde_json::from_slice::<RevisionDelta>(json);
-        self.offer(delta.map(|delta| delta.apply(&known)));
-    }
-
-    /// Takes a revision over if it parses and is higher. None is a difference that does not apply
-    /// here: the number tells that there is something to fetch.
-    fn offer(&mut self, revision: serde_json::Result<Option<Revision>>) {
-        match revision {
-            Ok(Some(revision)) => {
-                if self.revisions.offer(revision) {
-                    self.on_revision();
-                }
-            }
-            Ok(None) => {}
-            Err(error) => {
-                self.refused += 1;
-                log::warn!("control: revision refused: {error}");
-            }
-        }
-    }
-
-    fn members(&self, now: Millis, request: &MembersRequest) -> MembersReply {
-        let slices: HashSet<usize> = if request.slices.is_empty() {
-            (0..SLICES).collect()
-        } else {
-            request.slices.iter().map(|slice| *slice as usize).collect()
-        };
-        let view = self.view();
-        let targets = view
-            .targets(now)
-            .filter(|news| slices.contains(&slice_of(news.record.id.0)));
-        let balancers = view
-            .balancers()
-            .iter()
-            .filter(|record| slices.contains(&slice_of(record.id.0)));
-        MembersReply {
-            targets: targets.map(|news| target_to_message(&news)).collect(),
-            balancers: balancers.map(balancer_to_message).collect(),
-        }
-    }
-
     /// The balancers that an agent is to report to, unless it does so already.
     fn balancers_for(&mut self, target: TargetId, is_wanted: bool) -> Vec<Balancer> {
         let me = *self.spreader.me();
--- a/crates/core/src/rumour.rs
+++ b/crates/core/src/rumour.rs
@@ -6,6 +6,7 @@
 //! random peer. A token bucket bounds the bytes: under a flood of news a revision goes first, then
 //! what was pushed least, then the newest, and the rest waits for its turn or for the repair.
 
+mod action;
 mod budget;
 mod delta;
 mod liveness;
@@ -14,6 +15,7 @@
 mod repair;
 mod spreader;
 
+pub use action::{Action, News, Summary};
 pub use budget::TokenBucket;
 pub use delta::RevisionDelta;
 pub use liveness::{GONE_AFTER, Liveness, PROBE_RETRY, PROBE_SILENT_EVERY, PROBES_MAX};
@@ -25,4 +27,4 @@
     DIGEST_EVERY, DIGEST_EVERY_IN_REPAIR, REPAIR_FOR, SLICES_PER_FETCH, comparable_digests,
     slices_to_fetch,
 };
-pub use spreader::{Action, FETCH_AGAIN_AFTER, INLINE_MAX, JOIN_EVERY, News, Spreader, Summary};
+pub use spreader::{FETCH_AGAIN_AFTER, INLINE_MAX, JOIN_EVERY, Spreader};
--- a/crates/core/src/rumour/spreader.rs
+++ b/crates/core/src/rumour/spreader.rs
@@ -10,6 +10,7 @@
 use rand::seq::IteratorRandom;
 use rand::{Rng, SeedableRng};
 
+use super::action::{Action, News, Summary};
 use super::liveness::Liveness;
 use super::queue::{NUMBER_BYTES, ROUND, Rumours, Topic};
 use super::repair::{
@@ -30,65 +31,6 @@
 /// Longest content of a revision that a push carries, in bytes. A longer one is fetched.
 pub const INLINE_MAX: usize = 400;
 
-/// News, pushed from one balancer to another.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct News {
-    /// Targets that changed.
-    pub targets: Vec<TargetNews>,
-    /// Verdicts on targets that did not change otherwise.
-    pub verdicts: Vec<VerdictNews>,
-    /// Balancers that changed.
-    pub balancers: Vec<BalancerRecord>,
-    /// Highest revision that the sender has.
-    pub revision: u64,
-    /// Whether the push carries the revision's content.
-    pub carries_revision: bool,
-}
-
-/// What one balancer has, for another to compare.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Summary {
-    /// The sender.
-    pub sender: BalancerRecord,
-    /// Highest revision that the sender has.
-    pub revision: u64,
-    /// Digest of each slice, zero where a change is on its way.
-    pub members: Vec<u64>,
-    /// Whether the receiver is to answer with its own.
-    pub wants_answer: bool,
-}
-
-/// What is to be done.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Action {
-    /// Push news.
-    Push {
-        /// To whom.
-        to: SocketAddr,
-        /// What.
-        news: News,
-    },
-    /// Send a summary.
-    Compare {
-        /// To whom.
-        to: SocketAddr,
-        /// What.
-        summary: Summary,
-    },
-    /// Fetch members and hand them to [`Spreader::on_members`].
-    FetchMembers {
-        /// From whom.
-        from: SocketAddr,
-        /// Which slices, none for all.
-        slices: Vec<usize>,
-    },
-    /// Fetch the revision.
-    FetchRevision {
-        /// From whom.
-        from: SocketAddr,
-    },
-}
-
 /// One balancer's part in spreading.
 #[derive(Debug)]
 pub struct Spreader {
