--- a/crates/core/src/rumour.rs
+++ b/crates/core/src/rumour.rs
@@ -6,6 +6,7 @@
 //! random peer. A token bucket bounds the bytes: under a flood of news a revision goes first, then
 //! what was pushed least, then the newest, and the rest waits for its turn or for the repair.
 
+mod action;
 mod budget;
 mod delta;
 mod liveness;
@@ -16,6 +17,7 @@
 mod reports;
 mod spreader;
 
+pub use action::{Action, News, Summary};
 pub use budget::TokenBucket;
 pub use delta::RevisionDelta;
 pub use liveness::{GONE_AFTER, Liveness, PROBE_RETRY, PROBE_SILENT_EVERY, PROBES_MAX};
@@ -29,6 +31,4 @@
     slices_to_fetch,
 };
 pub use reports::{AgentReport, BalancerReport, Reports};
-pub use spreader::{
-    ALONE_AFTER, Action, FETCH_AGAIN_AFTER, INLINE_MAX, JOIN_EVERY, News, Spreader, Summary,
-};
+pub use spreader::{ALONE_AFTER, FETCH_AGAIN_AFTER, INLINE_MAX, JOIN_EVERY, Spreader};
