Let a reset pass an agent where the flow has ended

Cause: two agents answered one opening packet. The connection ended at one of them, the caller used its port again, and the other one's half-open endpoint answered the new opening packet with a challenge. The caller's reset was dropped as stale where the flow had ended, so the caller waited until the half-open flow timed out. Found by the check that the property has now.

Change: a reset of an ended flow follows the redirect or the chain like any other reset; it never starts a search. The property now also checks that after the faults every caller without a connection gets one or a refusal within 4 s.

Ruled out: letting a new opening packet replace a half-open flow. A late copy of an old opening packet could then end a handshake that the caller has finished.

Conclusion: the caller is answered at once in this case. A reset that the fabric brings to an agent without redirect or chain still ends there.

--- a/crates/core/src/flows.rs
+++ b/crates/core/src/flows.rs
@@ -322,7 +322,9 @@
             self.deliver(now, packet, out);
             return;
         }
-        if self.held.has_ended(&packet.flow, &packet.segment) {
+        // A reset may be meant for another agent, which answered the same opening packet. It starts
+        // no search, so it may go on.
+        if !packet.segment.rst && self.held.has_ended(&packet.flow, &packet.segment) {
             drop_for(DropReason::Stale, out);
             return;
         }
--- a/crates/core/tests/flows/network.rs
+++ b/crates/core/tests/flows/network.rs
@@ -253,6 +253,46 @@
         Ok(())
     }
 
+    /// Every caller without a connection gets one or a refusal, through any agent.
+    pub fn check_answered(&mut self) -> TestCaseResult {
+        for caller in 0..CALLERS {
+            if let CallerState::Open { .. } = self.callers[caller].state {
+                continue;
+            }
+            let at = self.usual_agent(caller);
+            self.check_answers(caller, at)?;
+        }
+        Ok(())
+    }
+
+    /// The live agent that every balancer chooses for a caller.
+    fn usual_agent(&self, caller: usize) -> usize {
+        let is_alive = |at: &usize| self.agents[*at].is_alive;
+        let mut agents = (0..AGENTS).map(|step| (caller + step) % AGENTS);
+        agents.find(is_alive).expect("a live agent")
+    }
+
+    fn check_answers(&mut self, caller: usize, at: usize) -> TestCaseResult {
+        let refusals = self.seen.refusals;
+        for _ in 0..8 {
+            let sent = Sent {
+                caller,
+                at,
+                chain: 1,
+            };
+            self.open(sent);
+            self.arrive_all()?;
+            self.wait(500)?;
+            self.arrive_all()?;
+            let is_open = matches!(self.callers[caller].state, CallerState::Open { .. });
+            if is_open || self.seen.refusals > refusals {
+                return Ok(());
+            }
+        }
+        prop_assert!(false, "caller {caller} gets no answer through agent {at}");
+        Ok(())
+    }
+
     fn check_reaches(&mut self, caller: usize, at: usize, holder: usize) -> TestCaseResult {
         let flow = caller_flow(caller);
         let got = |network: &Self| network.agents[holder].endpoints.get(&flow).map(|e| e.next);
@@ -470,7 +510,7 @@
         let first = known.isn.wrapping_add(1);
         let sent = Sent {
             caller,
-            at: caller % AGENTS,
+            at: self.usual_agent(caller),
             chain: 1,
         };
         match known.state {
--- a/crates/core/tests/flows/properties.rs
+++ b/crates/core/tests/flows/properties.rs
@@ -14,6 +14,8 @@
 /// - nobody resets a flow while the agent that holds it lives,
 /// - only a ready target opens flows,
 /// - no table exceeds its bound.
+///
+/// After the faults every established flow is reached and every new one is answered.
 fn check(steps: &[Step], total: &Cell<Totals>) -> TestCaseResult {
     let mut network = Network::new();
     for step in steps {
@@ -21,6 +23,7 @@
     }
     network.heal()?;
     network.check_reachable()?;
+    network.check_answered()?;
     total.set(total.get().with(&network.seen));
     Ok(())
 }
--- a/crates/core/tests/flows/traces.rs
+++ b/crates/core/tests/flows/traces.rs
@@ -442,6 +442,7 @@
         packet_of_another_connection_is_not_delivered_to_an_established_flow
     ;
     ended:
+        reset_after_the_end_reaches_the_other_agent_that_answered
         ended_flow_is_forgotten
         handshake_that_did_not_finish_leaves_nothing
         late_packets_of_an_ended_flow_start_no_search
