Keep two cases out of the traces whose actions hang on the jitter

Cause: a recorded trace fixes every action, also a choice between two peers of equal load, which only the random part of the score decides. Two traces would fail after any change of how often the generator is asked.

Ruled out: looser traces, which would weaken all the others.

Conclusion: the traces that are left fix choices that the load decides.

--- a/crates/core/tests/flows/agent.rs
+++ b/crates/core/tests/flows/agent.rs
@@ -5,11 +5,12 @@
     Action, CloseReason, DropReason, FlowLimits, Flows, Holding, Packet, Relay,
 };
 use citronhollow_core::id::{GroupId, TargetId};
+use citronhollow_core::members::TargetState;
 use citronhollow_core::routes::Routes;
 
 use crate::fixture::{
-    Actions, Bytes, SERVICE, START, ack, agent, agent_with, establish, flow, handed, id,
-    is_delivered, on_packet, passed, ready, revision, sent, service, syn,
+    Actions, Bytes, SERVICE, START, ack, agent, agent_with, busy, establish, flow, handed, id,
+    idle, is_delivered, on_packet, passed, ready, record, revision, sent, service, syn,
 };
 
 const SETTLED: Millis = START.after(Millis::from_secs(4));
@@ -70,7 +71,42 @@
     flows
 }
 
+/// Agent 1 of 3, busy itself, with an idle peer 2 and a busy peer 3.
+fn busy_agent(limits: FlowLimits) -> Flows<Bytes> {
+    let mut flows = agent_with(1, 3, limits);
+    for number in 900..905 {
+        establish(&mut flows, START, number, 7, 70);
+        flows.on_busy(&flow(number), true);
+    }
+    flows.on_load(START, idle(2, 1));
+    flows.on_load(START, busy(3, 1, 5));
+    flows
+}
+
 cases! {
+    redirect_to_a_dead_peer_is_not_followed => {
+        let mut flows = busy_agent(FlowLimits::default());
+        on_packet(&mut flows, START, syn(1, 5));
+        let mut dead = record(2, TargetState::Dead);
+        dead.sequence = 2;
+        flows.set_peers(START, &[dead, record(3, TargetState::Ready)]);
+        let actions = on_packet(&mut flows, START, syn(1, 5));
+        assert_ne!(sent(&actions).map(|(to, _)| to), Some(id(2)));
+    };
+
+    work_handed_since_the_last_report_counts => {
+        let mut flows = busy_agent(FlowLimits::default());
+        flows.on_load(START, idle(3, 2));
+        let mut counts = [0_u32; 4];
+        for number in 0..8 {
+            let actions = on_packet(&mut flows, START, syn(number, 5));
+            let (to, _) = sent(&actions).expect("a handed flow");
+            let at = (2..=3).find(|peer| id(*peer) == to).expect("a peer");
+            counts[usize::from(at)] += 1;
+        }
+        assert_eq!(counts, [0, 0, 4, 4]);
+    };
+
     chain_is_followed_first => {
         let mut flows = agent(1, 4);
         let actions = on_packet(&mut flows, START, chained(&[1, 3, 2]));
--- a/crates/core/tests/flows/traces.rs
+++ b/crates/core/tests/flows/traces.rs
@@ -399,11 +399,9 @@
         new_connection_between_the_same_ends_is_decided_by_the_old_holder
         opening_packet_of_an_established_flow_goes_to_its_endpoint
         packets_of_a_handed_flow_go_straight_to_the_peer
-        redirect_to_a_dead_peer_is_not_followed
         repeated_opening_packet_leaves_a_peer_that_fell_silent
         repeated_opening_packet_reaches_the_same_place
         restarted_peer_counts_as_full_until_it_reports
-        work_handed_since_the_last_report_counts
     ;
     search:
         more_peers_than_questions_forbid_no_search
