Let a target that was just drained hand a new flow on once more

A draining target has little to do, so for up to 250 ms its peers hold it to be the best place; where it got a packet as the third hand it could only refuse, although others had room.

Ruled out: the balancers (their counters show no refusal) and an agent without peers (the log of refusals named the last hand each time).

Change: an agent that takes no new flow may hand a packet on twice beyond the usual three hands, and an agent reports its load at once when its state changes. Traces state both.

--- a/crates/agent/src/traffic/run.rs
+++ b/crates/agent/src/traffic/run.rs
@@ -126,6 +126,10 @@
     if !ticks_done.is_multiple_of(TICKS_PER_REPORT) {
         return;
     }
+    report_load(agent);
+}
+
+fn report_load(agent: &Agent) {
     let now = agent.clock.now();
     let report = agent.flows.borrow_mut().load_report(now);
     agent.send_to_peers(&Body::Load(wire::load(&report)));
@@ -138,7 +142,11 @@
             agent.target.set(Some(address));
             agent.flows.borrow_mut().set_slots(now, slots);
         }
-        TrafficCommand::State(state) => agent.flows.borrow_mut().set_state(now, state),
+        TrafficCommand::State(state) => {
+            agent.flows.borrow_mut().set_state(now, state);
+            // A target that drains looks idle, so its peers must not wait for the next report.
+            report_load(agent);
+        }
         TrafficCommand::Peers(peers) => set_peers(agent, now, &peers),
         TrafficCommand::Services(revision) => set_services(agent, &revision),
     }
--- a/crates/core/src/flows.rs
+++ b/crates/core/src/flows.rs
@@ -43,7 +43,7 @@
 pub use counters::Counters;
 pub use limits::FlowLimits;
 pub use load::LoadReport;
-pub use opening::MAX_HANDS;
+pub use opening::{MAX_HANDS, MAX_HANDS_BY_REFUSERS};
 pub use packet::{Action, Arrival, CloseReason, DropReason, Holding, Packet, Relay};
 
 use bucket::{Bucket, Rate};
--- a/crates/core/src/flows/opening.rs
+++ b/crates/core/src/flows/opening.rs
@@ -3,8 +3,10 @@
 //! The agent that gets an opening packet knows the load of its peers, and the balancer that sent
 //! it here does not. So it may hand the packet to a peer. What it knows of the peer is old, while
 //! the peer knows its own load exactly, so the peer compares once more and may hand the packet on.
-//! After [`MAX_HANDS`] the flow is opened or refused, and no opening packet wanders. A repeated
-//! opening packet follows the redirects of the first.
+//! After [`MAX_HANDS`] the flow is opened or refused, and no opening packet wanders. Only an agent
+//! that takes no new flow may still hand it on, a bounded number of times: a target that was just
+//! drained looks idle to its peers until they hear of it. A repeated opening packet follows the
+//! redirects of the first.
 
 use rand::Rng;
 
@@ -25,6 +27,9 @@
 /// Agents that may hand one opening packet on, so that the last one opens or refuses the flow.
 pub const MAX_HANDS: u32 = 3;
 
+/// Hands beyond [`MAX_HANDS`] for agents that take no new flow.
+pub const MAX_HANDS_BY_REFUSERS: u32 = 2;
+
 /// Where a new flow is to be opened.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Place {
@@ -85,7 +90,7 @@
     /// Chooses the target for a new flow.
     fn place(&mut self, now: Millis, service: ServiceKey, packet: &Packet<B>) -> Place {
         let pool = self.services.pool_for(service, &packet.flow);
-        if is_last(packet) {
+        if self.is_last(packet) {
             return self.place_last(pool);
         }
         let here = self.score_here(now, pool);
@@ -230,7 +235,7 @@
         service: ServiceKey,
         packet: &Packet<B>,
     ) -> Option<Redirect> {
-        if is_last(packet) {
+        if self.is_last(packet) {
             return None;
         }
         let redirect = self.usable_redirect(service, packet)?;
@@ -281,9 +286,14 @@
         }
         is_usable.then_some(redirect)
     }
-}
 
-/// Whether the packet has been handed on as often as it may be.
-const fn is_last<B>(packet: &Packet<B>) -> bool {
-    matches!(packet.arrival, Arrival::Handed(_)) && packet.hops >= MAX_HANDS
+    /// Whether the packet has been handed on as often as it may be.
+    const fn is_last(&self, packet: &Packet<B>) -> bool {
+        let max = if self.own.takes_new() {
+            MAX_HANDS
+        } else {
+            MAX_HANDS + MAX_HANDS_BY_REFUSERS
+        };
+        matches!(packet.arrival, Arrival::Handed(_)) && packet.hops >= max
+    }
 }
