Confirm peers, hand redirects over, and break real processes in tests

Cause: an agent's traffic thread was told of peers only when they changed, so the decisions could never be sure that a flow which nobody claims has no holder; and a leaving agent kept its redirects to itself. No test broke real processes yet.

Change: the control thread passes on that a balancer confirmed the peers; the traffic thread hands its redirects over when it ends. Seven cases start a fleet of processes with 40 open flows and kill a balancer, freeze one, freeze an agent, lose and double packets, kill the platform and replace a balancer without it, stop an agent, and kill an agent.

In the first six every flow completes; with the killed agent exactly its own flows break, by reset and not in silence.

--- a/crates/agent/src/control/learning.rs
+++ b/crates/agent/src/control/learning.rs
@@ -19,6 +19,7 @@
         }
         if self.known.digest == Some(reply.peers_digest) {
             self.raise_revision(reply.revision);
+            self.tell_traffic(TrafficCommand::PeersConfirmed);
             return;
         }
         let now = self.now();
@@ -71,6 +72,8 @@
         self.known.digest = Some(reply.peers_digest);
         if self.peers.merge(&reply.peers, revision.number) {
             self.tell_traffic(TrafficCommand::Peers(self.peers.records()));
+        } else {
+            self.tell_traffic(TrafficCommand::PeersConfirmed);
         }
         if revision != self.known.revision {
             log::info!("control: revision {} is in force", revision.number);
--- a/crates/agent/src/link.rs
+++ b/crates/agent/src/link.rs
@@ -20,6 +20,8 @@
     State(TargetState),
     /// Every target that may hold a flow of this target's services, this one included.
     Peers(Vec<TargetRecord>),
+    /// A balancer said that the peers have not changed.
+    PeersConfirmed,
     /// The services, pools and rules that concern this target's group.
     Services(Revision),
 }
--- a/crates/agent/src/traffic/dispatch.rs
+++ b/crates/agent/src/traffic/dispatch.rs
@@ -59,6 +59,12 @@
     decide(agent, Flows::on_tick);
 }
 
+/// The thread ends: what the agent knows of flows elsewhere goes to those who will be asked next.
+pub(super) fn on_leave(agent: &Rc<Agent>) {
+    decide(agent, Flows::on_leave);
+    agent.figures.count_unsent(agent.datagrams.flush());
+}
+
 fn on_forward(agent: &Rc<Agent>, forward: Forward) -> Result<(), WireError> {
     let packet = wire::packet_from(forward)?;
     on_packet(agent, packet);
--- a/crates/agent/src/traffic/run.rs
+++ b/crates/agent/src/traffic/run.rs
@@ -90,10 +90,13 @@
     loop {
         tokio::select! {
             biased;
-            command = commands.recv() => match command {
-                Some(command) => on_command(agent, command),
-                None => return,
-            },
+            command = commands.recv() => {
+                let Some(command) = command else {
+                    dispatch::on_leave(agent);
+                    return;
+                };
+                on_command(agent, command);
+            }
             _ = ticks.tick() => {
                 ticks_done = ticks_done.wrapping_add(1);
                 on_tick(agent, ticks_done);
@@ -148,6 +151,7 @@
             report_load(agent);
         }
         TrafficCommand::Peers(peers) => set_peers(agent, now, &peers),
+        TrafficCommand::PeersConfirmed => agent.flows.borrow_mut().confirm_peers(now),
         TrafficCommand::Services(revision) => set_services(agent, &revision),
     }
 }
--- a/crates/testkit/src/outcome.rs
+++ b/crates/testkit/src/outcome.rs
@@ -26,6 +26,9 @@
     pub completed: u64,
     /// Flows that were established and then reset or silent.
     pub broken: u64,
+    /// Broken flows that ended in silence instead of a reset.
+    #[serde(default)]
+    pub silent: u64,
     /// Flows refused before anything of them ran.
     pub refused: u64,
     /// Answers that came from another service than the one asked.
--- /dev/null
+++ b/crates/testkit/tests/failures.rs
@@ -0,0 +1,186 @@
+//! Failures of real processes, judged by what becomes of real flows.
+//!
+//! Every case starts balancers, targets and agents as processes of their own, breaks something in
+//! the middle of open flows, and compares the outcome with what is promised. Times are bounds of
+//! waiting only; no verdict depends on how fast the machine is, unless a promise states a bound.
+
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use citronhollow_core::clock::Millis;
+use citronhollow_core::config::{Documents, Pool, Refusal, Service};
+use citronhollow_core::flow::FlowId;
+use citronhollow_testkit::fabric::{Fabric, Faults};
+use citronhollow_testkit::fleet::{Fleet, TargetPlan};
+use citronhollow_testkit::load::{Load, Session};
+use citronhollow_testkit::outcome::Outcome;
+use citronhollow_testkit::process::Signal;
+
+const SERVICE: &str = "10.1.0.1:443";
+const SEED: u64 = 7;
+const FLOWS: u32 = 40;
+
+/// When the failure comes, with every flow open.
+const BREAK_AT: Millis = Millis(1_500);
+
+/// When a case gives up waiting for its flows.
+const END_AT: Millis = Millis::from_secs(60);
+
+struct Case {
+    fleet: Fleet,
+    load: Load,
+}
+
+impl Case {
+    /// Starts a fleet and the sessions, and runs until the failure is due.
+    fn start(name: &str, balancers: usize, targets: u16, faults: Faults) -> io::Result<Self> {
+        let mut fabric = Fabric::bind(Duration::from_millis(1), SEED)?;
+        fabric.set_faults(faults);
+        let mut fleet = Fleet::start(name, fabric.local_addr()?, balancers)?;
+        for number in 1..=targets {
+            fleet.add_target(&plan(number))?;
+        }
+        fleet.apply(&documents())?;
+        fleet.wait_for_ready_targets(usize::from(targets))?;
+        let mut load = Load::new(fabric, sessions());
+        load.fabric().set_balancers(fleet.fabric_addrs());
+        load.run_until(BREAK_AT);
+        Ok(Self { fleet, load })
+    }
+
+    /// Runs to the end and judges.
+    fn judge(mut self) -> io::Result<Outcome> {
+        self.load.run_until(END_AT);
+        let ran = self.fleet.ran()?;
+        Ok(self.load.judge(&ran, &[]))
+    }
+}
+
+fn plan(number: u16) -> TargetPlan {
+    TargetPlan {
+        name: format!("desk-{number}"),
+        group: String::from("match-desk"),
+        service: String::from("match-desk"),
+        slots: 2,
+        work_ms: 5,
+    }
+}
+
+fn documents() -> Documents {
+    let service = Service {
+        name: String::from("match-desk"),
+        addresses: vec![SERVICE.parse().expect("address of the test")],
+        pool: String::from("match-desk"),
+        refusal: Refusal::Reset,
+        new_flows_per_s: None,
+        new_flows_per_s_per_caller: None,
+    };
+    let pool = Pool {
+        name: String::from("match-desk"),
+        groups: vec![String::from("match-desk")],
+        flows_per_target: None,
+    };
+    Documents {
+        services: vec![service],
+        pools: vec![pool],
+        rules: Vec::new(),
+    }
+}
+
+fn sessions() -> Vec<Session> {
+    let first = Ipv4Addr::new(10, 9, 0, 1).to_bits();
+    (0..FLOWS)
+        .map(|number| Session {
+            flow: FlowId {
+                caller: SocketAddr::from((Ipv4Addr::from_bits(first + number), 20_000)),
+                service: SERVICE.parse().expect("address of the test"),
+            },
+            service: String::from("match-desk"),
+            start: Millis(u64::from(number) * 20),
+            requests: 12,
+            think: Millis(400),
+            answer_bytes: 2_000,
+        })
+        .collect()
+}
+
+/// What holds whatever breaks.
+fn assert_nothing_wrong(outcome: &Outcome) {
+    assert_eq!(outcome.misdelivered, 0, "{outcome:?}");
+    assert_eq!(outcome.doubled, 0, "{outcome:?}");
+    assert_eq!(outcome.refused_but_run, 0, "{outcome:?}");
+}
+
+fn assert_all_completed(outcome: &Outcome) {
+    assert_nothing_wrong(outcome);
+    assert_eq!(outcome.completed, u64::from(FLOWS), "{outcome:?}");
+}
+
+macro_rules! cases {
+    ($($name:ident: $balancers:expr, $targets:expr, $faults:expr => $break_it:expr, $judge:expr;)*) => {
+        $(
+            #[test]
+            fn $name() -> io::Result<()> {
+                let mut case = Case::start(stringify!($name), $balancers, $targets, $faults)?;
+                let break_it: fn(&mut Case) -> io::Result<()> = $break_it;
+                break_it(&mut case)?;
+                let judge: fn(&Outcome) = $judge;
+                judge(&case.judge()?);
+                Ok(())
+            }
+        )*
+    };
+}
+
+cases! {
+    killed_balancer_breaks_no_flow: 3, 3, Faults::default() => |case| {
+        // The fabric goes on spraying a third of all packets at the dead balancer for a while.
+        case.fleet.balancers[0].process.kill()?;
+        case.load.run_until(BREAK_AT.after(Millis(1_000)));
+        let left = case.fleet.fabric_addrs().split_off(1);
+        case.load.fabric().set_balancers(left);
+        Ok(())
+    }, assert_all_completed;
+
+    frozen_balancer_breaks_no_flow: 3, 3, Faults::default() => |case| {
+        case.fleet.balancers[1].process.signal(Signal::Stop)?;
+        case.load.run_until(BREAK_AT.after(Millis(2_000)));
+        case.fleet.balancers[1].process.signal(Signal::Continue)
+    }, assert_all_completed;
+
+    frozen_agent_breaks_no_flow: 2, 3, Faults::default() => |case| {
+        case.fleet.targets[0].agent.signal(Signal::Stop)?;
+        case.load.run_until(BREAK_AT.after(Millis(3_000)));
+        case.fleet.targets[0].agent.signal(Signal::Continue)
+    }, assert_all_completed;
+
+    lost_and_doubled_packets_break_no_flow: 3, 3, Faults { loss: 0.02, duplication: 0.02 } => |_| {
+        Ok(())
+    }, assert_all_completed;
+
+    killed_platform_breaks_no_flow_and_balancers_are_replaced: 3, 3, Faults::default() => |case| {
+        case.fleet.platform.kill()?;
+        case.fleet.add_balancer()?;
+        case.fleet.wait_for_ready_targets(3)?;
+        let retired = case.fleet.begin_retirement(0)?;
+        case.load.fabric().set_balancers(case.fleet.fabric_addrs());
+        case.load.run_until(BREAK_AT.after(Millis(3_000)));
+        Fleet::end_retirement(retired)
+    }, assert_all_completed;
+
+    stopping_agent_cuts_no_flow: 2, 3, Faults::default() => |case| {
+        case.fleet.targets[0].agent.signal(Signal::Terminate)
+    }, assert_all_completed;
+
+    killed_agent_breaks_only_its_own_flows_and_those_are_told: 2, 3, Faults::default() => |case| {
+        case.fleet.targets[0].agent.kill()
+    }, |outcome| {
+        assert_nothing_wrong(outcome);
+        let own = outcome.by_target.get("desk-1").copied().unwrap_or_default();
+        assert!(own > 0, "{outcome:?}");
+        assert_eq!(outcome.broken, own, "{outcome:?}");
+        assert_eq!(outcome.completed, u64::from(FLOWS) - own, "{outcome:?}");
+        assert_eq!(outcome.silent, 0, "reset within the detection bound: {outcome:?}");
+    };
+}
