Space load reports by the number of peers

Cause: reports every 250 ms cost 2.3 KB/s in a pool of seven and would have passed the 4 KB/s of control from a pool of twelve on, while small pools used less than they may and steered by older news than need be.

Change: the time between two reports grows with the peers, so that an agent spends at most 2.8 KB/s on them, from 50 ms to 1.5 s. A property of 1 to 40 peers holds it to the stated bound less a kilobyte for everything else.

Pools of more than about 45 targets would pass the bound at the longest interval: not mended.

--- a/crates/agent/src/traffic/agent.rs
+++ b/crates/agent/src/traffic/agent.rs
@@ -52,6 +52,7 @@
 pub(super) struct Agent {
     pub(super) me: TargetId,
     pub(super) clock: Clock,
+    pub(super) next_report: Cell<Millis>,
     pub(super) datagrams: Datagrams,
     pub(super) fabric: Vec<SocketAddr>,
     pub(super) codec: Codec,
--- a/crates/agent/src/traffic/run.rs
+++ b/crates/agent/src/traffic/run.rs
@@ -39,9 +39,6 @@
 /// Time between two ticks of the decisions.
 const TICK: Duration = Duration::from_millis(50);
 
-/// Ticks between two load reports.
-const TICKS_PER_REPORT: u32 = 5;
-
 /// Silences of this many idle times end a flow.
 const TIMEOUT_KEEPALIVES: u64 = 3;
 
@@ -84,7 +81,6 @@
 async fn serve(agent: &Rc<Agent>, mut commands: UnboundedReceiver<TrafficCommand>) {
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut ticks_done = 0_u32;
     let mut incoming = Incoming::new();
     tokio::task::spawn_local(flush(Rc::clone(agent)));
     loop {
@@ -97,10 +93,7 @@
                 };
                 on_command(agent, command);
             }
-            _ = ticks.tick() => {
-                ticks_done = ticks_done.wrapping_add(1);
-                on_tick(agent, ticks_done);
-            }
+            _ = ticks.tick() => on_tick(agent),
             readable = agent.datagrams.readable() => {
                 if readable.is_ok() {
                     agent.datagrams.receive(&mut incoming, |datagram, from| {
@@ -124,16 +117,17 @@
     }
 }
 
-fn on_tick(agent: &Rc<Agent>, ticks_done: u32) {
+fn on_tick(agent: &Rc<Agent>) {
     dispatch::on_tick(agent);
-    if !ticks_done.is_multiple_of(TICKS_PER_REPORT) {
-        return;
+    if agent.clock.now() >= agent.next_report.get() {
+        report_load(agent);
     }
-    report_load(agent);
 }
 
 fn report_load(agent: &Agent) {
     let now = agent.clock.now();
+    let interval = agent.flows.borrow().report_interval();
+    agent.next_report.set(now.after(interval));
     let report = agent.flows.borrow_mut().load_report(now);
     agent.send_to_peers(&Body::Load(wire::load(&report)));
 }
@@ -198,6 +192,7 @@
     Ok(Agent {
         me,
         clock: Clock::new(),
+        next_report: Cell::new(Millis::ZERO),
         datagrams: Datagrams::new(socket)?,
         fabric: settings.fabric.clone(),
         codec: Codec::new(keys),
--- a/crates/core/src/flows.rs
+++ b/crates/core/src/flows.rs
@@ -42,7 +42,7 @@
 
 pub use counters::Counters;
 pub use limits::FlowLimits;
-pub use load::LoadReport;
+pub use load::{LoadReport, REPORT_BYTES, REPORT_BYTES_PER_S, REPORT_INTERVALS, report_interval};
 pub use opening::{MAX_HANDS, MAX_HANDS_BY_REFUSERS};
 pub use packet::{Action, Arrival, CloseReason, DropReason, Holding, Packet, Relay};
 
@@ -261,6 +261,12 @@
         self.report(now)
     }
 
+    /// Time until the next report is due after one.
+    #[must_use]
+    pub fn report_interval(&self) -> Millis {
+        report_interval(self.peers.iter().count())
+    }
+
     /// Flows held here.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/core/src/flows/load.rs
+++ b/crates/core/src/flows/load.rs
@@ -42,6 +42,21 @@
     }
 }
 
+/// A report with envelope, tag, UDP and IP headers, in bytes.
+pub const REPORT_BYTES: u64 = 96;
+/// What an agent may spend on reports, in bytes a second.
+pub const REPORT_BYTES_PER_S: u64 = 2_800;
+/// Shortest and longest time between two reports.
+pub const REPORT_INTERVALS: (Millis, Millis) = (Millis(50), Millis(1_500));
+
+/// Time between two reports to this many peers. It grows with them, so that the bytes do not.
+#[must_use]
+pub fn report_interval(peers: usize) -> Millis {
+    let bytes = REPORT_BYTES * peers as u64;
+    let interval = Millis(bytes * 1_000 / REPORT_BYTES_PER_S);
+    interval.clamp(REPORT_INTERVALS.0, REPORT_INTERVALS.1)
+}
+
 /// Work of one request, in thousandths of a request.
 const REQUEST_MILLI: u64 = 1_000;
 /// Work that an open flow is expected to bring besides its requests in progress.
--- a/crates/core/tests/flows/load.rs
+++ b/crates/core/tests/flows/load.rs
@@ -1,7 +1,9 @@
 //! What load does to the choice of a target.
 
 use citronhollow_core::clock::Millis;
-use citronhollow_core::flows::{Action, FlowLimits, Flows, LoadReport, Relay};
+use citronhollow_core::flows::{
+    Action, FlowLimits, Flows, LoadReport, REPORT_BYTES, Relay, report_interval,
+};
 use citronhollow_core::members::TargetState;
 
 use crate::fixture::{
@@ -36,6 +38,15 @@
 }
 
 cases! {
+    reports_stay_within_their_bytes => {
+        for peers in 1..=40 {
+            let interval = report_interval(peers);
+            let bytes_per_s = REPORT_BYTES * peers as u64 * 1_000 / interval.0;
+            assert!(bytes_per_s <= 4_000 - 1_000, "{peers} peers: {bytes_per_s} B/s");
+            assert!(interval <= FlowLimits::default().load_max_age, "{peers} peers");
+        }
+    };
+
     cold_target_grows_to_its_slots => {
         let mut flows = agent(1, 1);
         flows.set_state(START, TargetState::Starting);
--- a/crates/testkit/examples/measure/agents.rs
+++ b/crates/testkit/examples/measure/agents.rs
@@ -6,7 +6,9 @@
 use citronhollow_core::clock::Millis;
 use citronhollow_core::config::{Documents, Pool, Refusal, Revision, Service};
 use citronhollow_core::flow::{FlowId, Segment};
-use citronhollow_core::flows::{Action, Arrival, FlowLimits, Flows, LoadReport, Packet, Relay};
+use citronhollow_core::flows::{
+    Action, Arrival, FlowLimits, Flows, LoadReport, Packet, REPORT_BYTES, Relay,
+};
 use citronhollow_core::id::{DomainId, GroupId, TargetId};
 use citronhollow_core::members::{TargetRecord, TargetState};
 use citronhollow_core::routes::Routes;
@@ -16,12 +18,6 @@
 /// The address that every flow of a run uses.
 pub const SERVICE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 1, 0, 1)), 443);
 
-/// Time between two reports of an agent, in microseconds.
-const REPORT_EVERY_US: u64 = 250_000;
-
-/// A load report with envelope, tag, UDP and IP headers, in bytes.
-const REPORT_BYTES: u32 = 96;
-
 /// Something that reaches an agent after a delay.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Step {
@@ -78,7 +74,7 @@
             .collect();
         // Agents start at different moments, so their reports do not come together.
         let count = records.len() as u64;
-        let next_report_us = (0..count).map(|at| at * REPORT_EVERY_US / count).collect();
+        let next_report_us = (0..count).map(|at| at * 1_000).collect();
         Self {
             fleet,
             routes: Routes::build(&revision, &records, None),
@@ -135,7 +131,7 @@
             self.flows[at].on_tick(millis(now), &mut out);
             self.carry_out(now, at, out);
             if now >= self.next_report_us[at] {
-                self.next_report_us[at] += REPORT_EVERY_US;
+                self.next_report_us[at] += self.flows[at].report_interval().0 * 1_000;
                 self.report(now, at);
             }
         }
@@ -177,9 +173,10 @@
 
     /// Control traffic that one agent sends, in bytes a second.
     pub fn control_bytes_per_s(&self, length_us: u64) -> f64 {
+        let bytes = u32::try_from(REPORT_BYTES).unwrap_or(u32::MAX);
         let count = u32::try_from(self.flows.len()).unwrap_or(1);
         let secs = u32::try_from(length_us / 1_000_000).unwrap_or(1);
-        f64::from(self.sent) * f64::from(REPORT_BYTES) / f64::from(count) / f64::from(secs)
+        f64::from(self.sent) * f64::from(bytes) / f64::from(count) / f64::from(secs)
     }
 
     fn feed(&mut self, now: u64, at: usize, number: usize, arrival: Arrival, hops: u32) {
