Rank a balancer only after it has met the others, and share what stood twice

The stop signals, and the sample service of quickstart and process cases, stood twice.

Change: with seeds that have not answered yet a balancer has no rank; the revision that it reports is that of its routes. One module for the stop signals, one for the sample service.

--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -8,9 +8,8 @@
 use citronhollow_core::error::ErrorKind;
 use citronhollow_operator::failure::Failure;
 use citronhollow_operator::metrics::Metrics;
-use citronhollow_operator::{logging, trace};
-use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{mpsc, watch};
+use citronhollow_operator::{logging, stop, trace};
+use tokio::sync::mpsc;
 
 use crate::control::{Control, Links};
 use crate::link::TrafficFigures;
@@ -52,7 +51,7 @@
             commands,
             figures,
             traffic_addr,
-            stop: stop_on_signal()?,
+            stop: stop::on_signal()?,
         };
         let control = Control::bind(settings, checked.keys().clone(), links)
             .await
@@ -68,23 +67,6 @@
     Ok(())
 }
 
-fn stop_on_signal() -> Result<watch::Receiver<bool>, Failure> {
-    let no_handler = |err| failure(&format!("no signal handler: {err}"));
-    let mut terminate = signal(SignalKind::terminate()).map_err(no_handler)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(no_handler)?;
-    let (tx, rx) = watch::channel(false);
-    tokio::spawn(async move {
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
-        tx.send_replace(true);
-        // The receiver must not see the sender go while the agent drains.
-        tx.closed().await;
-    });
-    Ok(rx)
-}
-
 fn failure(message: &str) -> Failure {
     Failure::new(ErrorKind::Invalid, message)
 }
--- a/crates/balancer/src/control.rs
+++ b/crates/balancer/src/control.rs
@@ -186,7 +186,7 @@
         let now = self.now();
         self.node.on_tick(now, effects);
         self.drains.on_tick(now, self.node.view(), effects);
-        let place = self.node.fleet_view();
+        let place = self.node.fleet_view(now);
         self.seat.place.send_if_modified(|known| {
             let is_news = *known != place;
             *known = place;
@@ -240,6 +240,8 @@
     fn fleet(&self) -> FleetStatus {
         let now = self.now();
         FleetStatus {
+            // A revision is in force here once the traffic threads work by it.
+            revision: self.routes.load().revision(),
             drains: self.drains.status(self.node.view(), now),
             is_leaving: self.stop_at.is_some(),
             ..self.node.fleet_status(now)
--- a/crates/balancer/src/control/fleet.rs
+++ b/crates/balancer/src/control/fleet.rs
@@ -8,11 +8,16 @@
 use crate::publish::FleetView;
 
 /// The fleet as the publisher needs it.
-pub(super) fn view_of(spreader: &Spreader) -> FleetView {
+///
+/// A balancer that was told of others but has not met them yet must not hold itself to be the
+/// first, or a whole region that starts at once would ask the platform at once.
+pub(super) fn view_of(now: Millis, spreader: &Spreader) -> FleetView {
     let me = spreader.me().id;
     let peers = spreader.reachable_peers();
+    let before_me = peers.iter().filter(|peer| peer.id < me).count();
+    let is_unmet = spreader.has_seeds() && !spreader.knows_fleet(now);
     FleetView {
-        rank: peers.iter().filter(|peer| peer.id < me).count(),
+        rank: if is_unmet { usize::MAX } else { before_me },
         lowest_reported: spreader.lowest_of_all(),
     }
 }
--- a/crates/balancer/src/control/node.rs
+++ b/crates/balancer/src/control/node.rs
@@ -92,8 +92,8 @@
 
     /// The fleet as the publisher needs it.
     #[must_use]
-    pub fn fleet_view(&self) -> FleetView {
-        fleet::view_of(&self.spreader)
+    pub fn fleet_view(&self, now: Millis) -> FleetView {
+        fleet::view_of(now, &self.spreader)
     }
 
     /// The fleet as operators see it. Drains and the end of the process are the caller's to add.
@@ -172,7 +172,7 @@
         for news in self.spreader.on_tick(now, &mut actions) {
             log::info!("members: target {} is {:?}", news.record.id, news.verdict);
         }
-        if is_watcher(self.fleet_view().rank) || now < self.lowest_wanted_until {
+        if is_watcher(self.fleet_view(now).rank) || now < self.lowest_wanted_until {
             self.spreader.poll_lowest(now, &mut actions);
         }
         self.carry_over(actions, effects);
--- a/crates/balancer/src/run.rs
+++ b/crates/balancer/src/run.rs
@@ -16,10 +16,9 @@
 use citronhollow_operator::metrics::Metrics;
 use citronhollow_operator::status::{DrainStatus, FleetStatus};
 use citronhollow_operator::token::Token;
-use citronhollow_operator::{control as seam, http, logging, trace};
+use citronhollow_operator::{control as seam, http, logging, stop, trace};
 use citronhollow_platform::client::{Client, ClientConfig};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 
 use crate::control::{Control, ControlHandle};
@@ -170,19 +169,14 @@
 }
 
 fn leave_on_signal(handle: ControlHandle) -> Result<watch::Receiver<bool>, Failure> {
-    let no_handler = |err| Failure::new(ErrorKind::Invalid, format!("no signal handler: {err}"));
-    let mut terminate = signal(SignalKind::terminate()).map_err(no_handler)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(no_handler)?;
-    let (tx, rx) = watch::channel(false);
+    let stop = stop::on_signal()?;
+    let mut leaving = stop.clone();
     tokio::spawn(async move {
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
+        if leaving.wait_for(|stop| *stop).await.is_ok() {
+            handle.leave().await;
         }
-        tx.send_replace(true);
-        handle.leave().await;
     });
-    Ok(rx)
+    Ok(stop)
 }
 
 /// Unique for each run of a process, so that its writes are recognised.
--- a/crates/balancer/tests/reports.rs
+++ b/crates/balancer/tests/reports.rs
@@ -9,6 +9,7 @@
 use citronhollow_core::config::Revision;
 use citronhollow_core::id::{BalancerId, DomainId, GroupId, TargetId};
 use citronhollow_core::members::{BalancerRecord, TargetNews, TargetRecord, TargetState};
+use citronhollow_core::rumour::ALONE_AFTER;
 use citronhollow_operator::status::{BalancerState, FleetStatus};
 use citronhollow_peer::message::{Digest, Heartbeat};
 use citronhollow_peer::{Body, balancer_to_message, target_to_message};
@@ -96,7 +97,7 @@
     }
 
     fn view(&self) -> FleetView {
-        self.node.fleet_view()
+        self.node.fleet_view(NOW)
     }
 
     fn status(&self) -> FleetStatus {
@@ -149,7 +150,7 @@
             fixture.node.on_message(now, addr(1), other, &mut Vec::new());
             fixture.node.on_tick(now, &mut Vec::new());
             let is_dead = fixture.node.fleet_status(now).targets[0].state == TargetState::Dead;
-            let lowest = fixture.node.fleet_view().lowest_reported;
+            let lowest = fixture.node.fleet_view(now).lowest_reported;
             assert_eq!(lowest, if is_dead { 5 } else { 3 }, "at {now}");
             dead_at = dead_at.or(is_dead.then_some(now));
         }
@@ -193,13 +194,22 @@
                 });
                 node.on_message(NOW, addr(1), digest, &mut Vec::new());
             }
-            node.fleet_view().rank
+            node.fleet_view(NOW).rank
         });
         let mut sorted = ranks;
         sorted.sort_unstable();
         assert_eq!(sorted, [0, 1, 2, 3]);
     };
 
+    balancer_that_has_not_met_the_others_has_no_rank => {
+        let seeds = vec![addr(1)];
+        let mut node = Node::new(balancer("entry-a", false), seeds, RevisionStore::default());
+        node.on_tick(NOW, &mut Vec::new());
+        assert_eq!(node.fleet_view(NOW).rank, usize::MAX);
+        let later = NOW.after(ALONE_AFTER);
+        assert_eq!(node.fleet_view(later).rank, 0, "nobody has answered by now");
+    };
+
     status_shows_what_an_agent_reports => {
         let mut fixture = Fixture::new();
         fixture.heartbeat("desk-1", 4, false);
--- a/crates/core/src/rumour/spreader.rs
+++ b/crates/core/src/rumour/spreader.rs
@@ -108,6 +108,12 @@
         &self.view
     }
 
+    /// Whether this process was told of balancers to join through.
+    #[must_use]
+    pub const fn has_seeds(&self) -> bool {
+        !self.seeds.is_empty()
+    }
+
     /// Whether what is known here is the fleet and not only a part of it.
     ///
     /// A process that has just started knows nobody, and must not conclude from this that there is
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -19,5 +19,6 @@
 pub mod report;
 pub mod settings;
 pub mod status;
+pub mod stop;
 pub mod token;
 pub mod trace;
--- a/crates/testkit/examples/quickstart.rs
+++ b/crates/testkit/examples/quickstart.rs
@@ -6,17 +6,15 @@
 //! what became of the flows, as JSON with `--json`, and fails if a stated outcome is missed.
 
 use std::error::Error;
-use std::net::{Ipv4Addr, SocketAddr};
 use std::process::ExitCode;
 use std::time::Duration;
 
 use citronhollow_core::clock::Millis;
-use citronhollow_core::config::{Documents, Pool, Refusal, Service};
-use citronhollow_core::flow::FlowId;
 use citronhollow_testkit::fabric::Fabric;
-use citronhollow_testkit::fleet::{Fleet, TargetPlan};
+use citronhollow_testkit::fleet::Fleet;
 use citronhollow_testkit::load::{Load, Session};
 use citronhollow_testkit::outcome::Outcome;
+use citronhollow_testkit::sample;
 use gumdrop::Options;
 
 const BALANCERS: usize = 3;
@@ -86,12 +84,12 @@
     let fabric = Fabric::bind(FABRIC_WAIT, SEED)?;
     let mut fleet = Fleet::start("quickstart", fabric.local_addr()?, BALANCERS)?;
     for number in 1..=TARGETS {
-        fleet.add_target(&plan(number))?;
+        fleet.add_target(&sample::target(number))?;
     }
-    fleet.apply(&documents()?)?;
+    fleet.apply(&sample::documents())?;
     fleet.wait_for_ready_targets(usize::from(TARGETS))?;
 
-    let mut load = Load::new(fabric, sessions()?);
+    let mut load = Load::new(fabric, sessions());
     load.fabric().set_balancers(fleet.fabric_addrs());
     load.run_until(REPLACE_AT);
     fleet.add_balancer()?;
@@ -99,7 +97,7 @@
     let retired = fleet.begin_retirement(0)?;
     load.fabric().set_balancers(fleet.fabric_addrs());
     load.run_until(DRAIN_AT);
-    let drained = plan(1).name;
+    let drained = sample::target(1).name;
     let asked_at = load.now();
     fleet.drain(&drained)?;
     load.run_until(END_AT);
@@ -116,55 +114,15 @@
     Ok(outcome)
 }
 
-fn plan(number: u16) -> TargetPlan {
-    TargetPlan {
-        name: format!("desk-{number}"),
-        group: String::from("match-desk"),
-        service: String::from("match-desk"),
-        slots: 2,
-        work_ms: 5,
-    }
-}
-
-fn documents() -> Result<Documents, Box<dyn Error>> {
-    let service = Service {
-        name: String::from("match-desk"),
-        addresses: vec!["10.1.0.1:443".parse()?],
-        pool: String::from("match-desk"),
-        refusal: Refusal::Reset,
-        new_flows_per_s: None,
-        new_flows_per_s_per_caller: None,
-    };
-    let pool = Pool {
-        name: String::from("match-desk"),
-        groups: vec![String::from("match-desk")],
-        flows_per_target: None,
-    };
-    Ok(Documents {
-        services: vec![service],
-        pools: vec![pool],
-        rules: Vec::new(),
-    })
-}
-
-fn sessions() -> Result<Vec<Session>, Box<dyn Error>> {
-    let service: SocketAddr = "10.1.0.1:443".parse()?;
-    let sessions = (0..FLOWS).map(|number| Session {
-        flow: FlowId {
-            caller: caller(number),
-            service,
-        },
-        service: String::from("match-desk"),
-        start: Millis(u64::from(number) * START_SPAN.0 / u64::from(FLOWS)),
-        requests: 10,
-        think: Millis(300),
-        answer_bytes: 3_000,
-    });
-    Ok(sessions.collect())
-}
-
-/// Every caller has an IP number of its own.
-fn caller(number: u32) -> SocketAddr {
-    let first = Ipv4Addr::new(10, 9, 0, 1).to_bits();
-    SocketAddr::from((Ipv4Addr::from_bits(first + number), 20_000))
+fn sessions() -> Vec<Session> {
+    (0..FLOWS)
+        .map(|number| Session {
+            flow: sample::flow(number),
+            service: String::from(sample::NAME),
+            start: Millis(u64::from(number) * START_SPAN.0 / u64::from(FLOWS)),
+            requests: 10,
+            think: Millis(300),
+            answer_bytes: 3_000,
+        })
+        .collect()
 }
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod platform;
 pub mod process;
 pub mod protocol;
+pub mod sample;
 pub mod target;
--- /dev/null
+++ b/crates/testkit/src/sample.rs
@@ -0,0 +1,62 @@
+//! One service with one pool, as most runs need it.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+use citronhollow_core::config::{Documents, Pool, Refusal, Service};
+use citronhollow_core::flow::FlowId;
+
+use crate::fleet::TargetPlan;
+
+/// Name of the service, of its pool and of the group of its targets.
+pub const NAME: &str = "match-desk";
+
+/// The service's address.
+pub const ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 1, 0, 1)), 443);
+
+/// Port that every caller uses.
+const CALLER_PORT: u16 = 20_000;
+
+/// The service and its pool.
+#[must_use]
+pub fn documents() -> Documents {
+    let service = Service {
+        name: String::from(NAME),
+        addresses: vec![ADDRESS],
+        pool: String::from(NAME),
+        refusal: Refusal::Reset,
+        new_flows_per_s: None,
+        new_flows_per_s_per_caller: None,
+    };
+    let pool = Pool {
+        name: String::from(NAME),
+        groups: vec![String::from(NAME)],
+        flows_per_target: None,
+    };
+    Documents {
+        services: vec![service],
+        pools: vec![pool],
+        rules: Vec::new(),
+    }
+}
+
+/// The target with this number.
+#[must_use]
+pub fn target(number: u16) -> TargetPlan {
+    TargetPlan {
+        name: format!("desk-{number}"),
+        group: String::from(NAME),
+        service: String::from(NAME),
+        slots: 2,
+        work_ms: 5,
+    }
+}
+
+/// The flow of the caller with this number, which has an IP number of its own.
+#[must_use]
+pub fn flow(number: u32) -> FlowId {
+    let first = Ipv4Addr::new(10, 9, 0, 1).to_bits();
+    FlowId {
+        caller: SocketAddr::from((Ipv4Addr::from_bits(first + number), CALLER_PORT)),
+        service: ADDRESS,
+    }
+}
--- a/crates/testkit/tests/failures.rs
+++ b/crates/testkit/tests/failures.rs
@@ -5,19 +5,16 @@
 //! waiting only; no verdict depends on how fast the machine is, unless a promise states a bound.
 
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use citronhollow_core::clock::Millis;
-use citronhollow_core::config::{Documents, Pool, Refusal, Service};
-use citronhollow_core::flow::FlowId;
 use citronhollow_testkit::fabric::{Fabric, Faults};
-use citronhollow_testkit::fleet::{Fleet, TargetPlan};
+use citronhollow_testkit::fleet::Fleet;
 use citronhollow_testkit::load::{Load, Session};
 use citronhollow_testkit::outcome::Outcome;
 use citronhollow_testkit::process::Signal;
+use citronhollow_testkit::sample;
 
-const SERVICE: &str = "10.1.0.1:443";
 const SEED: u64 = 7;
 const FLOWS: u32 = 40;
 
@@ -39,9 +36,9 @@
         fabric.set_faults(faults);
         let mut fleet = Fleet::start(name, fabric.local_addr()?, balancers)?;
         for number in 1..=targets {
-            fleet.add_target(&plan(number))?;
+            fleet.add_target(&sample::target(number))?;
         }
-        fleet.apply(&documents())?;
+        fleet.apply(&sample::documents())?;
         fleet.wait_for_ready_targets(usize::from(targets))?;
         let mut load = Load::new(fabric, sessions());
         load.fabric().set_balancers(fleet.fabric_addrs());
@@ -57,46 +54,11 @@
     }
 }
 
-fn plan(number: u16) -> TargetPlan {
-    TargetPlan {
-        name: format!("desk-{number}"),
-        group: String::from("match-desk"),
-        service: String::from("match-desk"),
-        slots: 2,
-        work_ms: 5,
-    }
-}
-
-fn documents() -> Documents {
-    let service = Service {
-        name: String::from("match-desk"),
-        addresses: vec![SERVICE.parse().expect("address of the test")],
-        pool: String::from("match-desk"),
-        refusal: Refusal::Reset,
-        new_flows_per_s: None,
-        new_flows_per_s_per_caller: None,
-    };
-    let pool = Pool {
-        name: String::from("match-desk"),
-        groups: vec![String::from("match-desk")],
-        flows_per_target: None,
-    };
-    Documents {
-        services: vec![service],
-        pools: vec![pool],
-        rules: Vec::new(),
-    }
-}
-
 fn sessions() -> Vec<Session> {
-    let first = Ipv4Addr::new(10, 9, 0, 1).to_bits();
     (0..FLOWS)
         .map(|number| Session {
-            flow: FlowId {
-                caller: SocketAddr::from((Ipv4Addr::from_bits(first + number), 20_000)),
-                service: SERVICE.parse().expect("address of the test"),
-            },
-            service: String::from("match-desk"),
+            flow: sample::flow(number),
+            service: String::from(sample::NAME),
             start: Millis(u64::from(number) * 20),
             requests: 12,
             think: Millis(400),
