Break processes under callers without hints, and share a rule's callers

Cause: every process case used callers with TCP timestamps, so the hint led each packet to its holder and chain and search were proved in core only. The share of callers that a rule takes stood in the balancer's table and in the agent's.

Change: sessions say whether the caller uses timestamps; three cases without them kill a balancer, start four more targets in the middle of every flow, and drain and stop an agent. One Share serves balancers and agents.

--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -7,9 +7,11 @@
 mod documents;
 mod plan;
 mod problem;
+mod share;
 mod slice;
 
 pub use check::{HeldAddress, check, check_names, colliding};
 pub use documents::{Documents, Pool, Refusal, Revision, Rule, Service};
 pub use plan::{Action, Change, plan};
 pub use problem::{CheckError, DocumentKind, DocumentRef, Problem};
+pub use share::Share;
--- /dev/null
+++ b/crates/core/src/config/share.rs
@@ -0,0 +1,34 @@
+//! The share of a service's callers that a rule takes.
+//!
+//! Balancers and agents must agree on it for a flow to stay in its pool, so both ask this.
+
+use std::net::SocketAddr;
+
+use super::Rule;
+use crate::flow::FlowId;
+use crate::hash;
+
+/// A share of all callers. Only the IP number counts, so all flows of one caller go one way.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Share {
+    seed: u64,
+    percent: u64,
+}
+
+impl From<&Rule> for Share {
+    fn from(rule: &Rule) -> Self {
+        Self {
+            seed: hash::bytes(rule.name.as_bytes(), 0),
+            percent: u64::from(rule.percent),
+        }
+    }
+}
+
+impl Share {
+    /// Whether the flow's caller belongs to the share.
+    #[must_use]
+    pub fn takes(&self, flow: &FlowId) -> bool {
+        let caller = SocketAddr::new(flow.caller.ip(), 0);
+        hash::socket_addr(caller, self.seed) % 100 < self.percent
+    }
+}
--- a/crates/core/src/flows/services.rs
+++ b/crates/core/src/flows/services.rs
@@ -3,9 +3,8 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use crate::config::{Pool, Revision, Rule, Service};
+use crate::config::{Pool, Revision, Rule, Service, Share};
 use crate::flow::FlowId;
-use crate::hash;
 use crate::id::{GroupId, ServiceId};
 
 use super::rates::NewFlowLimits;
@@ -26,8 +25,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct RuleView {
-    percent: u64,
-    seed: u64,
+    share: Share,
     pool: PoolKey,
 }
 
@@ -39,14 +37,6 @@
     new_flows: NewFlowLimits,
 }
 
-impl RuleView {
-    /// The same share of callers that the balancers' table takes.
-    fn takes(&self, flow: &FlowId) -> bool {
-        let caller = SocketAddr::new(flow.caller.ip(), 0);
-        hash::socket_addr(caller, self.seed) % 100 < self.percent
-    }
-}
-
 /// Services by address.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Services {
@@ -88,7 +78,7 @@
     /// The pool for a new flow of the service.
     pub(super) fn pool_for(&self, service: ServiceKey, flow: &FlowId) -> PoolKey {
         let view = self.view(service);
-        let rule = view.rules.iter().find(|rule| rule.takes(flow));
+        let rule = view.rules.iter().find(|rule| rule.share.takes(flow));
         rule.map_or(view.pool, |rule| rule.pool)
     }
 
@@ -182,8 +172,7 @@
             .entry(rule.service.as_str())
             .or_default()
             .push(RuleView {
-                percent: u64::from(rule.percent),
-                seed: hash::bytes(rule.name.as_bytes(), 0),
+                share: Share::from(rule),
                 pool,
             });
     }
--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -9,10 +9,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use crate::config::{Revision, Rule};
+use crate::config::{Revision, Rule, Share};
 use crate::error::ErrorKind;
 use crate::flow::{FlowId, Segment};
-use crate::hash;
 use crate::id::{GroupId, ServiceId, TargetId};
 use crate::members::TargetRecord;
 
@@ -56,8 +55,7 @@
 
 #[derive(Clone, Debug)]
 struct RuleRoute {
-    percent: u64,
-    seed: u64,
+    share: Share,
     pool: PoolKey,
 }
 
@@ -72,7 +70,7 @@
     fn pool_for(&self, flow: &FlowId) -> PoolKey {
         self.rules
             .iter()
-            .find(|rule| rule.takes(flow))
+            .find(|rule| rule.share.takes(flow))
             .map_or(self.pool, |rule| rule.pool)
     }
 
@@ -81,14 +79,6 @@
     }
 }
 
-impl RuleRoute {
-    fn takes(&self, flow: &FlowId) -> bool {
-        // Only the IP number counts, so that all flows of one caller go to one pool.
-        let caller = SocketAddr::new(flow.caller.ip(), 0);
-        hash::socket_addr(caller, self.seed) % 100 < self.percent
-    }
-}
-
 /// The table from which a balancer chooses. Immutable once built.
 #[derive(Clone, Debug, Default)]
 pub struct Routes {
@@ -282,8 +272,7 @@
             .entry(rule.service.as_str())
             .or_default()
             .push(RuleRoute {
-                percent: u64::from(rule.percent),
-                seed: hash::bytes(rule.name.as_bytes(), 0),
+                share: Share::from(rule),
                 pool,
             });
     }
--- a/crates/testkit/examples/quickstart.rs
+++ b/crates/testkit/examples/quickstart.rs
@@ -123,6 +123,7 @@
             requests: 10,
             think: Millis(300),
             answer_bytes: 3_000,
+            with_timestamps: true,
         })
         .collect()
 }
--- a/crates/testkit/src/load.rs
+++ b/crates/testkit/src/load.rs
@@ -36,6 +36,8 @@
     pub think: Millis,
     /// Filling of each answer.
     pub answer_bytes: usize,
+    /// Whether the caller uses TCP timestamps, and so echoes the holder's hint.
+    pub with_timestamps: bool,
 }
 
 /// Sessions in progress.
@@ -172,7 +174,7 @@
 
     fn open_session(&mut self, session: Session, now: Millis) {
         let seed = session.flow.hash() ^ self.next_nonce;
-        let caller = Caller::connect(session.flow, seed, true);
+        let caller = Caller::connect(session.flow, seed, session.with_timestamps);
         let active = Active {
             left: session.requests,
             caller,
--- a/crates/testkit/tests/failures.rs
+++ b/crates/testkit/tests/failures.rs
@@ -24,6 +24,34 @@
 /// When a case gives up waiting for its flows.
 const END_AT: Millis = Millis::from_secs(60);
 
+#[derive(Clone, Copy)]
+struct Network {
+    faults: Faults,
+    with_timestamps: bool,
+}
+
+const SOUND: Network = Network {
+    faults: Faults {
+        loss: 0.0,
+        duplication: 0.0,
+    },
+    with_timestamps: true,
+};
+
+const FAULTY: Network = Network {
+    faults: Faults {
+        loss: 0.02,
+        duplication: 0.02,
+    },
+    with_timestamps: true,
+};
+
+/// Callers echo no hint, so packets find their flow by chain and search alone.
+const WITHOUT_HINTS: Network = Network {
+    with_timestamps: false,
+    ..SOUND
+};
+
 struct Case {
     fleet: Fleet,
     load: Load,
@@ -31,16 +59,16 @@
 
 impl Case {
     /// Starts a fleet and the sessions, and runs until the failure is due.
-    fn start(name: &str, balancers: usize, targets: u16, faults: Faults) -> io::Result<Self> {
+    fn start(name: &str, balancers: usize, targets: u16, network: Network) -> io::Result<Self> {
         let mut fabric = Fabric::bind(Duration::from_millis(1), SEED)?;
-        fabric.set_faults(faults);
+        fabric.set_faults(network.faults);
         let mut fleet = Fleet::start(name, fabric.local_addr()?, balancers)?;
         for number in 1..=targets {
             fleet.add_target(&sample::target(number))?;
         }
         fleet.apply(&sample::documents())?;
         fleet.wait_for_ready_targets(usize::from(targets))?;
-        let mut load = Load::new(fabric, sessions());
+        let mut load = Load::new(fabric, sessions(network.with_timestamps));
         load.fabric().set_balancers(fleet.fabric_addrs());
         load.run_until(BREAK_AT);
         Ok(Self { fleet, load })
@@ -54,7 +82,7 @@
     }
 }
 
-fn sessions() -> Vec<Session> {
+fn sessions(with_timestamps: bool) -> Vec<Session> {
     (0..FLOWS)
         .map(|number| Session {
             flow: sample::flow(number),
@@ -63,6 +91,7 @@
             requests: 12,
             think: Millis(400),
             answer_bytes: 2_000,
+            with_timestamps,
         })
         .collect()
 }
@@ -80,11 +109,11 @@
 }
 
 macro_rules! cases {
-    ($($name:ident: $balancers:expr, $targets:expr, $faults:expr => $break_it:expr, $judge:expr;)*) => {
+    ($($name:ident: $balancers:expr, $targets:expr, $network:expr => $break_it:expr, $judge:expr;)*) => {
         $(
             #[test]
             fn $name() -> io::Result<()> {
-                let mut case = Case::start(stringify!($name), $balancers, $targets, $faults)?;
+                let mut case = Case::start(stringify!($name), $balancers, $targets, $network)?;
                 let break_it: fn(&mut Case) -> io::Result<()> = $break_it;
                 break_it(&mut case)?;
                 let judge: fn(&Outcome) = $judge;
@@ -96,7 +125,7 @@
 }
 
 cases! {
-    killed_balancer_breaks_no_flow: 3, 3, Faults::default() => |case| {
+    killed_balancer_breaks_no_flow: 3, 3, SOUND => |case| {
         // The fabric goes on spraying a third of all packets at the dead balancer for a while.
         case.fleet.balancers[0].process.kill()?;
         case.load.run_until(BREAK_AT.after(Millis(1_000)));
@@ -105,23 +134,23 @@
         Ok(())
     }, assert_all_completed;
 
-    frozen_balancer_breaks_no_flow: 3, 3, Faults::default() => |case| {
+    frozen_balancer_breaks_no_flow: 3, 3, SOUND => |case| {
         case.fleet.balancers[1].process.signal(Signal::Stop)?;
         case.load.run_until(BREAK_AT.after(Millis(2_000)));
         case.fleet.balancers[1].process.signal(Signal::Continue)
     }, assert_all_completed;
 
-    frozen_agent_breaks_no_flow: 2, 3, Faults::default() => |case| {
+    frozen_agent_breaks_no_flow: 2, 3, SOUND => |case| {
         case.fleet.targets[0].agent.signal(Signal::Stop)?;
         case.load.run_until(BREAK_AT.after(Millis(3_000)));
         case.fleet.targets[0].agent.signal(Signal::Continue)
     }, assert_all_completed;
 
-    lost_and_doubled_packets_break_no_flow: 3, 3, Faults { loss: 0.02, duplication: 0.02 } => |_| {
+    lost_and_doubled_packets_break_no_flow: 3, 3, FAULTY => |_| {
         Ok(())
     }, assert_all_completed;
 
-    killed_platform_breaks_no_flow_and_balancers_are_replaced: 3, 3, Faults::default() => |case| {
+    killed_platform_breaks_no_flow_and_balancers_are_replaced: 3, 3, SOUND => |case| {
         case.fleet.platform.kill()?;
         case.fleet.add_balancer()?;
         case.fleet.wait_for_ready_targets(3)?;
@@ -131,11 +160,32 @@
         Fleet::end_retirement(retired)
     }, assert_all_completed;
 
-    stopping_agent_cuts_no_flow: 2, 3, Faults::default() => |case| {
+    killed_balancer_breaks_no_flow_without_hints: 3, 3, WITHOUT_HINTS => |case| {
+        case.fleet.balancers[0].process.kill()?;
+        let left = case.fleet.fabric_addrs().split_off(1);
+        case.load.fabric().set_balancers(left);
+        Ok(())
+    }, assert_all_completed;
+
+    new_targets_break_no_flow_without_hints: 2, 2, WITHOUT_HINTS => |case| {
+        // Two thirds of the buckets change hands while every flow is open.
+        for number in 3..=6 {
+            case.fleet.add_target(&sample::target(number))?;
+        }
+        Ok(())
+    }, assert_all_completed;
+
+    drained_and_stopped_agent_cuts_no_flow_without_hints: 2, 3, WITHOUT_HINTS => |case| {
+        case.fleet.drain("desk-1")?;
+        case.load.run_until(BREAK_AT.after(Millis(500)));
+        case.fleet.targets[0].agent.signal(Signal::Terminate)
+    }, assert_all_completed;
+
+    stopping_agent_cuts_no_flow: 2, 3, SOUND => |case| {
         case.fleet.targets[0].agent.signal(Signal::Terminate)
     }, assert_all_completed;
 
-    killed_agent_breaks_only_its_own_flows_and_those_are_told: 2, 3, Faults::default() => |case| {
+    killed_agent_breaks_only_its_own_flows_and_those_are_told: 2, 3, SOUND => |case| {
         case.fleet.targets[0].agent.kill()
     }, |outcome| {
         assert_nothing_wrong(outcome);
--- a/crates/testkit/tests/observed.rs
+++ b/crates/testkit/tests/observed.rs
@@ -126,6 +126,7 @@
         requests: 3,
         think: Millis(300),
         answer_bytes: 100,
+        with_timestamps: true,
     });
     Ok(sessions.collect())
 }
