Send load reports to a part of a large pool at a time

Cause: at the longest interval between reports a pool of more than about 45 targets would have passed the 4 KB/s of control.

Change: a report goes to 43 peers at most, to others each time.

--- a/crates/agent/src/traffic/agent.rs
+++ b/crates/agent/src/traffic/agent.rs
@@ -11,7 +11,7 @@
 use citronhollow_core::clock::Millis;
 use citronhollow_core::config::Refusal;
 use citronhollow_core::flow::FlowId;
-use citronhollow_core::flows::Flows;
+use citronhollow_core::flows::{Flows, peers_per_report};
 use citronhollow_core::hash;
 use citronhollow_core::id::TargetId;
 use citronhollow_operator::metrics::Metrics;
@@ -53,6 +53,7 @@
     pub(super) me: TargetId,
     pub(super) clock: Clock,
     pub(super) next_report: Cell<Millis>,
+    pub(super) next_to_report: Cell<usize>,
     pub(super) datagrams: Datagrams,
     pub(super) fabric: Vec<SocketAddr>,
     pub(super) codec: Codec,
@@ -103,13 +104,18 @@
         }
     }
 
-    /// Sends a message to every peer.
-    pub(super) fn send_to_peers(&self, body: &Body) {
+    /// Sends the load to the peers whose turn it is.
+    pub(super) fn send_load(&self, body: &Body) {
         let peers = self.peers.borrow();
         let others = peers.iter().filter(|(id, _)| **id != self.me);
-        for (_, addr) in others {
+        let others: Vec<SocketAddr> = others.map(|(_, addr)| *addr).collect();
+        let count = peers_per_report(others.len());
+        let first = self.next_to_report.get();
+        for addr in others.iter().cycle().skip(first).take(count) {
             self.send_message(*addr, body.clone());
         }
+        self.next_to_report
+            .set((first + count) % others.len().max(1));
     }
 
     /// Tells the control thread whether the target takes connections, when that changes.
--- a/crates/agent/src/traffic/run.rs
+++ b/crates/agent/src/traffic/run.rs
@@ -129,7 +129,7 @@
     let interval = agent.flows.borrow().report_interval();
     agent.next_report.set(now.after(interval));
     let report = agent.flows.borrow_mut().load_report(now);
-    agent.send_to_peers(&Body::Load(wire::load(&report)));
+    agent.send_load(&Body::Load(wire::load(&report)));
 }
 
 fn on_command(agent: &Rc<Agent>, command: TrafficCommand) {
@@ -193,6 +193,7 @@
         me,
         clock: Clock::new(),
         next_report: Cell::new(Millis::ZERO),
+        next_to_report: Cell::new(0),
         datagrams: Datagrams::new(socket)?,
         fabric: settings.fabric.clone(),
         codec: Codec::new(keys),
--- a/crates/core/src/flows.rs
+++ b/crates/core/src/flows.rs
@@ -42,7 +42,10 @@
 
 pub use counters::Counters;
 pub use limits::FlowLimits;
-pub use load::{LoadReport, REPORT_BYTES, REPORT_BYTES_PER_S, REPORT_INTERVALS, report_interval};
+pub use load::{
+    LoadReport, REPORT_BYTES, REPORT_BYTES_PER_S, REPORT_INTERVALS, peers_per_report,
+    report_interval,
+};
 pub use opening::{MAX_HANDS, MAX_HANDS_BY_REFUSERS};
 pub use packet::{Action, Arrival, CloseReason, DropReason, Holding, Packet, Relay};
 
--- a/crates/core/src/flows/load.rs
+++ b/crates/core/src/flows/load.rs
@@ -57,6 +57,13 @@
     interval.clamp(REPORT_INTERVALS.0, REPORT_INTERVALS.1)
 }
 
+/// Peers that get one report. In a larger pool each report goes to other peers than the last.
+#[must_use]
+pub fn peers_per_report(peers: usize) -> usize {
+    let affordable = REPORT_BYTES_PER_S * REPORT_INTERVALS.1.0 / 1_000 / REPORT_BYTES;
+    usize::try_from(affordable).map_or(peers, |affordable| peers.min(affordable))
+}
+
 /// Work of one request, in thousandths of a request.
 const REQUEST_MILLI: u64 = 1_000;
 /// Work that an open flow is expected to bring besides its requests in progress.
