--- a/crates/testkit/src/load.rs
+++ b/crates/testkit/src/load.rs
@@ -96,6 +96,13 @@
         &mut self.fabric
     }
 
+    /// Adds sessions, which start now at the earliest.
+    pub fn add(&mut self, sessions: Vec<Session>) {
+        self.waiting.extend(sessions);
+        self.waiting
+            .sort_by_key(|session| std::cmp::Reverse(session.start));
+    }
+
     /// Whether every session has ended.
     #[must_use]
     pub fn is_done(&self) -> bool {
