Write drafts in the order in which they refer to one another

Cause: "apply" wrote a service before its pool.

Ruled out: a longer wait of the publisher, which only moves the limit.

Change: pools are written before services and those before rules, and removed in the opposite order, so the drafts are consistent after every single write. The testkit takes its ports below the range from which the system gives ports to outgoing connections, which could take them.

--- a/crates/core/src/publisher/draft.rs
+++ b/crates/core/src/publisher/draft.rs
@@ -52,12 +52,13 @@
         draft_name(&self.object())
     }
 
-    /// All documents of a set.
+    /// All documents of a set, each after those that it refers to. Written in this order, the
+    /// drafts are consistent at every moment, and removed in the opposite one.
     pub fn all_of(documents: &Documents) -> impl Iterator<Item = Self> {
         let services = documents.services.iter().cloned().map(Self::Service);
         let pools = documents.pools.iter().cloned().map(Self::Pool);
         let rules = documents.rules.iter().cloned().map(Self::Rule);
-        services.chain(pools).chain(rules)
+        pools.chain(services).chain(rules)
     }
 
     /// Adds the document to a set.
--- a/crates/platform/src/drafts.rs
+++ b/crates/platform/src/drafts.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 
 use citronhollow_core::clock::Millis;
-use citronhollow_core::config::{self, CheckError, Documents};
+use citronhollow_core::config::{self, CheckError, DocumentKind, Documents};
 use citronhollow_core::publisher::{
     Answer, Call, Document, Draft, DraftChange, DraftStatus, Index, Key, Kind, Listing, ONLY,
     Object, Report, Stamp, Step, Write, documents_of, draft_status, stamp_of,
@@ -178,17 +178,35 @@
         results.push(Applied { name, outcome });
     }
     if prune {
-        for object in &listing.objects {
-            if !wanted.contains(&object.name) {
-                let name = object.name.clone();
-                let outcome = remove(client, object).await;
-                results.push(Applied { name, outcome });
-            }
+        let unwanted = listing
+            .objects
+            .iter()
+            .filter(|object| !wanted.contains(&object.name));
+        for object in in_order_of_removal(unwanted) {
+            let name = object.name.clone();
+            let outcome = remove(client, object).await;
+            results.push(Applied { name, outcome });
         }
     }
     Ok(results)
 }
 
+/// Rules before services, services before pools: nothing is removed that something refers to.
+fn in_order_of_removal<'a>(objects: impl Iterator<Item = &'a Object>) -> Vec<&'a Object> {
+    const KINDS: [DocumentKind; 3] = [
+        DocumentKind::Rule,
+        DocumentKind::Service,
+        DocumentKind::Pool,
+    ];
+    let place = |object: &&Object| {
+        let is_of = |kind: &DocumentKind| object.name.starts_with(&format!("{kind}."));
+        KINDS.iter().position(is_of)
+    };
+    let mut objects: Vec<&Object> = objects.collect();
+    objects.sort_by_key(place);
+    objects
+}
+
 /// Every draft with its state.
 ///
 /// # Errors
--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::io;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 use std::time::{Duration, Instant};
@@ -11,6 +11,7 @@
 use citronhollow_operator::status::Status;
 use serde_json::json;
 
+use crate::ports::free_addr;
 use crate::process::{Process, Signal, binaries};
 use crate::target::{TargetSettings, fetch_report};
 
@@ -89,7 +90,7 @@
     pub fn start(name: &str, fabric: SocketAddr, balancers: usize) -> io::Result<Self> {
         let folder = std::env::temp_dir().join(format!("{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
-        let platform_addr = free_tcp()?;
+        let platform_addr = free_addr()?;
         let platform = Process::start(
             "standin_platform",
             "platform",
@@ -127,9 +128,9 @@
     pub fn add_balancer(&mut self) -> io::Result<()> {
         self.started += 1;
         let name = format!("entry-{}", self.started);
-        let fabric = free_udp()?;
-        let control = free_both()?;
-        let operator = free_tcp()?;
+        let fabric = free_addr()?;
+        let control = free_addr()?;
+        let operator = free_addr()?;
         let settings = json!({
             "name": name,
             "domain": "domain-a",
@@ -163,12 +164,12 @@
     ///
     /// The error of the process.
     pub fn add_target(&mut self, plan: &TargetPlan) -> io::Result<()> {
-        let listen = free_tcp()?;
-        let announce = free_tcp()?;
+        let listen = free_addr()?;
+        let announce = free_addr()?;
         let settings = json!({
             "name": plan.name,
             "domain": "domain-a",
-            "traffic_listen": free_udp()?,
+            "traffic_listen": free_addr()?,
             "announce_listen": announce,
             "fabric": [self.fabric],
             "seeds": self.seeds(),
@@ -351,23 +352,6 @@
     Err(io::Error::other(printed))
 }
 
-fn free_tcp() -> io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
-}
-
-fn free_udp() -> io::Result<SocketAddr> {
-    UdpSocket::bind("127.0.0.1:0")?.local_addr()
-}
-
-fn free_both() -> io::Result<SocketAddr> {
-    loop {
-        let addr = free_tcp()?;
-        if UdpSocket::bind(addr).is_ok() {
-            return Ok(addr);
-        }
-    }
-}
-
 /// Waits until something listens at a TCP address.
 fn wait_for(addr: SocketAddr) -> io::Result<()> {
     wait_until(|| Ok(std::net::TcpStream::connect(addr).is_ok()))
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod load;
 pub mod outcome;
 pub mod platform;
+pub mod ports;
 pub mod process;
 pub mod protocol;
 pub mod sample;
--- a/crates/testkit/tests/drafts.rs
+++ b/crates/testkit/tests/drafts.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use citronhollow_core::clock::Millis;
-use citronhollow_core::config::{Documents, Pool, Refusal, Rule, Service};
-use citronhollow_core::publisher::{DraftStatus, Kind};
+use citronhollow_core::config::{Documents, Pool, Refusal, Rule, Service, check};
+use citronhollow_core::publisher::{Document, DraftStatus, Kind};
 use citronhollow_platform::drafts::{self, Applied, DraftsError, Outcome};
 use citronhollow_platform::{Client, ClientConfig};
 use citronhollow_testkit::platform::{self, Faults, Reads, StandIn};
@@ -49,6 +49,15 @@
     }
 }
 
+/// The documents of the set whose drafts have these names.
+fn only(set: &Documents, names: &[String]) -> Documents {
+    let mut only = Documents::default();
+    Document::all_of(set)
+        .filter(|document| names.contains(&document.draft_name()))
+        .for_each(|document| document.add_to(&mut only));
+    only
+}
+
 async fn apply(client: &Client, documents: &Documents, writer: &str) -> Vec<Applied> {
     let applied = drafts::apply(client, documents, writer, false).await;
     applied.expect("the platform answers")
@@ -68,6 +77,22 @@
 }
 
 cases! {
+    drafts_are_consistent_after_every_single_write_and_removal => {
+        let (_platform, client) = start().await;
+        let set = documents(5);
+        let names = |applied: &[Applied]| -> Vec<String> {
+            applied.iter().map(|one| one.name.clone()).collect()
+        };
+        let written = names(&apply(&client, &set, "run-1").await);
+        let removed = drafts::apply(&client, &Documents::default(), "run-2", true).await;
+        let removed = names(&removed.expect("the platform answers"));
+        assert_eq!((written.len(), removed.len()), (3, 3));
+        for left in 0..=3 {
+            assert_eq!(check(&only(&set, &written[..left]), &[]), []);
+            assert_eq!(check(&only(&set, &removed[left..]), &[]), []);
+        }
+    };
+
     only_what_differs_is_written => {
         let (_platform, client) = start().await;
         let applied = apply(&client, &documents(5), "run-1").await;
