Keep checked settings of both programs in one type

Cause: both programs had the same type for checked settings, with the same joining of problems, keys and log level.

Ruled out: sharing the load functions too; they are one line each.

Change: operator::settings::Checked serves both, and each program names it for its own settings. Behaviour is as before.

--- a/crates/balancer/src/settings.rs
+++ b/crates/balancer/src/settings.rs
@@ -8,8 +8,7 @@
 
 use citronhollow_operator::problem::Problem;
 use citronhollow_operator::settings::{self, SettingsError, Shape};
-use citronhollow_peer::{Key, Keyring};
-use log::LevelFilter;
+use citronhollow_peer::Key;
 use serde::{Deserialize, Serialize};
 
 /// Settings as written, not yet checked.
@@ -70,12 +69,7 @@
 };
 
 /// Settings that have passed the check.
-#[derive(Clone, Debug)]
-pub struct Checked {
-    settings: Settings,
-    keys: Keyring,
-    log_level: LevelFilter,
-}
+pub type Checked = settings::Checked<Settings>;
 
 impl Settings {
     /// Reads and checks the file at `path`, `-` for standard input.
@@ -102,21 +96,10 @@
     ///
     /// Everything that is out of range.
     pub fn check(self) -> Result<Checked, Vec<Problem>> {
-        let mut problems = self.range_problems();
-        let keys = settings::check_keys("keys", &self.keys);
-        let log_level = settings::check_level("log_level", &self.log_level);
-        match (keys, log_level) {
-            (Ok(keys), Ok(log_level)) if problems.is_empty() => Ok(Checked {
-                settings: self,
-                keys,
-                log_level,
-            }),
-            (keys, log_level) => {
-                problems.extend(keys.err().into_iter().flatten());
-                problems.extend(log_level.err());
-                Err(problems)
-            }
-        }
+        let problems = self.range_problems();
+        let keys = self.keys.clone();
+        let log_level = self.log_level.clone();
+        Checked::new(self, problems, &keys, &log_level)
     }
 
     fn range_problems(&self) -> Vec<Problem> {
@@ -151,23 +134,3 @@
         single.into_iter().flatten().chain(seeds).collect()
     }
 }
-
-impl Checked {
-    /// The settings as written.
-    #[must_use]
-    pub const fn settings(&self) -> &Settings {
-        &self.settings
-    }
-
-    /// The keys, ready to sign and verify.
-    #[must_use]
-    pub const fn keys(&self) -> &Keyring {
-        &self.keys
-    }
-
-    /// Least severe level that is logged.
-    #[must_use]
-    pub const fn log_level(&self) -> LevelFilter {
-        self.log_level
-    }
-}
--- a/crates/operator/src/settings.rs
+++ b/crates/operator/src/settings.rs
@@ -17,8 +17,10 @@
 use crate::input::{self, InputError};
 use crate::problem::{self, Problem};
 
+mod checked;
 mod range;
 
+pub use checked::Checked;
 pub use range::{
     check_destination, check_destinations, check_distinct, check_keys, check_level, check_listen,
     check_loopback, check_name, check_optional_destination, check_range, check_token,
