--- a/crates/agent/src/command.rs
+++ b/crates/agent/src/command.rs
@@ -6,6 +6,7 @@
 use citronhollow_operator::failure::Failure;
 use gumdrop::Options;
 
+use crate::pass_through;
 use crate::settings::{Checked, Settings};
 
 const PROGRAM: Program = Program {
@@ -33,6 +34,11 @@
     settings: Option<String>,
     #[options(no_short, help = "check the settings and stop")]
     check_settings: bool,
+    #[options(
+        no_short,
+        help = "leave callers' flows to the target, with settings for that"
+    )]
+    pass_through: bool,
     #[options(no_short, help = "print errors as JSON")]
     json: bool,
 }
@@ -54,9 +60,18 @@
         let (false, Some(path)) = (self.help, &self.settings) else {
             return Ok(PROGRAM.help(&self));
         };
+        let valid = format!("{path}: settings are valid\n");
+        if self.pass_through {
+            let checked = pass_through::settings::Settings::load(path)?;
+            if self.check_settings {
+                return Ok(valid);
+            }
+            pass_through::run(&checked)?;
+            return Ok(String::new());
+        }
         let checked = Settings::load(path)?;
         if self.check_settings {
-            return Ok(format!("{path}: settings are valid\n"));
+            return Ok(valid);
         }
         start(checked)?;
         Ok(String::new())
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod control;
 pub mod link;
 pub mod metrics;
+pub mod pass_through;
 pub mod run;
 pub mod settings;
 pub mod traffic;
--- /dev/null
+++ b/crates/agent/src/pass_through/control.rs
@@ -0,0 +1,101 @@
+//! The control thread of an agent: heartbeats of the target and the way to the balancers.
+
+use std::time::Duration;
+
+use citronhollow_adapter::{heartbeat, store};
+use citronhollow_operator::listener;
+use citronhollow_platform::Client;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::oneshot;
+use tokio::time::{sleep, timeout};
+use volo_http::http::StatusCode;
+use volo_http::server::Server;
+use volo_http::server::route::{Router, put};
+
+use super::link::Command;
+
+/// Time in which the traffic thread applies a heartbeat. The target waits for a second.
+const APPLY_WITHIN: Duration = Duration::from_millis(800);
+
+/// Time between two looks at the list of balancers.
+const LIST_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Pause after a list that could not be read.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+
+/// Takes heartbeats until the process ends.
+pub(super) async fn serve_target(
+    listener: TcpListener,
+    group: String,
+    commands: UnboundedSender<Command>,
+) {
+    let serve = |incoming| {
+        let router = router(group.clone(), commands.clone());
+        Server::new(router).run(incoming)
+    };
+    if let Err(err) = listener::serve(listener, serve).await {
+        log::error!("target: heartbeats cannot be taken: {err}");
+    }
+}
+
+fn router(group: String, commands: UnboundedSender<Command>) -> Router {
+    let leaving = commands.clone();
+    let announce = move |body: Vec<u8>| {
+        let (group, commands) = (group.clone(), commands.clone());
+        async move { announce(&body, &group, &commands).await }
+    };
+    let leave = move || {
+        let commands = leaving.clone();
+        async move { apply(&commands, Command::Goodbye).await }
+    };
+    Router::new().route(heartbeat::ROUTE, put(announce).delete(leave))
+}
+
+async fn announce(
+    body: &[u8],
+    group: &str,
+    commands: &UnboundedSender<Command>,
+) -> (StatusCode, &'static str) {
+    match heartbeat::parse(body, group) {
+        Ok(heartbeat) => apply(commands, |applied| Command::Heartbeat(heartbeat, applied)).await,
+        Err(err) => {
+            log::warn!("target: {err}");
+            (StatusCode::BAD_REQUEST, "{}")
+        }
+    }
+}
+
+/// Acknowledges what the target says once the traffic thread acts by it.
+async fn apply(
+    commands: &UnboundedSender<Command>,
+    command: impl FnOnce(oneshot::Sender<()>) -> Command,
+) -> (StatusCode, &'static str) {
+    let (applied, done) = oneshot::channel();
+    let is_sent = commands.send(command(applied)).is_ok();
+    if is_sent && matches!(timeout(APPLY_WITHIN, done).await, Ok(Ok(()))) {
+        (StatusCode::OK, "{}")
+    } else {
+        (StatusCode::SERVICE_UNAVAILABLE, "{}")
+    }
+}
+
+/// Looks for balancers at the platform for as long as the process runs.
+pub(super) async fn follow_balancers(client: Client, commands: UnboundedSender<Command>) {
+    let mut is_first = true;
+    loop {
+        match store::list_balancers(&client, !is_first).await {
+            Ok(found) => {
+                is_first = false;
+                let addrs = found.into_iter().map(|(_, addr)| addr).collect();
+                // The traffic thread is gone only while the process ends.
+                let _ = commands.send(Command::Balancers(addrs));
+                sleep(LIST_INTERVAL).await;
+            }
+            Err(err) => {
+                log::warn!("platform: balancers not listed: {err}");
+                sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/pass_through/link.rs
@@ -0,0 +1,21 @@
+//! What the control thread of an agent tells its traffic thread.
+
+use std::net::SocketAddr;
+
+use citronhollow_core::pass_through::Heartbeat;
+use tokio::sync::oneshot;
+
+/// From the control thread to the traffic thread.
+#[derive(Debug)]
+pub enum Command {
+    /// The target sent a heartbeat. Answered when it is applied.
+    Heartbeat(Heartbeat, oneshot::Sender<()>),
+    /// The target says that it is gone. Answered when it is applied.
+    Goodbye(oneshot::Sender<()>),
+    /// Balancers may be at these addresses.
+    Balancers(Vec<SocketAddr>),
+    /// The agent is going to be stopped. Answered when the target has no request in progress.
+    Leave(oneshot::Sender<()>),
+    /// The process ends.
+    Stop,
+}
--- /dev/null
+++ b/crates/agent/src/pass_through/run.rs
@@ -0,0 +1,78 @@
+//! The process from its start to its end.
+//!
+//! SIGTERM makes the agent leave: balancers give its target no new flows, and the process ends
+//! once the target has no request in progress. A target that goes on without its agent keeps its
+//! flows, and the next agent finds them again.
+
+use citronhollow_adapter::READY_PATH;
+use citronhollow_core::clock::Millis;
+use citronhollow_operator::failure::Failure;
+use citronhollow_operator::{logging, probe, stop, worker};
+use citronhollow_platform::client::{Client, ClientConfig};
+use tokio::sync::{mpsc, oneshot};
+
+use super::control;
+use super::link::Command;
+use super::settings::Checked;
+use super::traffic::Traffic;
+
+/// Time limit of a call on the platform, far above its usual answer.
+const CALL_LIMIT: Millis = Millis(1_000);
+
+/// Runs an agent until it is stopped.
+///
+/// # Errors
+///
+/// [`Failure`] if an address of the settings cannot be bound.
+pub fn run(checked: &Checked) -> Result<(), Failure> {
+    let settings = checked.settings();
+    logging::init(checked.log_level())?;
+    let (commands, commands_rx) = mpsc::unbounded_channel();
+    let thread = {
+        let settings = settings.clone();
+        let keys = checked.keys().clone();
+        worker::spawn_traffic(
+            "target_listen, peer_listen",
+            move || Traffic::bind(&settings, keys),
+            move |traffic| traffic.run(commands_rx),
+        )?
+    };
+    let outcome = worker::runtime()?.block_on(control(checked, commands.clone()));
+    // The thread may have ended already, and then needs no command.
+    let _ = commands.send(Command::Stop);
+    if thread.join().is_err() {
+        log::error!("agent: the traffic thread had panicked");
+    }
+    log::info!("agent: {} has stopped", settings.name);
+    outcome
+}
+
+async fn control(
+    checked: &Checked,
+    commands: mpsc::UnboundedSender<Command>,
+) -> Result<(), Failure> {
+    let settings = checked.settings();
+    let mut stop = stop::on_signal()?;
+    let probes = worker::listen("ready_listen", settings.ready_listen).await?;
+    let heartbeats = worker::listen("heartbeat_listen", settings.heartbeat_listen).await?;
+    tokio::spawn(probe::serve(probes, READY_PATH, || true));
+    let group = settings.group.clone();
+    tokio::spawn(control::serve_target(heartbeats, group, commands.clone()));
+    let client = Client::new(ClientConfig {
+        deadline: CALL_LIMIT,
+        ..ClientConfig::new(settings.platform)
+    });
+    // Nobody receives this only while the process ends.
+    let _ = commands.send(Command::Balancers(settings.seed_balancers()));
+    tokio::spawn(control::follow_balancers(client, commands.clone()));
+    log::info!("agent: {} is at work", settings.name);
+
+    // The sender lives as long as its receivers.
+    let _ = stop.wait_for(|stop| *stop).await;
+    log::info!("agent: {} is leaving", settings.name);
+    let (left, has_left) = oneshot::channel();
+    if commands.send(Command::Leave(left)).is_ok() {
+        let _ = has_left.await;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/agent/src/pass_through/traffic.rs
@@ -0,0 +1,319 @@
+//! The traffic thread of an agent: packets of balancers and of the target.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use bytes::{Bytes, BytesMut};
+use citronhollow_adapter::packet::{self, FromTarget};
+use citronhollow_core::clock::Millis;
+use citronhollow_core::id::{DomainId, GroupId, TargetId};
+use citronhollow_core::pass_through::{Agent, AgentAction, AgentLimits, Offer, Place};
+use citronhollow_peer::datagram::Datagrams;
+use citronhollow_peer::message::Forward;
+use citronhollow_peer::{Body, Codec, Envelope, Keyring, addr_from_bytes, pass_through};
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::oneshot;
+use tokio::time::{MissedTickBehavior, interval};
+
+use super::link::Command;
+use super::settings::Settings;
+
+/// Time between two ticks of the decisions.
+const TICK: Duration = Duration::from_millis(25);
+
+/// Time between two reports to a balancer. Balancers take four missing ones for silence.
+const REPORT_INTERVAL: Millis = Millis(250);
+
+/// A balancer that is neither listed nor heard for this long gets no reports any more.
+const FORGET_BALANCER: Millis = Millis::from_secs(20);
+
+/// Longest time that a stop waits for requests in progress.
+const LEAVE_WITHIN: Millis = Millis(2_000);
+
+/// Flows that are remembered, about 150 bytes each.
+const FLOWS: usize = 65_536;
+
+/// What the thread works with.
+pub(super) struct Traffic {
+    target: SocketAddr,
+    target_id: TargetId,
+    /// Port at which callers' machines take packets.
+    caller_port: u16,
+    from_target: Datagrams,
+    peers: Datagrams,
+    codec: Codec,
+    started: Instant,
+    agent: Agent<Bytes>,
+    /// When each balancer was listed or heard last.
+    balancers: HashMap<SocketAddr, Millis>,
+    next_report: Millis,
+    leaving: Option<(Millis, oneshot::Sender<()>)>,
+    actions: Vec<AgentAction<Bytes>>,
+    frame: BytesMut,
+}
+
+impl Traffic {
+    /// Binds the sockets. To be called within the thread's runtime.
+    pub(super) fn bind(settings: &Settings, keys: Keyring) -> io::Result<Self> {
+        let limits = AgentLimits {
+            flows: FLOWS,
+            flow_life: settings.flow_life_ms,
+            heartbeat: settings.heartbeat_ms,
+        };
+        let place = Place {
+            target: TargetId::of(&settings.name),
+            group: GroupId::of(&settings.group),
+            domain: DomainId::of(&settings.domain),
+            agent: settings.peer_listen,
+            incarnation: time_of_day_ms(),
+        };
+        Ok(Self {
+            target: settings.target,
+            target_id: place.target,
+            caller_port: settings.fabric_listen.port(),
+            from_target: Datagrams::bind(settings.target_listen)?,
+            peers: Datagrams::bind(settings.peer_listen)?,
+            codec: Codec::new(keys),
+            started: Instant::now(),
+            agent: Agent::new(Millis::ZERO, place, limits),
+            balancers: HashMap::new(),
+            next_report: Millis::ZERO,
+            leaving: None,
+            actions: Vec::new(),
+            frame: BytesMut::new(),
+        })
+    }
+
+    /// Works until the control thread ends it.
+    pub(super) async fn run(mut self, mut commands: UnboundedReceiver<Command>) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                biased;
+                command = commands.recv() => match command {
+                    Some(Command::Stop) | None => return,
+                    Some(command) => self.on_command(command),
+                },
+                _ = ticks.tick() => self.on_tick(),
+                _ = self.from_target.readable() => self.read_target(),
+                _ = self.peers.readable() => self.read_peers(),
+            }
+        }
+    }
+
+    fn now(&self) -> Millis {
+        Millis::from(self.started.elapsed())
+    }
+
+    fn on_command(&mut self, command: Command) {
+        let now = self.now();
+        match command {
+            Command::Heartbeat(heartbeat, applied) => {
+                if let Some(true) = self.agent.on_heartbeat(now, heartbeat) {
+                    self.report_state(now);
+                }
+                // Whoever asked may have given up.
+                let _ = applied.send(());
+            }
+            Command::Goodbye(applied) => {
+                self.agent.on_goodbye();
+                self.report_state(now);
+                let _ = applied.send(());
+            }
+            Command::Balancers(addrs) => {
+                for addr in addrs {
+                    self.meet(now, addr);
+                }
+            }
+            Command::Leave(left) => {
+                self.agent.stop();
+                self.report(now);
+                self.leaving = Some((now, left));
+            }
+            Command::Stop => {}
+        }
+    }
+
+    fn meet(&mut self, now: Millis, balancer: SocketAddr) {
+        if self.balancers.insert(balancer, now).is_none() {
+            let report = self.report_message(now);
+            self.send(&report, balancer);
+        }
+    }
+
+    fn on_tick(&mut self) {
+        let now = self.now();
+        let mut has_changed = false;
+        self.decide(|agent, out| has_changed = agent.on_tick(now, out));
+        if has_changed {
+            self.report_state(now);
+        } else if now >= self.next_report {
+            self.balancers
+                .retain(|_, heard| now.since(*heard) < FORGET_BALANCER);
+            self.report(now);
+        }
+        let is_idle = self.agent.busy() == 0;
+        if let Some((since, left)) = self.leaving.take() {
+            if is_idle || now.since(since) >= LEAVE_WITHIN {
+                // The process goes on to its end in any case.
+                let _ = left.send(());
+            } else {
+                self.leaving = Some((since, left));
+            }
+        }
+    }
+
+    fn report_state(&mut self, now: Millis) {
+        log::info!("target: state is {:?}", self.agent.state(now));
+        self.report(now);
+    }
+
+    fn report(&mut self, now: Millis) {
+        self.next_report = now.after(REPORT_INTERVAL);
+        let report = self.report_message(now);
+        let balancers: Vec<_> = self.balancers.keys().copied().collect();
+        for balancer in balancers {
+            self.send(&report, balancer);
+        }
+    }
+
+    fn report_message(&mut self, now: Millis) -> Envelope {
+        let report = self.agent.report(now);
+        Envelope::from(Body::TargetReport(pass_through::report_to_message(&report)))
+    }
+
+    fn read_target(&mut self) {
+        let now = self.now();
+        for (bytes, _) in self.from_target.read() {
+            match packet::from_target(bytes) {
+                Ok(FromTarget::ToCaller(packet)) => {
+                    self.decide(|agent, out| agent.on_target_packet(now, packet, out));
+                }
+                Ok(FromTarget::Returned(packet)) => {
+                    self.decide(|agent, out| agent.on_returned(now, packet, out));
+                }
+                Err(err) => log::warn!("target: packet dropped: {err}"),
+            }
+        }
+    }
+
+    fn read_peers(&mut self) {
+        for (bytes, from) in self.peers.read() {
+            match self.codec.open(&bytes) {
+                Ok(envelope) => self.on_message(envelope, from),
+                Err(err) => log::warn!("peer: message from {from} dropped: {err}"),
+            }
+        }
+    }
+
+    fn on_message(&mut self, envelope: Envelope, from: SocketAddr) {
+        let now = self.now();
+        match envelope.body {
+            Some(Body::Forward(forward)) => self.on_forward(now, forward, from),
+            Some(Body::Question(question)) => {
+                match pass_through::flow_from_message(&question.caller, &question.service) {
+                    Ok(flow) => {
+                        self.decide(|agent, out| agent.on_question(now, from, flow, out));
+                    }
+                    Err(err) => log::warn!("peer: question from {from} dropped: {err}"),
+                }
+            }
+            Some(Body::Greeting(greeting)) => match addr_from_bytes(&greeting.balancer) {
+                Ok(balancer) => self.meet(now, balancer),
+                Err(err) => log::warn!("peer: greeting from {from} dropped: {err}"),
+            },
+            _ => log::debug!("peer: message from {from} is not for an agent"),
+        }
+    }
+
+    fn on_forward(&mut self, now: Millis, forward: Forward, from: SocketAddr) {
+        let Some(offer) = pass_through::offer_from_message(&forward) else {
+            log::warn!("peer: packet from {from} is sent for an unknown reason");
+            return;
+        };
+        let group = GroupId(forward.group);
+        match packet::from_caller(forward.packet) {
+            Ok(caller) => self.on_caller(now, from, offer, group, caller.packet),
+            Err(err) => log::warn!("peer: packet from {from} dropped: {err}"),
+        }
+    }
+
+    fn on_caller(
+        &mut self,
+        now: Millis,
+        from: SocketAddr,
+        offer: Offer,
+        group: GroupId,
+        packet: citronhollow_core::pass_through::Packet<Bytes>,
+    ) {
+        if let Some(heard) = self.balancers.get_mut(&from) {
+            *heard = now;
+        }
+        self.decide(|agent, out| agent.on_packet(now, from, offer, group, packet, out));
+    }
+
+    fn decide(&mut self, decide: impl FnOnce(&mut Agent<Bytes>, &mut Vec<AgentAction<Bytes>>)) {
+        let mut actions = std::mem::take(&mut self.actions);
+        decide(&mut self.agent, &mut actions);
+        for action in actions.drain(..) {
+            self.act(action);
+        }
+        self.actions = actions;
+    }
+
+    fn act(&mut self, action: AgentAction<Bytes>) {
+        match action {
+            AgentAction::Deliver { bytes } => self.send_packet(&bytes, self.target),
+            AgentAction::ToCaller { flow, bytes } => {
+                self.send_packet(&bytes, self.caller_addr(flow.caller));
+            }
+            AgentAction::Reject { to, reason, bytes } => {
+                log::debug!("traffic: packet given back to {to}: {reason}");
+                self.send(
+                    &Envelope::from(pass_through::reject(self.target_id, bytes)),
+                    to,
+                );
+            }
+            AgentAction::Reply { to, flow, holding } => {
+                let reply = pass_through::reply(self.target_id, &flow, holding);
+                self.send(&Envelope::from(reply), to);
+            }
+            AgentAction::Reset(reset) => {
+                log::info!(
+                    "traffic: flow {} to {} is reset, the target has lost it",
+                    reset.flow.caller,
+                    reset.flow.service
+                );
+                self.send_packet(&packet::reset(&reset), self.caller_addr(reset.flow.caller));
+            }
+            AgentAction::Drop(reason) => log::debug!("traffic: packet dropped: {reason}"),
+        }
+    }
+
+    const fn caller_addr(&self, caller: SocketAddr) -> SocketAddr {
+        SocketAddr::new(caller.ip(), self.caller_port)
+    }
+
+    fn send_packet(&self, bytes: &[u8], to: SocketAddr) {
+        if let Err(err) = self.from_target.send(bytes, to) {
+            log::debug!("traffic: packet to {to} failed: {err}");
+        }
+    }
+
+    fn send(&mut self, envelope: &Envelope, to: SocketAddr) {
+        self.frame.clear();
+        self.codec.seal(envelope, &mut self.frame);
+        if let Err(err) = self.peers.send(&self.frame, to) {
+            log::debug!("peer: message to {to} failed: {err}");
+        }
+    }
+}
+
+/// Grows with every start, so that balancers tell this start's reports from the last one's.
+fn time_of_day_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.map_or(0, |span| Millis::from(span).0)
+}
--- a/crates/agent/src/traffic/wire.rs
+++ b/crates/agent/src/traffic/wire.rs
@@ -63,6 +63,8 @@
         trace: packet.trace,
         relay: relay.into(),
         sender: me.0,
+        offer: 0,
+        group: 0,
     }
 }
 
@@ -103,7 +105,7 @@
         Ok(message::Holding::No) => Holding::No,
         Ok(message::Holding::Here) => Holding::Here,
         Ok(message::Holding::At) => Holding::At(TargetId(reply.at)),
-        Err(_) => return Err(WireError::Value(reply.holding)),
+        Ok(message::Holding::Maybe) | Err(_) => return Err(WireError::Value(reply.holding)),
     };
     Ok((flow, holding))
 }
--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -72,6 +72,7 @@
         refusal,
         new_flows_per_s: None,
         new_flows_per_s_per_caller: None,
+        spill: citronhollow_core::config::Spill::Normal,
     };
     let pool = Pool {
         name: String::from("match-desk"),
@@ -236,6 +237,8 @@
             trace: self.trace,
             relay: Relay::Balancer.into(),
             sender: 0,
+            offer: 0,
+            group: 0,
         };
         self.send_body(to, Body::Forward(forward));
     }
--- a/crates/balancer/examples/control_cost.rs
+++ b/crates/balancer/examples/control_cost.rs
@@ -56,6 +56,7 @@
         refusal: Refusal::Reset,
         new_flows_per_s: Some(u32::try_from(number).unwrap_or(0)),
         new_flows_per_s_per_caller: None,
+        spill: citronhollow_core::config::Spill::Normal,
     };
     let pool = |it: u32| Pool {
         name: format!("pool-{it}"),
--- a/crates/balancer/examples/forwarding.rs
+++ b/crates/balancer/examples/forwarding.rs
@@ -160,6 +160,7 @@
         refusal: Refusal::Reset,
         new_flows_per_s: None,
         new_flows_per_s_per_caller: None,
+        spill: citronhollow_core::config::Spill::Normal,
     };
     let pool = Pool {
         name: String::from("match-desk"),
--- a/crates/balancer/examples/platform_calls.rs
+++ b/crates/balancer/examples/platform_calls.rs
@@ -90,6 +90,7 @@
         refusal: Refusal::Reset,
         new_flows_per_s: None,
         new_flows_per_s_per_caller: None,
+        spill: citronhollow_core::config::Spill::Normal,
     });
     Documents {
         services: services.collect(),
--- a/crates/balancer/src/commands/balancer.rs
+++ b/crates/balancer/src/commands/balancer.rs
@@ -3,6 +3,7 @@
 use citronhollow_operator::failure::Failure;
 use gumdrop::Options;
 
+use crate::pass_through;
 use crate::settings::{Checked, Settings};
 
 /// Runs the process of an entry VM until it gets SIGTERM.
@@ -14,6 +15,11 @@
     settings: String,
     #[options(no_short, help = "check the settings and stop")]
     check_settings: bool,
+    #[options(
+        no_short,
+        help = "leave callers' flows to the targets, with settings for that"
+    )]
+    pass_through: bool,
 }
 
 /// Checks the settings, and starts the process unless only the check is wanted.
@@ -21,9 +27,18 @@
     options: &BalancerOptions,
     start: impl FnOnce(Checked) -> Result<(), Failure>,
 ) -> Result<String, Failure> {
+    let valid = format!("{}: settings are valid\n", options.settings);
+    if options.pass_through {
+        let checked = pass_through::settings::Settings::load(&options.settings)?;
+        if options.check_settings {
+            return Ok(valid);
+        }
+        pass_through::run(&checked)?;
+        return Ok(String::new());
+    }
     let checked = Settings::load(&options.settings)?;
     if options.check_settings {
-        return Ok(format!("{}: settings are valid\n", options.settings));
+        return Ok(valid);
     }
     start(checked)?;
     Ok(String::new())
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod documents;
 pub mod metrics;
 pub mod operator_http;
+pub mod pass_through;
 pub mod publish;
 pub mod revisions;
 pub mod run;
--- /dev/null
+++ b/crates/balancer/src/pass_through/control.rs
@@ -0,0 +1,170 @@
+//! The control thread of a balancer: configuration, the balancer's entry at the platform, and the
+//! way to other balancers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use citronhollow_adapter::store;
+use citronhollow_core::clock::Millis;
+use citronhollow_core::config::Revision;
+use citronhollow_peer::message::{RevisionReply, RevisionRequest};
+use citronhollow_peer::{Body, Keyring, exchange};
+use citronhollow_platform::{Client, PlatformError};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use super::link::{Command, Event};
+
+/// Time that a watch of the configuration waits. A connection that went silent is found out after
+/// it, and a change must be in force within 3 s.
+const WATCH_WAIT: Millis = Millis(2_000);
+
+/// Pause after a call that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+
+/// Time between two looks at the list of balancers.
+const LIST_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Looks in a row that must miss this balancer's own entry before it is made again, since a list
+/// may be seconds old.
+const MISSED_LOOKS: u32 = 3;
+
+/// What the tasks of the control thread share.
+#[derive(Clone)]
+pub(super) struct Control {
+    pub(super) name: String,
+    pub(super) own_addr: SocketAddr,
+    pub(super) client: Client,
+    pub(super) keys: Keyring,
+    pub(super) commands: UnboundedSender<Command>,
+    /// The newest revision that this process has seen, from wherever.
+    pub(super) newest: watch::Sender<Arc<Revision>>,
+}
+
+impl Control {
+    /// Puts a revision in force if it is newer than the last.
+    fn take(&self, revision: Revision) {
+        let revision = Arc::new(revision);
+        let is_newer = self.newest.send_if_modified(|newest| {
+            let is_newer = revision.number > newest.number;
+            if is_newer {
+                *newest = Arc::clone(&revision);
+            }
+            is_newer
+        });
+        if is_newer {
+            // The traffic thread is gone only while the process ends.
+            let _ = self.commands.send(Command::Revision(revision));
+        }
+    }
+
+    /// Follows the configuration at the platform for as long as the process runs.
+    pub(super) async fn follow_config(self) {
+        let mut at = None;
+        loop {
+            let read = match at {
+                None => store::read_config(&self.client).await,
+                Some(after) => store::watch_config(&self.client, after, WATCH_WAIT).await,
+            };
+            match read {
+                Ok(read) => {
+                    // A platform that was reached without a configuration gets one soon.
+                    at = (read.at > 0).then_some(read.at);
+                    match read.revision {
+                        Some(revision) => self.take(revision),
+                        None if at.is_none() => sleep(RETRY_PAUSE).await,
+                        None => {}
+                    }
+                }
+                Err(err) => {
+                    log::warn!("platform: configuration not read: {err}");
+                    at = at.filter(|_| !matches!(err, PlatformError::TooOld { .. }));
+                    sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Keeps this balancer's entry at the platform and greets the others.
+    pub(super) async fn follow_balancers(self) {
+        let mut missed = MISSED_LOOKS;
+        let mut is_first = true;
+        loop {
+            if missed >= MISSED_LOOKS {
+                match store::add_balancer(&self.client, &self.name, self.own_addr).await {
+                    Ok(()) => missed = 0,
+                    Err(err) => log::warn!("platform: own entry not written: {err}"),
+                }
+            }
+            match store::list_balancers(&self.client, !is_first).await {
+                Ok(found) => {
+                    is_first = false;
+                    let is_listed = found.iter().any(|(name, _)| *name == self.name);
+                    missed = if is_listed { 0 } else { missed + 1 };
+                    let addrs = found.into_iter().map(|(_, addr)| addr).collect();
+                    let _ = self.commands.send(Command::Balancers(addrs));
+                }
+                Err(err) => log::warn!("platform: balancers not listed: {err}"),
+            }
+            sleep(LIST_INTERVAL).await;
+        }
+    }
+
+    /// Fetches newer revisions from other balancers, for when the platform cannot be reached.
+    pub(super) async fn fetch_revisions(self, mut events: UnboundedReceiver<Event>) {
+        while let Some(Event::NewerRevision { at, number }) = events.recv().await {
+            let known = self.newest.borrow().number;
+            if number <= known {
+                continue;
+            }
+            let body = Body::RevisionRequest(RevisionRequest { known });
+            match exchange::request(at, self.keys.clone(), body).await {
+                Ok(Body::RevisionReply(reply)) if !reply.json.is_empty() => {
+                    match serde_json::from_slice(&reply.json) {
+                        Ok(revision) => self.take(revision),
+                        Err(err) => log::warn!("peer: revision from {at} does not parse: {err}"),
+                    }
+                }
+                Ok(_) => {}
+                Err(err) => log::warn!("peer: no revision from {at}: {err}"),
+            }
+        }
+    }
+
+    /// Gives other balancers the newest revision.
+    pub(super) async fn serve_revisions(self, listener: TcpListener) {
+        loop {
+            let Ok((stream, from)) = listener.accept().await else {
+                sleep(RETRY_PAUSE).await;
+                continue;
+            };
+            let newest = self.newest.subscribe();
+            let keys = self.keys.clone();
+            tokio::spawn(async move {
+                let answer = async |body| reply_to(&body, &newest.borrow());
+                if let Err(err) = exchange::serve(stream, keys, answer).await {
+                    log::debug!("peer: request from {from} failed: {err}");
+                }
+            });
+        }
+    }
+}
+
+fn reply_to(body: &Body, newest: &Revision) -> Option<Body> {
+    let Body::RevisionRequest(request) = body else {
+        return None;
+    };
+    let is_newer = newest.number > request.known;
+    let json = if is_newer {
+        serde_json::to_vec(newest).ok()?
+    } else {
+        Vec::new()
+    };
+    Some(Body::RevisionReply(RevisionReply {
+        json,
+        deltas_json: Vec::new(),
+    }))
+}
--- /dev/null
+++ b/crates/balancer/src/pass_through/run.rs
@@ -0,0 +1,148 @@
+//! The process from its start to its end.
+//!
+//! SIGTERM makes the balancer leave: its probe fails first, it goes on forwarding until the fabric
+//! sends it nothing more, takes its entry off the platform and exits.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use citronhollow_adapter::{READY_PATH, store};
+use citronhollow_core::clock::Millis;
+use citronhollow_core::config::Revision;
+use citronhollow_operator::failure::Failure;
+use citronhollow_operator::{logging, probe, stop, worker};
+use citronhollow_platform::client::{Client, ClientConfig};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{sleep, timeout};
+
+use super::control::Control;
+use super::link::{Command, Shared};
+use super::settings::{Checked, Settings};
+use super::traffic::Traffic;
+
+/// Time after which the fabric has noticed that a probe fails: two probes, half a second apart.
+const PROBES_MISSED: Duration = Duration::from_millis(1_300);
+
+/// Time without a packet after which nobody sends any more.
+const QUIET: Millis = Millis(600);
+
+/// What is left of the grace time for the end itself.
+const LAST_STEPS: Duration = Duration::from_millis(700);
+
+/// Time limit of a call on the platform: far above its usual answer, and short enough to be
+/// repeated within the bound of a configuration.
+const CALL_LIMIT: Millis = Millis(1_000);
+
+/// Time that a watch gets on top of its wait.
+const WATCH_MARGIN: Millis = Millis(600);
+
+/// Runs a balancer until it has left.
+///
+/// # Errors
+///
+/// [`Failure`] if an address of the settings cannot be bound.
+pub fn run(checked: &Checked) -> Result<(), Failure> {
+    let settings = checked.settings();
+    logging::init(checked.log_level())?;
+    let started = Instant::now();
+    let shared = Arc::new(Shared::default());
+    let (commands, commands_rx) = mpsc::unbounded_channel();
+    let (events, events_rx) = mpsc::unbounded_channel();
+    let thread = {
+        let settings = settings.clone();
+        let keys = checked.keys().clone();
+        let shared = Arc::clone(&shared);
+        worker::spawn_traffic(
+            "fabric_listen, peer_listen",
+            move || Traffic::bind(&settings, keys, started, shared, events),
+            move |traffic| traffic.run(commands_rx),
+        )?
+    };
+    let runtime = worker::runtime()?;
+    let outcome = runtime.block_on(control(
+        checked,
+        started,
+        &shared,
+        commands.clone(),
+        events_rx,
+    ));
+    // The thread may have ended already, and then needs no command.
+    let _ = commands.send(Command::Stop);
+    if thread.join().is_err() {
+        log::error!("balancer: the traffic thread had panicked");
+    }
+    log::info!("balancer: {} has stopped", settings.name);
+    outcome
+}
+
+async fn control(
+    checked: &Checked,
+    started: Instant,
+    shared: &Arc<Shared>,
+    commands: mpsc::UnboundedSender<Command>,
+    events: mpsc::UnboundedReceiver<super::link::Event>,
+) -> Result<(), Failure> {
+    let settings = checked.settings();
+    let mut stop = stop::on_signal()?;
+    let is_leaving = Arc::new(AtomicBool::new(false));
+    let probes = worker::listen("ready_listen", settings.ready_listen).await?;
+    let requests = worker::listen("peer_listen", settings.peer_listen).await?;
+    let is_ready = {
+        let (shared, is_leaving) = (Arc::clone(shared), Arc::clone(&is_leaving));
+        move || shared.is_ready.load(Ordering::Relaxed) && !is_leaving.load(Ordering::Relaxed)
+    };
+    tokio::spawn(probe::serve(probes, READY_PATH, is_ready));
+    let client = Client::new(ClientConfig {
+        address: settings.platform,
+        deadline: CALL_LIMIT,
+        watch_margin: WATCH_MARGIN,
+    });
+    let control = Control {
+        name: settings.name.clone(),
+        own_addr: settings.peer_listen,
+        client: client.clone(),
+        keys: checked.keys().clone(),
+        commands: commands.clone(),
+        newest: watch::channel(Arc::new(Revision::default())).0,
+    };
+    // Nobody receives this only while the process ends.
+    let _ = commands.send(Command::Balancers(settings.seed_peers()));
+    tokio::spawn(control.clone().serve_revisions(requests));
+    tokio::spawn(control.clone().fetch_revisions(events));
+    tokio::spawn(control.clone().follow_config());
+    let entry = tokio::spawn(control.follow_balancers());
+    log::info!("balancer: {} is at work", settings.name);
+
+    // The sender lives as long as its receivers.
+    let _ = stop.wait_for(|stop| *stop).await;
+    log::info!("balancer: {} is leaving", settings.name);
+    is_leaving.store(true, Ordering::Relaxed);
+    entry.abort();
+    leave(settings, started, shared, &client).await;
+    Ok(())
+}
+
+/// Forwards until the fabric has turned to others.
+async fn leave(settings: &Settings, started: Instant, shared: &Shared, client: &Client) {
+    let grace = Duration::from(settings.grace_ms).saturating_sub(LAST_STEPS);
+    let quiet = async {
+        sleep(PROBES_MISSED).await;
+        while Millis::from(started.elapsed()).since(shared.last_packet()) < QUIET {
+            sleep(Duration::from(QUIET) / 4).await;
+        }
+    };
+    if timeout(grace, quiet).await.is_err() {
+        log::warn!("balancer: packets still came at the end of the grace time");
+    }
+    match timeout(
+        LAST_STEPS / 2,
+        store::remove_balancer(client, &settings.name),
+    )
+    .await
+    {
+        Ok(Ok(())) => {}
+        Ok(Err(err)) => log::warn!("platform: own entry not removed: {err}"),
+        Err(_) => log::warn!("platform: own entry not removed in time"),
+    }
+}
--- /dev/null
+++ b/crates/balancer/src/pass_through/traffic.rs
@@ -0,0 +1,359 @@
+//! The traffic thread of a balancer: packets of callers, messages of agents and balancers.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use citronhollow_adapter::packet;
+use citronhollow_core::clock::Millis;
+use citronhollow_core::id::{DomainId, TargetId};
+use citronhollow_core::pass_through::{Balancer, BalancerAction, BalancerLimits, Report};
+use citronhollow_peer::datagram::Datagrams;
+use citronhollow_peer::message::{Greeting, TargetReports};
+use citronhollow_peer::{
+    Body, Codec, Envelope, Keyring, addr_from_bytes, addr_to_bytes, pass_through,
+};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
+use tokio::time::{MissedTickBehavior, interval};
+
+use super::link::{Command, Event, Shared};
+use super::settings::Settings;
+
+/// Time between two ticks of the decisions.
+const TICK: Duration = Duration::from_millis(25);
+
+/// Time between two greetings to other balancers, within which a revision spreads without the
+/// platform.
+const GREET_BALANCERS: Millis = Millis::from_secs(1);
+
+/// Time between two greetings to agents, which forget a balancer that is silent for long.
+const GREET_AGENTS: Millis = Millis::from_secs(4);
+
+/// A balancer that is silent for this long is greeted no more.
+const FORGET_BALANCER: Millis = Millis::from_secs(20);
+
+/// Reports in one datagram.
+const REPORTS_PER_DATAGRAM: usize = 16;
+
+/// Flows that are remembered, about 100 bytes each.
+const FLOWS: usize = 200_000;
+
+/// Searches at once. Each keeps a few packets.
+const SEARCHES: usize = 4_096;
+
+/// Packets that wait for the outcome of one search: what a caller may have on the way.
+const SEARCH_PACKETS: usize = 16;
+
+/// What the thread works with.
+pub(super) struct Traffic {
+    own_addr: SocketAddr,
+    /// Port at which callers' machines take packets.
+    caller_port: u16,
+    fabric: Datagrams,
+    peers: Datagrams,
+    codec: Codec,
+    started: Instant,
+    balancer: Balancer<Bytes>,
+    /// Other balancers, and when each was heard last.
+    balancers: HashMap<SocketAddr, Millis>,
+    next_greeting: Millis,
+    next_agent_greeting: Millis,
+    shared: Arc<Shared>,
+    events: UnboundedSender<Event>,
+    actions: Vec<BalancerAction<Bytes>>,
+    frame: BytesMut,
+}
+
+impl Traffic {
+    /// Binds the sockets. To be called within the thread's runtime.
+    pub(super) fn bind(
+        settings: &Settings,
+        keys: Keyring,
+        started: Instant,
+        shared: Arc<Shared>,
+        events: UnboundedSender<Event>,
+    ) -> io::Result<Self> {
+        let limits = BalancerLimits {
+            flows: FLOWS,
+            flow_life: settings.flow_life_ms,
+            searches: SEARCHES,
+            search_packets: SEARCH_PACKETS,
+        };
+        let domain = DomainId::of(&settings.domain);
+        Ok(Self {
+            own_addr: settings.peer_listen,
+            caller_port: settings.fabric_listen.port(),
+            fabric: Datagrams::bind(settings.fabric_listen)?,
+            peers: Datagrams::bind(settings.peer_listen)?,
+            codec: Codec::new(keys),
+            started,
+            balancer: Balancer::new(Millis::ZERO, domain, limits, rand::random()),
+            balancers: HashMap::new(),
+            next_greeting: Millis::ZERO,
+            next_agent_greeting: Millis::ZERO,
+            shared,
+            events,
+            actions: Vec::new(),
+            frame: BytesMut::new(),
+        })
+    }
+
+    /// Works until the control thread ends it.
+    pub(super) async fn run(mut self, mut commands: UnboundedReceiver<Command>) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                biased;
+                command = commands.recv() => match command {
+                    Some(Command::Stop) | None => return,
+                    Some(command) => self.on_command(command),
+                },
+                _ = ticks.tick() => self.on_tick(),
+                _ = self.peers.readable() => self.read_peers(),
+                _ = self.fabric.readable() => self.read_fabric(),
+            }
+        }
+    }
+
+    fn now(&self) -> Millis {
+        Millis::from(self.started.elapsed())
+    }
+
+    fn on_command(&mut self, command: Command) {
+        match command {
+            Command::Revision(revision) => {
+                if self.balancer.set_revision(&revision) {
+                    log::info!("config: revision {} is in force", revision.number);
+                    self.greet_balancers(false);
+                }
+            }
+            Command::Balancers(addrs) => self.meet(&addrs),
+            Command::Stop => {}
+        }
+    }
+
+    /// Greets balancers that were unknown, and asks them for the targets that they know.
+    fn meet(&mut self, addrs: &[SocketAddr]) {
+        let now = self.now();
+        for &addr in addrs {
+            if addr != self.own_addr && !self.balancers.contains_key(&addr) {
+                self.balancers.insert(addr, now);
+                self.send(&self.greeting(true), addr);
+            }
+        }
+    }
+
+    fn on_tick(&mut self) {
+        let now = self.now();
+        self.decide(|balancer, out| balancer.on_tick(now, out));
+        let is_ready = self.balancer.is_ready(now);
+        self.shared.is_ready.store(is_ready, Ordering::Relaxed);
+        if now >= self.next_greeting {
+            self.next_greeting = now.after(GREET_BALANCERS);
+            self.greet_balancers(false);
+        }
+        if now >= self.next_agent_greeting {
+            self.next_agent_greeting = now.after(GREET_AGENTS);
+            self.greet_agents();
+        }
+    }
+
+    fn greet_balancers(&mut self, wants_reports: bool) {
+        let now = self.now();
+        self.balancers
+            .retain(|_, heard| now.since(*heard) < FORGET_BALANCER);
+        let greeting = self.greeting(wants_reports);
+        let addrs: Vec<_> = self.balancers.keys().copied().collect();
+        for addr in addrs {
+            self.send(&greeting, addr);
+        }
+    }
+
+    fn greet_agents(&mut self) {
+        let greeting = self.greeting(false);
+        let agents: Vec<_> = self.balancer.reports().map(|report| report.agent).collect();
+        for agent in agents {
+            self.send(&greeting, agent);
+        }
+    }
+
+    fn greeting(&self, wants_reports: bool) -> Envelope {
+        Envelope::from(Body::Greeting(Greeting {
+            balancer: addr_to_bytes(self.own_addr),
+            revision: self.balancer.revision(),
+            wants_reports,
+        }))
+    }
+
+    fn read_fabric(&mut self) {
+        let now = self.now();
+        for (bytes, _) in self.fabric.read() {
+            match packet::from_caller(bytes) {
+                Ok(caller) => {
+                    self.shared.on_packet(now);
+                    self.decide(|balancer, out| {
+                        balancer.on_packet(now, caller.packet, caller.repeats, out);
+                    });
+                }
+                Err(err) => log::debug!("traffic: packet dropped: {err}"),
+            }
+        }
+    }
+
+    fn read_peers(&mut self) {
+        for (bytes, from) in self.peers.read() {
+            match self.codec.open(&bytes) {
+                Ok(envelope) => self.on_message(envelope, from),
+                Err(err) => log::warn!("peer: message from {from} dropped: {err}"),
+            }
+        }
+    }
+
+    fn on_message(&mut self, envelope: Envelope, from: SocketAddr) {
+        let now = self.now();
+        match envelope.body {
+            Some(Body::TargetReport(message)) => {
+                if let Some(report) = decoded(&message, from) {
+                    self.balancer.on_report(now, report);
+                }
+            }
+            Some(Body::Reject(reject)) => match packet::from_caller(reject.packet) {
+                Ok(caller) => self.decide(|balancer, out| {
+                    balancer.on_reject(now, TargetId(reject.target), caller.packet, out);
+                }),
+                Err(err) => log::warn!("peer: packet from {from} dropped: {err}"),
+            },
+            Some(Body::Reply(reply)) => {
+                let flow = pass_through::flow_from_message(&reply.caller, &reply.service);
+                let holding = pass_through::holding_from_message(&reply);
+                if let (Ok(flow), Some(holding)) = (flow, holding) {
+                    self.decide(|balancer, out| {
+                        balancer.on_reply(now, TargetId(reply.sender), flow, holding, out);
+                    });
+                }
+            }
+            Some(Body::Greeting(greeting)) => self.on_greeting(&greeting, from),
+            Some(Body::TargetReports(reports)) => self.on_reports(&reports, from),
+            _ => log::debug!("peer: message from {from} is not for a balancer"),
+        }
+    }
+
+    fn on_greeting(&mut self, greeting: &Greeting, from: SocketAddr) {
+        let Ok(addr) = addr_from_bytes(&greeting.balancer) else {
+            log::warn!("peer: greeting from {from} has no address");
+            return;
+        };
+        let now = self.now();
+        let is_new = self.balancers.insert(addr, now).is_none();
+        if is_new {
+            self.send(&self.greeting(false), addr);
+        }
+        if greeting.wants_reports {
+            self.send_reports(addr);
+        }
+        if greeting.revision > self.balancer.revision() {
+            let event = Event::NewerRevision {
+                at: addr,
+                number: greeting.revision,
+            };
+            // The control thread is gone only while the process ends.
+            let _ = self.events.send(event);
+        }
+    }
+
+    fn send_reports(&mut self, to: SocketAddr) {
+        let reports: Vec<_> = self
+            .balancer
+            .reports()
+            .map(pass_through::report_to_message)
+            .collect();
+        for chunk in reports.chunks(REPORTS_PER_DATAGRAM) {
+            let reports = chunk.to_vec();
+            let body = Body::TargetReports(TargetReports { reports });
+            self.send(&Envelope::from(body), to);
+        }
+    }
+
+    /// Takes the reports that another balancer had, and makes this one known to the agents.
+    fn on_reports(&mut self, reports: &TargetReports, from: SocketAddr) {
+        let now = self.now();
+        for message in &reports.reports {
+            let Some(report) = decoded(message, from) else {
+                continue;
+            };
+            if self.balancer.on_report(now, report) {
+                self.send(&self.greeting(false), report.agent);
+            }
+        }
+    }
+
+    fn decide(
+        &mut self,
+        decide: impl FnOnce(&mut Balancer<Bytes>, &mut Vec<BalancerAction<Bytes>>),
+    ) {
+        let mut actions = std::mem::take(&mut self.actions);
+        decide(&mut self.balancer, &mut actions);
+        for action in actions.drain(..) {
+            self.act(action);
+        }
+        self.actions = actions;
+    }
+
+    fn act(&mut self, action: BalancerAction<Bytes>) {
+        match action {
+            BalancerAction::Forward {
+                to,
+                offer,
+                group,
+                bytes,
+            } => {
+                let message = pass_through::offer_to_message(offer, group);
+                self.frame.clear();
+                self.codec.seal_forward(&message, &bytes, &mut self.frame);
+                self.send_frame(to);
+            }
+            BalancerAction::Ask { to, flow } => {
+                self.send(&Envelope::from(pass_through::question(&flow)), to);
+            }
+            BalancerAction::Reset(reset) => {
+                log::info!(
+                    "traffic: flow {} to {} is reset",
+                    reset.flow.caller,
+                    reset.flow.service
+                );
+                let to = SocketAddr::new(reset.flow.caller.ip(), self.caller_port);
+                if let Err(err) = self.fabric.send(&packet::reset(&reset), to) {
+                    log::debug!("traffic: reset to {to} failed: {err}");
+                }
+            }
+            BalancerAction::Drop(reason) => log::debug!("traffic: packet dropped: {reason}"),
+        }
+    }
+
+    fn send(&mut self, envelope: &Envelope, to: SocketAddr) {
+        self.frame.clear();
+        self.codec.seal(envelope, &mut self.frame);
+        self.send_frame(to);
+    }
+
+    fn send_frame(&self, to: SocketAddr) {
+        if let Err(err) = self.peers.send(&self.frame, to) {
+            log::debug!("peer: message to {to} failed: {err}");
+        }
+    }
+}
+
+fn decoded(message: &citronhollow_peer::message::TargetReport, from: SocketAddr) -> Option<Report> {
+    match pass_through::report_from_message(message) {
+        Ok(report) => Some(report),
+        Err(err) => {
+            log::warn!("peer: report from {from} dropped: {err}");
+            None
+        }
+    }
+}
--- a/crates/balancer/tests/fleet/mod.rs
+++ b/crates/balancer/tests/fleet/mod.rs
@@ -57,6 +57,7 @@
                 refusal: Refusal::Reset,
                 new_flows_per_s: None,
                 new_flows_per_s_per_caller: None,
+                spill: citronhollow_core::config::Spill::Normal,
             }],
             pools: vec![Pool {
                 name: String::from("desk"),
--- a/crates/core/examples/choice.rs
+++ b/crates/core/examples/choice.rs
@@ -105,6 +105,7 @@
         refusal: Refusal::Reset,
         new_flows_per_s: None,
         new_flows_per_s_per_caller: None,
+        spill: citronhollow_core::config::Spill::Normal,
     }
 }
 
--- a/crates/core/src/config/documents.rs
+++ b/crates/core/src/config/documents.rs
@@ -17,6 +17,21 @@
     Unavailable,
 }
 
+/// How readily new flows are sent to another failure domain when their own is busier.
+///
+/// Traffic between domains costs by the byte, so it depends on how much a flow carries.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Spill {
+    /// At a small difference in load: the flows carry few bytes.
+    Early,
+    /// At a clear difference in load.
+    #[default]
+    Normal,
+    /// Only from a domain without room: the flows carry many bytes.
+    Late,
+}
+
 /// A name that callers reach at one or more addresses.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -36,6 +51,9 @@
     /// New flows a second from one caller's IP number, none for no limit.
     #[serde(default)]
     pub new_flows_per_s_per_caller: Option<u32>,
+    /// How readily new flows leave the caller's failure domain. Only pass-through delivery asks.
+    #[serde(default)]
+    pub spill: Spill,
 }
 
 /// A set of targets, named by the groups that they announce.
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -11,7 +11,7 @@
 mod slice;
 
 pub use check::{HeldAddress, check, check_names, colliding};
-pub use documents::{Documents, Pool, Refusal, Revision, Rule, Service};
+pub use documents::{Documents, Pool, Refusal, Revision, Rule, Service, Spill};
 pub use plan::{Action, Change, plan};
 pub use problem::{CheckError, DocumentKind, DocumentRef, Problem};
 pub use share::Share;
--- a/crates/core/src/flows.rs
+++ b/crates/core/src/flows.rs
@@ -34,11 +34,11 @@
 mod peers;
 mod queue;
 mod rates;
-mod recent;
+
 mod redirects;
 mod search;
 mod searching;
-mod services;
+pub(crate) mod services;
 
 pub use counters::Counters;
 pub use limits::FlowLimits;
@@ -49,13 +49,13 @@
 pub use opening::{MAX_HANDS, MAX_HANDS_BY_REFUSERS};
 pub use packet::{Action, Arrival, CloseReason, DropReason, Holding, Packet, Relay};
 
+use crate::recent::Recent;
 use bucket::{Bucket, Rate};
 use held::Held;
 use own::Own;
 use peers::Peers;
 use queue::WaitQueue;
 use rates::Rates;
-use recent::Recent;
 use redirects::Redirects;
 use search::Searches;
 use services::{ServiceKey, Services};
--- a/crates/core/src/flows/held.rs
+++ b/crates/core/src/flows/held.rs
@@ -13,8 +13,8 @@
 
 use super::FlowLimits;
 use super::connection::Connection;
-use super::recent::Recent;
 use super::services::Services;
+use crate::recent::Recent;
 
 /// Half-open and established flows.
 #[derive(Debug)]
--- a/crates/core/src/flows/rates.rs
+++ b/crates/core/src/flows/rates.rs
@@ -14,7 +14,7 @@
 use crate::id::ServiceId;
 
 use super::bucket::{Bucket, Rate};
-use super::recent::Recent;
+use crate::recent::Recent;
 
 /// Limits of one service, none for no limit.
 #[derive(Clone, Copy, Debug)]
--- a/crates/core/src/flows/redirects.rs
+++ b/crates/core/src/flows/redirects.rs
@@ -9,7 +9,7 @@
 use crate::id::{ServiceId, TargetId};
 
 use super::notice::LastNotice;
-use super::recent::Recent;
+use crate::recent::Recent;
 
 /// Where a flow is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/core/src/flows/services.rs
+++ b/crates/core/src/flows/services.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use crate::config::{Pool, Revision, Rule, Service, Share};
+use crate::config::{Pool, Revision, Rule, Service, Share, Spill};
 use crate::flow::FlowId;
 use crate::id::{GroupId, ServiceId};
 
@@ -11,11 +11,11 @@
 
 /// Position of a service in [`Services`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) struct ServiceKey(u32);
+pub(crate) struct ServiceKey(u32);
 
 /// Position of a pool in [`Services`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) struct PoolKey(u32);
+pub(crate) struct PoolKey(u32);
 
 #[derive(Clone, Debug)]
 struct PoolView {
@@ -35,11 +35,12 @@
     pool: PoolKey,
     rules: Vec<RuleView>,
     new_flows: NewFlowLimits,
+    spill: Spill,
 }
 
 /// Services by address.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Services {
+pub(crate) struct Services {
     number: u64,
     by_address: HashMap<SocketAddr, ServiceKey>,
     views: Vec<ServiceView>,
@@ -47,7 +48,7 @@
 }
 
 impl Services {
-    pub(super) fn build(revision: &Revision) -> Self {
+    pub(crate) fn build(revision: &Revision) -> Self {
         let documents = &revision.documents;
         let mut services = Self {
             number: revision.number,
@@ -62,28 +63,28 @@
         services
     }
 
-    pub(super) const fn number(&self) -> u64 {
+    pub(crate) const fn number(&self) -> u64 {
         self.number
     }
 
     /// The service that owns the address.
-    pub(super) fn at(&self, address: SocketAddr) -> Option<ServiceKey> {
+    pub(crate) fn at(&self, address: SocketAddr) -> Option<ServiceKey> {
         self.by_address.get(&address).copied()
     }
 
-    pub(super) fn id(&self, service: ServiceKey) -> ServiceId {
+    pub(crate) fn id(&self, service: ServiceKey) -> ServiceId {
         self.view(service).id
     }
 
     /// The pool for a new flow of the service.
-    pub(super) fn pool_for(&self, service: ServiceKey, flow: &FlowId) -> PoolKey {
+    pub(crate) fn pool_for(&self, service: ServiceKey, flow: &FlowId) -> PoolKey {
         let view = self.view(service);
         let rule = view.rules.iter().find(|rule| rule.share.takes(flow));
         rule.map_or(view.pool, |rule| rule.pool)
     }
 
     /// Whether targets of the group serve the service.
-    pub(super) fn serves(&self, service: ServiceKey, group: GroupId) -> bool {
+    pub(crate) fn serves(&self, service: ServiceKey, group: GroupId) -> bool {
         let view = self.view(service);
         let of_rules = view.rules.iter().map(|rule| rule.pool);
         std::iter::once(view.pool)
@@ -92,7 +93,7 @@
     }
 
     /// Whether targets of the group belong to the pool.
-    pub(super) fn contains(&self, pool: PoolKey, group: GroupId) -> bool {
+    pub(crate) fn contains(&self, pool: PoolKey, group: GroupId) -> bool {
         self.pool(pool).groups.contains(&group)
     }
 
@@ -101,13 +102,18 @@
         self.view(service).new_flows
     }
 
+    /// How readily new flows of the service leave the caller's domain.
+    pub(crate) fn spill(&self, service: ServiceKey) -> Spill {
+        self.view(service).spill
+    }
+
     /// Whether a service with this identity exists.
-    pub(super) fn has(&self, id: ServiceId) -> bool {
+    pub(crate) fn has(&self, id: ServiceId) -> bool {
         self.views.iter().any(|view| view.id == id)
     }
 
     /// Flows that one target of the pool may hold.
-    pub(super) fn flows_per_target(&self, pool: PoolKey) -> usize {
+    pub(crate) fn flows_per_target(&self, pool: PoolKey) -> usize {
         let limit = self.pool(pool).flows_per_target;
         limit.map_or(usize::MAX, |limit| limit as usize)
     }
@@ -129,6 +135,7 @@
                 per_s: service.new_flows_per_s,
                 per_s_per_caller: service.new_flows_per_s_per_caller,
             },
+            spill: service.spill,
         });
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,8 @@
 pub mod hash;
 pub mod id;
 pub mod members;
+pub mod pass_through;
 pub mod publisher;
+mod recent;
 pub mod routes;
 pub mod rumour;
--- /dev/null
+++ b/crates/core/src/pass_through/agent.rs
@@ -0,0 +1,575 @@
+//! The agent's decisions: what becomes of a packet beside the target.
+//!
+//! The target decides for itself which flows it has. The agent watches, and answers balancers from
+//! what it saw. An agent that was started after its target has not seen everything, so it lets the
+//! target see one packet of a flow that it does not know: the target either returns it, which
+//! proves that it does not hold the flow, or keeps it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use crate::clock::Millis;
+use crate::flow::FlowId;
+use crate::id::{DomainId, GroupId, TargetId};
+use crate::members::TargetState;
+use crate::recent::Recent;
+
+use super::conn::{Conn, Stage};
+use super::fleet::Report;
+use super::packet::{DropReason, Holding, Offer, Packet, RejectReason, Reset};
+
+/// Time in which the target returns a packet that it does not want. The two share a machine, so
+/// this covers one turn of a slow processor.
+const RETURN_WITHIN: Millis = Millis(60);
+
+/// Time in which the target answers an opening packet. A target that does not is not offered more.
+const ANSWER_WITHIN: Millis = Millis(150);
+
+/// Time for which a flow that ended at both ends is remembered, for repeated packets of the end.
+const ENDED_LIFE: Millis = Millis::from_secs(5);
+
+/// Time for which a flow that the target returned is answered for without asking it again.
+const ABSENT_LIFE: Millis = Millis::from_secs(3);
+
+/// Span over which the mean of requests in progress is taken.
+const BUSY_SPAN: Millis = Millis(1_000);
+
+/// Heartbeats that may be missing before the target counts as gone.
+const MISSED_HEARTBEATS: u64 = 2;
+
+/// Bounds of one agent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AgentLimits {
+    /// Flows that are remembered. The one idle for longest goes first.
+    pub flows: usize,
+    /// Time after which an idle flow is forgotten.
+    pub flow_life: Millis,
+    /// Time between two heartbeats of the target.
+    pub heartbeat: Millis,
+}
+
+/// What an agent does.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum AgentAction<B> {
+    /// Send the packet to the target.
+    Deliver {
+        /// The packet.
+        bytes: B,
+    },
+    /// Send the target's packet to the caller.
+    ToCaller {
+        /// The flow of the packet.
+        flow: FlowId,
+        /// The packet.
+        bytes: B,
+    },
+    /// Give the caller's packet back to a balancer.
+    Reject {
+        /// The balancer.
+        to: SocketAddr,
+        /// Why.
+        reason: RejectReason,
+        /// The packet.
+        bytes: B,
+    },
+    /// Tell a balancer what is known of a flow.
+    Reply {
+        /// The balancer.
+        to: SocketAddr,
+        /// The flow.
+        flow: FlowId,
+        /// What is known.
+        holding: Holding,
+    },
+    /// Reset the caller: its target has lost the flow.
+    Reset(Reset),
+    /// Nothing.
+    Drop(DropReason),
+}
+
+/// A packet that the target was shown though its flow is unknown.
+#[derive(Clone, Copy, Debug)]
+struct Trial {
+    balancer: SocketAddr,
+    since: Millis,
+}
+
+/// Identity of an agent and its target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Place {
+    /// The target.
+    pub target: TargetId,
+    /// The label that pools select by.
+    pub group: GroupId,
+    /// Failure domain.
+    pub domain: DomainId,
+    /// Address at which the agent takes packets.
+    pub agent: SocketAddr,
+    /// Start of the agent, as the time of day in ms.
+    pub incarnation: u64,
+}
+
+/// What the target says of itself.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Heartbeat {
+    /// Start of the target, as the time of day in ms.
+    pub born: u64,
+    /// Grows with every heartbeat of one start, from zero or one.
+    pub sequence: u64,
+    /// What it can take.
+    pub state: TargetState,
+    /// Requests that it can work on at once.
+    pub slots: u16,
+    /// How much longer it stays slow after its start.
+    pub cold_left: Millis,
+}
+
+/// The agent's table. `B` is a packet's bytes, opaque here.
+#[derive(Debug)]
+pub struct Agent<B> {
+    place: Place,
+    limits: AgentLimits,
+    started: Millis,
+    conns: Recent<FlowId, Conn>,
+    /// Flows that both ends closed, for repeated packets of the end.
+    ended: Recent<FlowId, ()>,
+    /// Opening packets that the target has not answered, to be offered elsewhere.
+    offers: HashMap<FlowId, B>,
+    trials: HashMap<FlowId, Trial>,
+    /// Flows that the target returned, with the time of it.
+    absent: Recent<FlowId, Millis>,
+    last_heartbeat: Option<(Millis, Heartbeat)>,
+    /// The target was started while this agent watched, so that no flow of it is unknown here.
+    saw_start: bool,
+    /// The target left an opening packet without an answer, and has sent nothing since.
+    is_mute: bool,
+    is_stopping: bool,
+    sequence: u64,
+    busy: u32,
+    mean_busy_milli: u64,
+    measured: Millis,
+}
+
+impl<B: Clone> Agent<B> {
+    /// An agent that knows nothing of its target yet.
+    #[must_use]
+    pub fn new(now: Millis, place: Place, limits: AgentLimits) -> Self {
+        Self {
+            place,
+            limits,
+            started: now,
+            conns: Recent::new(limits.flows),
+            ended: Recent::new(limits.flows),
+            offers: HashMap::new(),
+            trials: HashMap::new(),
+            absent: Recent::new(limits.flows),
+            last_heartbeat: None,
+            saw_start: false,
+            is_mute: false,
+            is_stopping: false,
+            sequence: 0,
+            busy: 0,
+            mean_busy_milli: 0,
+            measured: now,
+        }
+    }
+
+    /// Decides about a caller's packet that a balancer sent.
+    pub fn on_packet(
+        &mut self,
+        now: Millis,
+        balancer: SocketAddr,
+        offer: Offer,
+        group: GroupId,
+        packet: Packet<B>,
+        out: &mut Vec<AgentAction<B>>,
+    ) {
+        let known = self.conns.get(&packet.flow).copied();
+        if packet.segment.opens() {
+            let is_repeated = known.is_some_and(|conn| conn.caller_isn == Some(packet.segment.seq));
+            if is_repeated {
+                let bytes = packet.bytes;
+                out.push(AgentAction::Deliver { bytes });
+            } else {
+                self.on_opening(now, balancer, group, packet, out);
+            }
+            return;
+        }
+        match known {
+            Some(conn) if !conn.is_foreign(&packet.segment) => {
+                self.deliver(now, balancer, packet, out);
+            }
+            Some(_) => reject(balancer, RejectReason::NotHeld, packet.bytes, out),
+            None if self.ended.contains(&packet.flow) => {
+                let bytes = packet.bytes;
+                out.push(AgentAction::Deliver { bytes });
+            }
+            None => self.on_unknown(now, balancer, offer, packet, out),
+        }
+    }
+
+    /// Decides about a packet that the target sent to a caller.
+    pub fn on_target_packet(
+        &mut self,
+        now: Millis,
+        packet: Packet<B>,
+        out: &mut Vec<AgentAction<B>>,
+    ) {
+        let Packet {
+            flow,
+            segment,
+            bytes,
+        } = packet;
+        self.is_mute = false;
+        if let Some(trial) = self.trials.remove(&flow) {
+            let (to, holding) = (trial.balancer, Holding::Here);
+            out.push(AgentAction::Reply { to, flow, holding });
+        }
+        self.offers.remove(&flow);
+        if segment.rst {
+            self.forget(now, &flow);
+        } else if !self.ended.contains(&flow) {
+            self.watch(now, flow, |conn| conn.on_target(now, &segment));
+        }
+        out.push(AgentAction::ToCaller { flow, bytes });
+    }
+
+    /// Decides about a caller's packet that the target returned.
+    pub fn on_returned(&mut self, now: Millis, packet: Packet<B>, out: &mut Vec<AgentAction<B>>) {
+        self.is_mute = false;
+        if packet.segment.opens() {
+            self.on_returned_opening(now, packet, out);
+        } else {
+            self.on_returned_ongoing(now, packet, out);
+        }
+    }
+
+    /// A balancer asks for a flow.
+    pub fn on_question(
+        &mut self,
+        now: Millis,
+        balancer: SocketAddr,
+        flow: FlowId,
+        out: &mut Vec<AgentAction<B>>,
+    ) {
+        let holding = if self.conns.contains(&flow) || self.ended.contains(&flow) {
+            Holding::Here
+        } else if self.is_absent(now, &flow) {
+            Holding::No
+        } else {
+            Holding::Maybe
+        };
+        out.push(AgentAction::Reply {
+            to: balancer,
+            flow,
+            holding,
+        });
+    }
+
+    /// Takes a heartbeat of the target. Returns whether balancers must be told at once, or none if
+    /// the heartbeat is older than what is known.
+    pub fn on_heartbeat(&mut self, now: Millis, heartbeat: Heartbeat) -> Option<bool> {
+        let before = self.state(now);
+        match self.last_heartbeat {
+            Some((_, last)) if heartbeat.born < last.born => return None,
+            Some((_, last)) if heartbeat.born == last.born => {
+                if heartbeat.sequence <= last.sequence {
+                    return None;
+                }
+            }
+            Some(_) => self.saw_start = true,
+            None => self.saw_start = heartbeat.sequence <= 1,
+        }
+        self.last_heartbeat = Some((now, heartbeat));
+        self.is_mute = false;
+        Some(self.state(now) != before)
+    }
+
+    /// The target of this start says that it is gone.
+    pub const fn on_goodbye(&mut self) {
+        if let Some((_, heartbeat)) = &mut self.last_heartbeat {
+            heartbeat.state = TargetState::Dead;
+        }
+    }
+
+    /// The agent is going to be stopped.
+    pub const fn stop(&mut self) {
+        self.is_stopping = true;
+    }
+
+    /// Does what is due. Returns whether balancers must be told at once. To be called at least
+    /// every 50 ms.
+    pub fn on_tick(&mut self, now: Millis, out: &mut Vec<AgentAction<B>>) -> bool {
+        let before = self.state(now);
+        self.measure(now);
+        self.end_trials(now, out);
+        self.withdraw_offers(now, out);
+        while let Some((_, conn)) = self.conns.pop_unused(now, self.limits.flow_life) {
+            self.on_gone(now, &conn);
+        }
+        while self.ended.pop_unused(now, ENDED_LIFE).is_some() {}
+        while self.absent.pop_unused(now, ABSENT_LIFE).is_some() {}
+        self.state(now) != before
+    }
+
+    /// What balancers are to know.
+    pub fn report(&mut self, now: Millis) -> Report {
+        self.sequence += 1;
+        let heartbeat = self.last_heartbeat.map(|(_, heartbeat)| heartbeat);
+        Report {
+            target: self.place.target,
+            incarnation: self.place.incarnation,
+            sequence: self.sequence,
+            agent: self.place.agent,
+            group: self.place.group,
+            domain: self.place.domain,
+            state: self.state(now),
+            is_stopping: self.is_stopping,
+            slots: heartbeat.map_or(1, |heartbeat| heartbeat.slots),
+            cold_left: self.cold_left(now),
+            flows: u32::try_from(self.conns.len()).unwrap_or(u32::MAX),
+            busy: self.busy,
+            mean_busy_milli: u32::try_from(self.mean_busy_milli).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// What the target can take.
+    #[must_use]
+    pub fn state(&self, now: Millis) -> TargetState {
+        let Some((at, heartbeat)) = self.last_heartbeat else {
+            return TargetState::Starting;
+        };
+        let patience = Millis(self.limits.heartbeat.0 * MISSED_HEARTBEATS).after(ANSWER_WITHIN);
+        let is_silent = self.is_mute || now.since(at) > patience;
+        match heartbeat.state {
+            TargetState::Ready if is_silent => TargetState::Draining,
+            state => state,
+        }
+    }
+
+    /// Requests in progress and waiting.
+    #[must_use]
+    pub const fn busy(&self) -> u32 {
+        self.busy
+    }
+
+    fn on_opening(
+        &mut self,
+        now: Millis,
+        balancer: SocketAddr,
+        group: GroupId,
+        packet: Packet<B>,
+        out: &mut Vec<AgentAction<B>>,
+    ) {
+        let Packet {
+            flow,
+            segment,
+            bytes,
+        } = packet;
+        if group != self.place.group {
+            reject(balancer, RejectReason::WrongGroup, bytes, out);
+            return;
+        }
+        if !matches!(self.state(now), TargetState::Ready | TargetState::Starting) {
+            reject(balancer, RejectReason::NotReady, bytes, out);
+            return;
+        }
+        self.forget(now, &flow);
+        let conn = Conn::offered(now, segment.seq, balancer);
+        if let Some((_, evicted)) = self.conns.insert(now, flow, conn) {
+            self.on_gone(now, &evicted);
+        }
+        self.offers.insert(flow, bytes.clone());
+        out.push(AgentAction::Deliver { bytes });
+    }
+
+    fn deliver(
+        &mut self,
+        now: Millis,
+        balancer: SocketAddr,
+        packet: Packet<B>,
+        out: &mut Vec<AgentAction<B>>,
+    ) {
+        let segment = packet.segment;
+        if segment.rst {
+            self.forget(now, &packet.flow);
+        } else {
+            self.watch(now, packet.flow, |conn| {
+                conn.on_caller(now, balancer, &segment);
+            });
+        }
+        let bytes = packet.bytes;
+        out.push(AgentAction::Deliver { bytes });
+    }
+
+    fn on_unknown(
+        &mut self,
+        now: Millis,
+        balancer: SocketAddr,
+        offer: Offer,
+        packet: Packet<B>,
+        out: &mut Vec<AgentAction<B>>,
+    ) {
+        if self.is_absent(now, &packet.flow) || offer == Offer::New {
+            reject(balancer, RejectReason::NotHeld, packet.bytes, out);
+            return;
+        }
+        let since = now;
+        self.trials
+            .entry(packet.flow)
+            .or_insert(Trial { balancer, since });
+        let bytes = packet.bytes;
+        out.push(AgentAction::Deliver { bytes });
+    }
+
+    fn on_returned_opening(
+        &mut self,
+        now: Millis,
+        packet: Packet<B>,
+        out: &mut Vec<AgentAction<B>>,
+    ) {
+        let conn = self.conns.get(&packet.flow).copied();
+        // A copy of an opening packet that the target took is of no use to anybody else.
+        let Some(conn) = conn.filter(|conn| conn.stage == Stage::Offered) else {
+            out.push(AgentAction::Drop(DropReason::Ended));
+            return;
+        };
+        self.forget(now, &packet.flow);
+        if let Some(balancer) = conn.balancer {
+            reject(balancer, RejectReason::Returned, packet.bytes, out);
+        }
+    }
+
+    fn on_returned_ongoing(
+        &mut self,
+        now: Millis,
+        packet: Packet<B>,
+        out: &mut Vec<AgentAction<B>>,
+    ) {
+        let flow = packet.flow;
+        self.absent.insert(now, flow, now);
+        if let Some(trial) = self.trials.remove(&flow) {
+            reject(trial.balancer, RejectReason::NotHeld, packet.bytes, out);
+            return;
+        }
+        let Some(conn) = self.conns.get(&flow).copied() else {
+            out.push(AgentAction::Drop(DropReason::Ended));
+            return;
+        };
+        self.forget(now, &flow);
+        // Seen open at this target and returned by it: no target holds the flow any more.
+        if conn.stage == Stage::Open && packet.segment.ack {
+            let seq = packet.segment.ack_seq;
+            out.push(AgentAction::Reset(Reset { flow, seq }));
+            let holding = Holding::No;
+            out.extend(
+                conn.balancer
+                    .map(|to| AgentAction::Reply { to, flow, holding }),
+            );
+        } else if let Some(balancer) = conn.balancer {
+            reject(balancer, RejectReason::NotHeld, packet.bytes, out);
+        }
+    }
+
+    /// Whether the target does not hold the flow, which is unknown here.
+    fn is_absent(&self, now: Millis, flow: &FlowId) -> bool {
+        let knows_all = self.saw_start || now.since(self.started) > self.limits.flow_life;
+        let was_returned = self
+            .absent
+            .get(flow)
+            .is_some_and(|at| now.since(*at) <= ABSENT_LIFE);
+        knows_all || was_returned
+    }
+
+    fn end_trials(&mut self, now: Millis, out: &mut Vec<AgentAction<B>>) {
+        let is_over = |trial: &Trial| now.since(trial.since) >= RETURN_WITHIN;
+        let ended: Vec<_> = self.trials.extract_if(|_, trial| is_over(trial)).collect();
+        for (flow, trial) in ended {
+            let conn = Conn::new(now, Stage::Presumed, Some(trial.balancer));
+            if let Some((_, evicted)) = self.conns.insert(now, flow, conn) {
+                self.on_gone(now, &evicted);
+            }
+            let (to, holding) = (trial.balancer, Holding::Here);
+            out.push(AgentAction::Reply { to, flow, holding });
+        }
+    }
+
+    /// Gives opening packets back that the target neither answered nor returned.
+    fn withdraw_offers(&mut self, now: Millis, out: &mut Vec<AgentAction<B>>) {
+        let conns = &self.conns;
+        let is_over = |flow: &FlowId| {
+            let conn = conns.get(flow);
+            conn.is_none_or(|conn| now.since(conn.since) >= ANSWER_WITHIN)
+        };
+        let ended: Vec<_> = self.offers.extract_if(|flow, _| is_over(flow)).collect();
+        for (flow, bytes) in ended {
+            let Some(conn) = self.conns.get(&flow).copied() else {
+                continue;
+            };
+            self.is_mute = true;
+            self.forget(now, &flow);
+            if let Some(balancer) = conn.balancer {
+                reject(balancer, RejectReason::Returned, bytes, out);
+            }
+        }
+    }
+
+    /// Applies a packet to its flow, which is made known if it was not.
+    fn watch(&mut self, now: Millis, flow: FlowId, apply: impl FnOnce(&mut Conn)) {
+        self.measure(now);
+        if !self.conns.contains(&flow) {
+            let conn = Conn::new(now, Stage::Open, None);
+            if let Some((_, evicted)) = self.conns.insert(now, flow, conn) {
+                self.on_gone(now, &evicted);
+            }
+        }
+        let Some(conn) = self.conns.get_mut(&flow) else {
+            return;
+        };
+        let was_busy = conn.is_busy;
+        apply(conn);
+        let (is_busy, has_ended) = (conn.is_busy, conn.has_ended());
+        self.busy = self.busy + u32::from(is_busy) - u32::from(was_busy);
+        if has_ended {
+            self.forget(now, &flow);
+            self.ended.insert(now, flow, ());
+        } else {
+            self.conns.touch(now, &flow);
+        }
+    }
+
+    fn forget(&mut self, now: Millis, flow: &FlowId) {
+        self.ended.remove(flow);
+        self.offers.remove(flow);
+        if let Some(conn) = self.conns.remove(flow) {
+            self.on_gone(now, &conn);
+        }
+    }
+
+    fn on_gone(&mut self, now: Millis, conn: &Conn) {
+        self.measure(now);
+        self.busy -= u32::from(conn.is_busy);
+    }
+
+    /// Brings the mean of requests in progress up to now.
+    fn measure(&mut self, now: Millis) {
+        let span = now.since(self.measured).0.min(BUSY_SPAN.0);
+        if span == 0 {
+            return;
+        }
+        let current = u64::from(self.busy) * 1_000;
+        let old = self.mean_busy_milli * (BUSY_SPAN.0 - span);
+        self.mean_busy_milli = (old + current * span) / BUSY_SPAN.0;
+        self.measured = now;
+    }
+
+    fn cold_left(&self, now: Millis) -> Millis {
+        self.last_heartbeat.map_or(Millis::ZERO, |(at, heartbeat)| {
+            Millis(heartbeat.cold_left.0.saturating_sub(now.since(at).0))
+        })
+    }
+}
+
+fn reject<B>(to: SocketAddr, reason: RejectReason, bytes: B, out: &mut Vec<AgentAction<B>>) {
+    out.push(AgentAction::Reject { to, reason, bytes });
+}
--- /dev/null
+++ b/crates/core/src/pass_through/conn.rs
@@ -0,0 +1,110 @@
+//! One flow as the agent sees it from outside, from the packets of both ends.
+
+use std::net::SocketAddr;
+
+use crate::clock::Millis;
+use crate::flow::Segment;
+
+/// How far a flow has come.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Stage {
+    /// The target was given the opening packet and has not answered it.
+    Offered,
+    /// The target answered the opening packet.
+    Answered,
+    /// The caller acknowledged the target's answer, or the target sent more than its answer.
+    Open,
+    /// Taken to be open since the target did not return a packet of it.
+    Presumed,
+}
+
+/// A flow at this agent's target.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Conn {
+    pub(super) stage: Stage,
+    /// Sequence number of the opening packet, none if the agent did not see it.
+    pub(super) caller_isn: Option<u32>,
+    /// Sequence number of the target's answer to it.
+    target_isn: Option<u32>,
+    /// The balancer that sent the last packet.
+    pub(super) balancer: Option<SocketAddr>,
+    /// The caller waits for an answer to a request.
+    pub(super) is_busy: bool,
+    /// End of what the caller sent so far.
+    caller_end: Option<u32>,
+    caller_ended: bool,
+    target_ended: bool,
+    pub(super) since: Millis,
+    pub(super) used: Millis,
+}
+
+impl Conn {
+    pub(super) const fn new(now: Millis, stage: Stage, balancer: Option<SocketAddr>) -> Self {
+        Self {
+            stage,
+            caller_isn: None,
+            target_isn: None,
+            balancer,
+            is_busy: false,
+            caller_end: None,
+            caller_ended: false,
+            target_ended: false,
+            since: now,
+            used: now,
+        }
+    }
+
+    pub(super) const fn offered(now: Millis, isn: u32, balancer: SocketAddr) -> Self {
+        let mut conn = Self::new(now, Stage::Offered, Some(balancer));
+        conn.caller_isn = Some(isn);
+        conn
+    }
+
+    /// Whether the caller's packet acknowledges the answer of another target to the same opening
+    /// packet.
+    pub(super) fn is_foreign(&self, segment: &Segment) -> bool {
+        let own = self.target_isn.map(|isn| isn.wrapping_add(1));
+        self.stage == Stage::Answered && segment.ack && own != Some(segment.ack_seq)
+    }
+
+    /// Both ends have closed.
+    pub(super) const fn has_ended(&self) -> bool {
+        self.caller_ended && self.target_ended
+    }
+
+    /// The caller's packet goes to the target.
+    pub(super) fn on_caller(&mut self, now: Millis, balancer: SocketAddr, segment: &Segment) {
+        self.used = now;
+        self.balancer = Some(balancer);
+        if self.stage == Stage::Answered && segment.ack {
+            self.stage = Stage::Open;
+        }
+        let end = segment.seq.wrapping_add(segment.payload);
+        let is_new = self.caller_end.is_none_or(|known| is_after(end, known));
+        if segment.payload > 0 && is_new {
+            self.caller_end = Some(end);
+            self.is_busy = !self.target_ended;
+        }
+        self.caller_ended |= segment.fin;
+    }
+
+    /// The target's packet goes to the caller.
+    pub(super) const fn on_target(&mut self, now: Millis, segment: &Segment) {
+        self.used = now;
+        if segment.syn {
+            self.target_isn = Some(segment.seq);
+            if matches!(self.stage, Stage::Offered) {
+                self.stage = Stage::Answered;
+            }
+            return;
+        }
+        self.stage = Stage::Open;
+        self.is_busy = self.is_busy && segment.payload == 0 && !segment.fin;
+        self.target_ended |= segment.fin;
+    }
+}
+
+/// Whether sequence number `a` comes after `b`, across the wrap-around.
+const fn is_after(a: u32, b: u32) -> bool {
+    a.wrapping_sub(b).cast_signed() > 0
+}
--- /dev/null
+++ b/crates/core/src/pass_through/fleet.rs
@@ -0,0 +1,145 @@
+//! What a balancer knows of the targets, all of it from their agents' reports.
+//!
+//! A report replaces the one before. A report that was delayed and overtaken is recognised by the
+//! start of the agent and its sequence number. Targets live in an arena and are named by a small
+//! key, which stays valid for as long as flows refer to it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Millis;
+use crate::id::{DomainId, GroupId, TargetId};
+use crate::members::TargetState;
+
+/// What an agent tells balancers of its target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Report {
+    /// The target.
+    pub target: TargetId,
+    /// Start of the agent, as the time of day in ms.
+    pub incarnation: u64,
+    /// Grows with every report of one start.
+    pub sequence: u64,
+    /// Address at which the agent takes packets.
+    pub agent: SocketAddr,
+    /// The label that pools select by.
+    pub group: GroupId,
+    /// Failure domain of the target.
+    pub domain: DomainId,
+    /// What the target can take. [`TargetState::Starting`] means that it has not announced itself
+    /// since the agent was started.
+    pub state: TargetState,
+    /// The agent is being stopped, and its target may go on without it for a while.
+    pub is_stopping: bool,
+    /// Requests that the target can work on at once.
+    pub slots: u16,
+    /// How much longer the target stays slow after its start.
+    pub cold_left: Millis,
+    /// Flows that the target holds.
+    pub flows: u32,
+    /// Requests in progress and waiting at the moment.
+    pub busy: u32,
+    /// Requests in progress and waiting over the last seconds, in thousandths.
+    pub mean_busy_milli: u32,
+}
+
+impl Report {
+    /// Order of two reports of one agent, the later one greater.
+    #[must_use]
+    pub const fn version(&self) -> (u64, u64) {
+        (self.incarnation, self.sequence)
+    }
+}
+
+/// Position of a target in [`Fleet`].
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub(super) struct TargetKey(u32);
+
+/// One target as its agent reported it last.
+#[derive(Clone, Debug)]
+pub(super) struct Member {
+    pub(super) report: Report,
+    /// When the last report came.
+    pub(super) seen: Millis,
+    /// Flows given to the target since then.
+    pub(super) given: u32,
+}
+
+/// All targets that were ever reported and are not forgotten.
+#[derive(Debug, Default)]
+pub(super) struct Fleet {
+    members: Vec<Member>,
+    by_id: HashMap<TargetId, TargetKey>,
+}
+
+impl Fleet {
+    /// Takes a report. Returns the target's key, or none if a later report came before.
+    pub(super) fn on_report(&mut self, now: Millis, report: Report) -> Option<TargetKey> {
+        let Some(&key) = self.by_id.get(&report.target) else {
+            return Some(self.add(now, report));
+        };
+        let member = self.member_mut(key);
+        if report.version() <= member.report.version() {
+            return None;
+        }
+        let mut report = report;
+        // The agent alone was started again, and its target goes on as before. An address that
+        // changed belongs to another machine under the same name.
+        let is_same_place =
+            member.report.agent == report.agent && member.report.group == report.group;
+        if report.state == TargetState::Starting && is_same_place {
+            report.state = member.report.state;
+            report.slots = member.report.slots;
+        }
+        *member = Member::new(now, report);
+        Some(key)
+    }
+
+    pub(super) fn get(&self, key: TargetKey) -> &Member {
+        &self.members[key.0 as usize]
+    }
+
+    pub(super) fn member_mut(&mut self, key: TargetKey) -> &mut Member {
+        &mut self.members[key.0 as usize]
+    }
+
+    pub(super) fn key_of(&self, id: TargetId) -> Option<TargetKey> {
+        self.by_id.get(&id).copied()
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = (TargetKey, &Member)> {
+        (0_u32..).map(TargetKey).zip(&self.members)
+    }
+
+    /// The process was paused, so that silence until now says nothing about anybody.
+    pub(super) fn forgive_silence(&mut self, now: Millis) {
+        for member in &mut self.members {
+            member.seen = now;
+        }
+    }
+
+    fn add(&mut self, now: Millis, report: Report) -> TargetKey {
+        let key = TargetKey(u32::try_from(self.members.len()).expect("fewer than 2^32 targets"));
+        self.members.push(Member::new(now, report));
+        self.by_id.insert(report.target, key);
+        key
+    }
+}
+
+impl Member {
+    const fn new(seen: Millis, report: Report) -> Self {
+        Self {
+            report,
+            seen,
+            given: 0,
+        }
+    }
+
+    /// Whether the last report is at most `age` old.
+    pub(super) const fn is_heard(&self, now: Millis, age: Millis) -> bool {
+        now.since(self.seen).0 <= age.0
+    }
+}
--- /dev/null
+++ b/crates/core/src/pass_through/packet.rs
@@ -0,0 +1,93 @@
+//! What passes between balancers and agents, as the decisions see it.
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use crate::flow::{FlowId, Segment};
+
+/// A packet to decide about. `B` is the packet's bytes, opaque here.
+#[derive(Clone, Debug)]
+pub struct Packet<B> {
+    /// The flow it belongs to.
+    pub flow: FlowId,
+    /// What its header says.
+    pub segment: Segment,
+    /// The packet itself.
+    pub bytes: B,
+}
+
+/// Why a balancer sends a packet to an agent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Offer {
+    /// The packet opens a flow: take or reject it.
+    New,
+    /// The target holds the flow, as far as the balancer knows.
+    Held,
+    /// Nobody knows the flow. The target may hold it, so let it see the packet.
+    Trial,
+}
+
+/// What an agent knows of a flow.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Holding {
+    /// The target holds it.
+    #[display("here")]
+    Here,
+    /// The target may hold it: the agent was started after the target.
+    #[display("maybe")]
+    Maybe,
+    /// The target does not hold it.
+    #[display("no")]
+    No,
+}
+
+/// Why an agent gave a packet back.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RejectReason {
+    /// The target is of another group.
+    #[display("wrong group")]
+    WrongGroup,
+    /// The target is leaving or not ready.
+    #[display("not ready")]
+    NotReady,
+    /// The target returned the packet.
+    #[display("returned")]
+    Returned,
+    /// The target does not hold the flow.
+    #[display("not held")]
+    NotHeld,
+}
+
+/// A reset towards a caller.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Reset {
+    /// The flow that is reset.
+    pub flow: FlowId,
+    /// Sequence number that the caller accepts: the last one that it acknowledged.
+    pub seq: u32,
+}
+
+/// Why a packet is dropped. The caller repeats it where it matters.
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DropReason {
+    /// No service has the address, perhaps not yet.
+    #[display("no service has the address")]
+    UnknownService,
+    /// Too many packets wait for the outcome of a search.
+    #[display("search is full")]
+    SearchFull,
+    /// No target claims the flow, which is no proof that none holds it.
+    #[display("nobody claims the flow")]
+    Unclaimed,
+    /// No target takes new flows as far as is known, which is not far yet.
+    #[display("fleet is not known yet")]
+    NoTarget,
+    /// A reset or an end of a flow that is unknown here. Nobody waits for an answer.
+    #[display("flow has ended")]
+    Ended,
+}
--- a/crates/core/src/flows/recent.rs
+++ b/crates/core/src/recent.rs
@@ -23,7 +23,7 @@
 
 /// At most `bound` values. The one that was not used for longest goes first.
 #[derive(Debug)]
-pub(super) struct Recent<K, V> {
+pub(crate) struct Recent<K, V> {
     bound: usize,
     by_key: HashMap<K, EntryKey>,
     entries: Vec<Entry<K, V>>,
@@ -33,7 +33,7 @@
 }
 
 impl<K: Copy + Eq + Hash, V: Copy> Recent<K, V> {
-    pub(super) fn new(bound: usize) -> Self {
+    pub(crate) fn new(bound: usize) -> Self {
         Self {
             bound: bound.max(1),
             by_key: HashMap::new(),
@@ -44,26 +44,26 @@
         }
     }
 
-    pub(super) fn len(&self) -> usize {
+    pub(crate) fn len(&self) -> usize {
         self.by_key.len()
     }
 
-    pub(super) fn contains(&self, key: &K) -> bool {
+    pub(crate) fn contains(&self, key: &K) -> bool {
         self.by_key.contains_key(key)
     }
 
-    pub(super) fn get(&self, key: &K) -> Option<&V> {
+    pub(crate) fn get(&self, key: &K) -> Option<&V> {
         let at = *self.by_key.get(key)?;
         Some(&self.entry(at).value)
     }
 
-    pub(super) fn get_mut(&mut self, key: &K) -> Option<&mut V> {
+    pub(crate) fn get_mut(&mut self, key: &K) -> Option<&mut V> {
         let at = *self.by_key.get(key)?;
         Some(&mut self.entry_mut(at).value)
     }
 
     /// Inserts or replaces, and returns what had to go.
-    pub(super) fn insert(&mut self, now: Millis, key: K, value: V) -> Option<(K, V)> {
+    pub(crate) fn insert(&mut self, now: Millis, key: K, value: V) -> Option<(K, V)> {
         self.remove(&key);
         let evicted = self.make_room();
         let entry = Entry {
@@ -80,7 +80,7 @@
     }
 
     /// Makes the entry the newest one.
-    pub(super) fn touch(&mut self, now: Millis, key: &K) {
+    pub(crate) fn touch(&mut self, now: Millis, key: &K) {
         let Some(&at) = self.by_key.get(key) else {
             return;
         };
@@ -89,7 +89,7 @@
         self.link_newest(at);
     }
 
-    pub(super) fn remove(&mut self, key: &K) -> Option<V> {
+    pub(crate) fn remove(&mut self, key: &K) -> Option<V> {
         let at = self.by_key.remove(key)?;
         self.unlink(at);
         self.free.push(at);
@@ -97,7 +97,7 @@
     }
 
     /// Removes the oldest entry if its last use is at least `age` ago.
-    pub(super) fn pop_unused(&mut self, now: Millis, age: Millis) -> Option<(K, V)> {
+    pub(crate) fn pop_unused(&mut self, now: Millis, age: Millis) -> Option<(K, V)> {
         let at = self.oldest?;
         let entry = *self.entry(at);
         if now.since(entry.used) < age {
@@ -108,7 +108,7 @@
     }
 
     /// Entries from the newest to the oldest.
-    pub(super) fn newest_first(&self) -> impl Iterator<Item = (&K, &V)> {
+    pub(crate) fn newest_first(&self) -> impl Iterator<Item = (&K, &V)> {
         let older = |at: &EntryKey| self.entry(*at).older;
         std::iter::successors(self.newest, older).map(|at| {
             let entry = self.entry(at);
--- a/crates/core/tests/config.rs
+++ b/crates/core/tests/config.rs
@@ -20,6 +20,7 @@
         refusal: Refusal::Reset,
         new_flows_per_s: None,
         new_flows_per_s_per_caller: None,
+        spill: citronhollow_core::config::Spill::Normal,
     }
 }
 
--- a/crates/core/tests/publisher/main.rs
+++ b/crates/core/tests/publisher/main.rs
@@ -31,6 +31,7 @@
         refusal: Refusal::Reset,
         new_flows_per_s: None,
         new_flows_per_s_per_caller: None,
+        spill: citronhollow_core::config::Spill::Normal,
     })
 }
 
--- a/crates/core/tests/rumour.rs
+++ b/crates/core/tests/rumour.rs
@@ -300,6 +300,7 @@
                     refusal: Refusal::Reset,
                     new_flows_per_s: None,
                     new_flows_per_s_per_caller: None,
+                    spill: citronhollow_core::config::Spill::Normal,
                 })
                 .collect(),
             pools: pools
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -8,10 +8,12 @@
 
 mod addr;
 mod codec;
+pub mod datagram;
 pub mod exchange;
 mod key;
 mod members;
 pub mod message;
+pub mod pass_through;
 
 pub use addr::{AddrError, addr_from_bytes, addr_to_bytes};
 pub use codec::{Codec, CodecError, MAX_DATAGRAM, MAX_STREAM_FRAME, StreamCodec};
--- a/crates/peer/src/members.rs
+++ b/crates/peer/src/members.rs
@@ -140,7 +140,7 @@
     u32::try_from(span.0 / 1_000).unwrap_or(u32::MAX)
 }
 
-const fn state_to_number(state: TargetState) -> u32 {
+pub(crate) const fn state_to_number(state: TargetState) -> u32 {
     match state {
         TargetState::Starting => 0,
         TargetState::Ready => 1,
@@ -149,7 +149,7 @@
     }
 }
 
-const fn state_from_number(number: u32) -> Result<TargetState, RecordError> {
+pub(crate) const fn state_from_number(number: u32) -> Result<TargetState, RecordError> {
     match number {
         0 => Ok(TargetState::Starting),
         1 => Ok(TargetState::Ready),
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -6,6 +6,7 @@
 use prost::{Message, Oneof};
 
 mod control;
+mod pass_through;
 mod traffic;
 
 pub use control::{
@@ -13,6 +14,7 @@
     MembersRequest, PoolReply, PoolRequest, RevisionReply, RevisionRequest, Rumour, Target,
     TargetVerdict, Version,
 };
+pub use pass_through::{Greeting, Offer, Reject, TargetReport, TargetReports};
 pub(crate) use traffic::PACKET_TAG;
 pub use traffic::{Drain, Forward, Holding, Load, Question, Relay, Reply};
 
@@ -25,7 +27,7 @@
     /// The message, none if it is of a kind that this version does not know.
     #[prost(
         oneof = "Body",
-        tags = "1, 2, 3, 4, 5, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21"
+        tags = "1, 2, 3, 4, 5, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 30, 31, 32, 33"
     )]
     pub body: Option<Body>,
 }
@@ -84,6 +86,18 @@
     /// Balancer to balancer: the lowest revision.
     #[prost(message, tag = "21")]
     LowestReply(LowestReply),
+    /// Agent to balancer, pass-through: a packet given back.
+    #[prost(message, tag = "30")]
+    Reject(Reject),
+    /// Agent to balancer, pass-through: state and load of the target.
+    #[prost(message, tag = "31")]
+    TargetReport(TargetReport),
+    /// Balancer to balancer, pass-through: what agents reported.
+    #[prost(message, tag = "32")]
+    TargetReports(TargetReports),
+    /// Balancer to agents and balancers, pass-through: the sender's address and revision.
+    #[prost(message, tag = "33")]
+    Greeting(Greeting),
 }
 
 impl From<Body> for Envelope {
--- /dev/null
+++ b/crates/peer/src/message/pass_through.rs
@@ -0,0 +1,96 @@
+//! Messages of pass-through delivery, between balancers and agents.
+//!
+//! A packet goes to an agent as [`super::Forward`], a question and its answer as
+//! [`super::Question`] and [`super::Reply`].
+
+use bytes::Bytes;
+use prost::{Enumeration, Message};
+
+/// Why a packet is sent to an agent.
+#[derive(Clone, Copy, Debug, Enumeration, Eq, PartialEq)]
+#[repr(i32)]
+pub enum Offer {
+    /// It opens a flow.
+    New = 0,
+    /// The target holds the flow.
+    Held = 1,
+    /// The target may hold the flow.
+    Trial = 2,
+}
+
+/// An agent gives a packet back.
+#[derive(Clone, PartialEq, Message)]
+pub struct Reject {
+    /// Target of the agent.
+    #[prost(fixed64, tag = "1")]
+    pub target: u64,
+    /// The packet.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub packet: Bytes,
+}
+
+/// What an agent tells of its target.
+#[derive(Clone, PartialEq, Message)]
+pub struct TargetReport {
+    /// The target.
+    #[prost(fixed64, tag = "1")]
+    pub target: u64,
+    /// Start of the agent, as the time of day in ms.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// Grows with every report of one start.
+    #[prost(uint64, tag = "3")]
+    pub sequence: u64,
+    /// Address at which the agent takes packets.
+    #[prost(bytes = "vec", tag = "4")]
+    pub agent: Vec<u8>,
+    /// The label that pools select by.
+    #[prost(fixed64, tag = "5")]
+    pub group: u64,
+    /// Failure domain of the target.
+    #[prost(fixed64, tag = "6")]
+    pub domain: u64,
+    /// What the target can take, numbered as in [`super::Target::state`].
+    #[prost(uint32, tag = "7")]
+    pub state: u32,
+    /// The agent is being stopped.
+    #[prost(bool, tag = "8")]
+    pub is_stopping: bool,
+    /// Requests that the target can work on at once.
+    #[prost(uint32, tag = "9")]
+    pub slots: u32,
+    /// How much longer the target stays slow after its start, in ms.
+    #[prost(uint64, tag = "10")]
+    pub cold_left_ms: u64,
+    /// Flows that the target holds.
+    #[prost(uint32, tag = "11")]
+    pub flows: u32,
+    /// Requests in progress and waiting.
+    #[prost(uint32, tag = "12")]
+    pub busy: u32,
+    /// Mean of the same over the last seconds, in thousandths.
+    #[prost(uint32, tag = "13")]
+    pub mean_busy_milli: u32,
+}
+
+/// Reports of several targets, from one balancer to another.
+#[derive(Clone, PartialEq, Message)]
+pub struct TargetReports {
+    /// The reports.
+    #[prost(message, repeated, tag = "1")]
+    pub reports: Vec<TargetReport>,
+}
+
+/// A balancer makes itself known to an agent or to another balancer.
+#[derive(Clone, PartialEq, Message)]
+pub struct Greeting {
+    /// Address at which the balancer takes messages.
+    #[prost(bytes = "vec", tag = "1")]
+    pub balancer: Vec<u8>,
+    /// Number of the revision in force there, zero for none.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// The sender has just started and asks a balancer for the reports that it has.
+    #[prost(bool, tag = "3")]
+    pub wants_reports: bool,
+}
--- a/crates/peer/src/message/traffic.rs
+++ b/crates/peer/src/message/traffic.rs
@@ -39,6 +39,12 @@
     /// The agent's target that sent it, zero for a balancer.
     #[prost(fixed64, tag = "7")]
     pub sender: u64,
+    /// Why a packet of pass-through delivery is sent.
+    #[prost(enumeration = "super::Offer", tag = "8")]
+    pub offer: i32,
+    /// The group that a packet of pass-through delivery is meant for.
+    #[prost(fixed64, tag = "9")]
+    pub group: u64,
     /// The IP packet as the fabric delivered it. Its tag is the highest, so that it is encoded last
     /// and the frame's tag can leave out the end of it.
     #[prost(bytes = "bytes", tag = "15")]
@@ -69,6 +75,8 @@
     Here = 1,
     /// It handed the flow to the target in `at`.
     At = 2,
+    /// The target may hold the flow. Only in pass-through delivery.
+    Maybe = 3,
 }
 
 /// Answer to a [`Question`].
--- a/crates/peer/tests/codec.rs
+++ b/crates/peer/tests/codec.rs
@@ -33,6 +33,8 @@
         trace: u64::MAX,
         relay: Relay::Pass.into(),
         sender: u64::MAX,
+        offer: 0,
+        group: 0,
     }))
 }
 
--- a/crates/peer/tests/seal.rs
+++ b/crates/peer/tests/seal.rs
@@ -20,6 +20,8 @@
         trace: 9,
         relay: Relay::Pass as i32,
         sender: 3,
+        offer: 0,
+        group: 0,
         packet: Bytes::copy_from_slice(packet),
     }
 }
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -51,6 +51,14 @@
     budget: Arc<RetryBudget>,
 }
 
+const OK: u16 = StatusCode::OK.as_u16();
+const NOT_FOUND: u16 = StatusCode::NOT_FOUND.as_u16();
+const GONE: u16 = StatusCode::GONE.as_u16();
+const PRECONDITION_FAILED: u16 = StatusCode::PRECONDITION_FAILED.as_u16();
+const PAYLOAD_TOO_LARGE: u16 = StatusCode::PAYLOAD_TOO_LARGE.as_u16();
+const TOO_MANY_REQUESTS: u16 = StatusCode::TOO_MANY_REQUESTS.as_u16();
+const SERVICE_UNAVAILABLE: u16 = StatusCode::SERVICE_UNAVAILABLE.as_u16();
+
 struct Request<'a> {
     kind: CallKind,
     path: String,
@@ -59,9 +67,13 @@
     deadline: Duration,
 }
 
-struct Reply {
-    status: StatusCode,
-    body: Vec<u8>,
+/// An answer of the service, whatever its status says.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// HTTP status.
+    pub status: u16,
+    /// The body.
+    pub body: Vec<u8>,
 }
 
 impl Client {
@@ -91,8 +103,8 @@
         let req = self.request(CallKind::Get, object_path(kind, name));
         let reply = self.send_read(&req).await?;
         match reply.status {
-            StatusCode::OK => parse(&req, &reply).map(Some),
-            StatusCode::NOT_FOUND => Ok(None),
+            OK => parse(&req, &reply).map(Some),
+            NOT_FOUND => Ok(None),
             _ => Err(refused(&req, &reply)),
         }
     }
@@ -175,6 +187,44 @@
         expect_ok(&req, &reply)
     }
 
+    /// Reads a path of a service with other shapes than this package's own.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatformError`] if no answer came in spite of repetitions.
+    pub async fn read(&self, kind: CallKind, path: String) -> Result<Reply, PlatformError> {
+        self.send_read(&self.request(kind, path)).await
+    }
+
+    /// Writes to a path of a service with other shapes than this package's own.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatformError::Lost`] if the write may have taken effect, otherwise it has not.
+    pub async fn write<T: Serialize>(
+        &self,
+        kind: CallKind,
+        path: String,
+        value: Option<&T>,
+    ) -> Result<Reply, PlatformError> {
+        let mut req = self.request(kind, path);
+        let body = value.map(serde_json::to_vec).transpose();
+        let body = body.map_err(|err| unparsable(&req, &err.to_string()))?;
+        req.body = body.as_deref();
+        self.send_write(&req).await
+    }
+
+    /// Reads a path that answers with the next change, or without one after `wait`.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatformError`] if no answer came. It is not repeated here, as in [`Self::watch`].
+    pub async fn wait(&self, path: String, wait: Millis) -> Result<Reply, PlatformError> {
+        let mut req = self.request(CallKind::Watch, path);
+        req.deadline = Duration::from(wait) + Duration::from(self.cfg.watch_margin);
+        self.send(&req).await
+    }
+
     fn request(&self, kind: CallKind, path: String) -> Request<'static> {
         Request {
             kind,
@@ -226,10 +276,10 @@
             .map_err(|_| lost())?
             .ok_or_else(lost)?;
         match reply.status {
-            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+            TOO_MANY_REQUESTS | SERVICE_UNAVAILABLE => {
                 Err(PlatformError::NotRun { call: req.name() })
             }
-            status if status.is_server_error() => Err(lost()),
+            500..=599 => Err(lost()),
             _ => Ok(reply),
         }
     }
@@ -240,9 +290,12 @@
         if let Some(version) = req.if_version {
             http = http.header(header::IF_MATCH, version.to_string());
         }
+        if req.body.is_some() {
+            http = http.header(header::CONTENT_TYPE, "application/json");
+        }
         let body = req.body.map(<[u8]>::to_vec).unwrap_or_default();
         let response = http.data(body).send().await.ok()?;
-        let status = response.status();
+        let status = response.status().as_u16();
         let body = response.into_body().into_vec().await.ok()?;
         Some(Reply { status, body })
     }
@@ -252,6 +305,7 @@
     fn method(&self) -> Method {
         match self.kind {
             CallKind::Get | CallKind::List | CallKind::Watch => Method::GET,
+            CallKind::Create => Method::POST,
             CallKind::Put => Method::PUT,
             CallKind::Delete => Method::DELETE,
         }
@@ -268,7 +322,7 @@
 
 fn expect_ok<T: DeserializeOwned>(req: &Request, reply: &Reply) -> Result<T, PlatformError> {
     match reply.status {
-        StatusCode::OK => parse(req, reply),
+        OK => parse(req, reply),
         _ => Err(refused(req, reply)),
     }
 }
@@ -280,15 +334,15 @@
 fn refused(req: &Request, reply: &Reply) -> PlatformError {
     let call = req.name();
     match reply.status {
-        StatusCode::PRECONDITION_FAILED => match parse::<Mismatch>(req, reply) {
+        PRECONDITION_FAILED => match parse::<Mismatch>(req, reply) {
             Ok(mismatch) => PlatformError::Conflict {
                 call,
                 version: mismatch.version,
             },
             Err(err) => err,
         },
-        StatusCode::GONE => PlatformError::TooOld { call },
-        StatusCode::PAYLOAD_TOO_LARGE => PlatformError::TooLarge { call },
+        GONE => PlatformError::TooOld { call },
+        PAYLOAD_TOO_LARGE => PlatformError::TooLarge { call },
         status => unparsable(req, &format!("unexpected status {status}")),
     }
 }
--- a/crates/platform/src/counters.rs
+++ b/crates/platform/src/counters.rs
@@ -15,6 +15,9 @@
     /// Reads all objects of a kind.
     #[display("list")]
     List,
+    /// Makes an object.
+    #[display("create")]
+    Create,
     /// Writes an object.
     #[display("put")]
     Put,
@@ -28,7 +31,14 @@
 
 impl CallKind {
     /// Every kind, for tables.
-    pub const ALL: [Self; 5] = [Self::Get, Self::List, Self::Put, Self::Delete, Self::Watch];
+    pub const ALL: [Self; 6] = [
+        Self::Get,
+        Self::List,
+        Self::Create,
+        Self::Put,
+        Self::Delete,
+        Self::Watch,
+    ];
 
     const fn index(self) -> usize {
         self as usize
--- a/crates/testkit/examples/measure/agents.rs
+++ b/crates/testkit/examples/measure/agents.rs
@@ -304,6 +304,7 @@
         refusal: Refusal::Reset,
         new_flows_per_s: None,
         new_flows_per_s_per_caller: None,
+        spill: citronhollow_core::config::Spill::Normal,
     };
     let pool = Pool {
         name: String::from("pool"),
--- a/crates/testkit/src/sample.rs
+++ b/crates/testkit/src/sample.rs
@@ -26,6 +26,7 @@
         refusal: Refusal::Reset,
         new_flows_per_s: None,
         new_flows_per_s_per_caller: None,
+        spill: citronhollow_core::config::Spill::Normal,
     };
     let pool = Pool {
         name: String::from(NAME),
--- a/crates/testkit/tests/drafts.rs
+++ b/crates/testkit/tests/drafts.rs
@@ -34,6 +34,7 @@
             refusal: Refusal::Reset,
             new_flows_per_s: None,
             new_flows_per_s_per_caller: None,
+            spill: citronhollow_core::config::Spill::Normal,
         }],
         pools: vec![Pool {
             name: String::from("desk"),
--- a/crates/testkit/tests/observed.rs
+++ b/crates/testkit/tests/observed.rs
@@ -101,6 +101,7 @@
         refusal: Refusal::Reset,
         new_flows_per_s: None,
         new_flows_per_s_per_caller: None,
+        spill: citronhollow_core::config::Spill::Normal,
     };
     let pool = Pool {
         name: String::from("desk"),
