Reset the callers of ended and lost targets before their next request

Cause: a caller whose target was replaced, crashed or lost its machine learnt of it only from its next request, and a request that must not be repeated was lost by that.

Change: an agent resets the flows of a target that said goodbye, was started again or is silent for three heartbeats; a balancer resets those of a target whose agent is silent for 2 s without having said that it is being stopped, unless most targets are silent, which rather means itself.

Ruled out: resets on a shorter silence, since an agent that was killed is back within about a second and its target goes on all the while.

--- a/crates/agent/src/pass_through/control.rs
+++ b/crates/agent/src/pass_through/control.rs
@@ -15,6 +15,7 @@
 use volo_http::server::route::{Router, put};
 
 use super::link::Command;
+use super::time_of_day_ms;
 
 /// Time in which the traffic thread applies a heartbeat. The target waits for a second.
 const APPLY_WITHIN: Duration = Duration::from_millis(800);
@@ -58,7 +59,7 @@
     group: &str,
     commands: &UnboundedSender<Command>,
 ) -> (StatusCode, &'static str) {
-    match heartbeat::parse(body, group) {
+    match heartbeat::parse(body, group, time_of_day_ms()) {
         Ok(heartbeat) => apply(commands, |applied| Command::Heartbeat(heartbeat, applied)).await,
         Err(err) => {
             log::warn!("target: {err}");
--- a/crates/agent/src/pass_through/traffic.rs
+++ b/crates/agent/src/pass_through/traffic.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use citronhollow_adapter::packet::{self, FromTarget};
@@ -20,6 +20,7 @@
 
 use super::link::Command;
 use super::settings::Settings;
+use super::time_of_day_ms;
 
 /// Time between two ticks of the decisions.
 const TICK: Duration = Duration::from_millis(25);
@@ -68,6 +69,7 @@
             group: GroupId::of(&settings.group),
             domain: DomainId::of(&settings.domain),
             agent: settings.peer_listen,
+            // Balancers tell this start's reports from the last one's by it.
             incarnation: time_of_day_ms(),
         };
         Ok(Self {
@@ -113,14 +115,16 @@
         let now = self.now();
         match command {
             Command::Heartbeat(heartbeat, applied) => {
-                if let Some(true) = self.agent.on_heartbeat(now, heartbeat) {
+                let mut outcome = None;
+                self.decide(|agent, out| outcome = agent.on_heartbeat(now, heartbeat, out));
+                if outcome == Some(true) {
                     self.report_state(now);
                 }
                 // Whoever asked may have given up.
                 let _ = applied.send(());
             }
             Command::Goodbye(applied) => {
-                self.agent.on_goodbye();
+                self.agent.on_goodbye(now);
                 self.report_state(now);
                 let _ = applied.send(());
             }
@@ -156,7 +160,7 @@
                 .retain(|_, heard| now.since(*heard) < FORGET_BALANCER);
             self.report(now);
         }
-        let is_idle = self.agent.busy() == 0;
+        let is_idle = self.agent.is_idle();
         if let Some((since, left)) = self.leaving.take() {
             if is_idle || now.since(since) >= LEAVE_WITHIN {
                 // The process goes on to its end in any case.
@@ -284,7 +288,7 @@
             }
             AgentAction::Reset(reset) => {
                 log::info!(
-                    "traffic: flow {} to {} is reset, the target has lost it",
+                    "traffic: flow {} to {} is reset, its target has lost it",
                     reset.flow.caller,
                     reset.flow.service
                 );
@@ -312,9 +316,3 @@
         }
     }
 }
-
-/// Grows with every start, so that balancers tell this start's reports from the last one's.
-fn time_of_day_ms() -> u64 {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-    since_epoch.map_or(0, |span| Millis::from(span).0)
-}
--- a/crates/core/src/pass_through/agent.rs
+++ b/crates/core/src/pass_through/agent.rs
@@ -34,9 +34,18 @@
 /// Span over which the mean of requests in progress is taken.
 const BUSY_SPAN: Millis = Millis(1_000);
 
-/// Heartbeats that may be missing before the target counts as gone.
+/// Heartbeats that may be missing before the target is given no new flows.
 const MISSED_HEARTBEATS: u64 = 2;
 
+/// Heartbeats that are missing, with nothing else from the target, when it counts as gone.
+const GONE_HEARTBEATS: u64 = 3;
+
+/// Time after its goodbye in which the target ends.
+const END_WITHIN: Millis = Millis(100);
+
+/// A gap between two ticks that shows that the process itself was paused.
+const PAUSE: Millis = Millis(600);
+
 /// Bounds of one agent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct AgentLimits {
@@ -133,6 +142,8 @@
     pub slots: u16,
     /// How much longer it stays slow after its start.
     pub cold_left: Millis,
+    /// Time since its start.
+    pub age: Millis,
 }
 
 /// The agent's table. `B` is a packet's bytes, opaque here.
@@ -150,6 +161,11 @@
     /// Flows that the target returned, with the time of it.
     absent: Recent<FlowId, Millis>,
     last_heartbeat: Option<(Millis, Heartbeat)>,
+    /// When the target sent a packet last.
+    last_packet: Millis,
+    /// When the target said goodbye, until its flows are reset.
+    goodbye: Option<Millis>,
+    ticked: Millis,
     /// The target was started while this agent watched, so that no flow of it is unknown here.
     saw_start: bool,
     life: Life,
@@ -174,6 +190,9 @@
             trials: HashMap::new(),
             absent: Recent::new(limits.flows),
             last_heartbeat: None,
+            last_packet: now,
+            goodbye: None,
+            ticked: now,
             saw_start: false,
             life: Life::Unseen,
             is_stopping: false,
@@ -231,6 +250,7 @@
             bytes,
         } = packet;
         self.life = Life::Seen;
+        self.last_packet = now;
         if let Some(trial) = self.trials.remove(&flow) {
             let (to, holding) = (trial.balancer, Holding::Here);
             out.push(AgentAction::Reply { to, flow, holding });
@@ -239,7 +259,7 @@
         if segment.rst {
             self.forget(now, &flow);
         } else if !self.ended.contains(&flow) {
-            self.watch(now, flow, |conn| conn.on_target(now, &segment));
+            self.watch(now, flow, |conn| conn.on_target(&segment));
         }
         out.push(AgentAction::ToCaller { flow, bytes });
     }
@@ -278,7 +298,15 @@
 
     /// Takes a heartbeat of the target. Returns whether balancers must be told at once, or none if
     /// the heartbeat is older than what is known.
-    pub fn on_heartbeat(&mut self, now: Millis, heartbeat: Heartbeat) -> Option<bool> {
+    ///
+    /// A target that was started again has lost the flows of its last start. Their callers are
+    /// reset, also those that wait for nothing: their next request would be lost.
+    pub fn on_heartbeat(
+        &mut self,
+        now: Millis,
+        heartbeat: Heartbeat,
+        out: &mut Vec<AgentAction<B>>,
+    ) -> Option<bool> {
         let before = self.state(now);
         match self.last_heartbeat {
             Some((_, last)) if heartbeat.born < last.born => return None,
@@ -287,7 +315,11 @@
                     return None;
                 }
             }
-            Some(_) => self.saw_start = true,
+            Some(_) => {
+                self.saw_start = true;
+                let started = Millis(now.0.saturating_sub(heartbeat.age.0));
+                self.reset_flows(now, started, out);
+            }
             None => self.saw_start = heartbeat.sequence <= 1,
         }
         self.last_heartbeat = Some((now, heartbeat));
@@ -296,12 +328,20 @@
     }
 
     /// The target of this start says that it is gone.
-    pub const fn on_goodbye(&mut self) {
+    pub const fn on_goodbye(&mut self, now: Millis) {
         if let Some((_, heartbeat)) = &mut self.last_heartbeat {
             heartbeat.state = TargetState::Dead;
+            self.goodbye = Some(now);
         }
     }
 
+    /// Whether nothing is left to do for the target: it has no request in progress, or it is gone
+    /// and its flows are reset.
+    #[must_use]
+    pub const fn is_idle(&self) -> bool {
+        self.busy == 0 && self.goodbye.is_none()
+    }
+
     /// The agent is going to be stopped.
     pub const fn stop(&mut self) {
         self.is_stopping = true;
@@ -312,6 +352,11 @@
     pub fn on_tick(&mut self, now: Millis, out: &mut Vec<AgentAction<B>>) -> bool {
         let before = self.state(now);
         self.measure(now);
+        self.forgive_silence(now);
+        if self.is_gone(now) {
+            self.goodbye = None;
+            self.reset_flows(now, now, out);
+        }
         self.end_trials(now, out);
         self.withdraw_offers(now, out);
         while let Some((_, conn)) = self.conns.pop_unused(now, self.limits.flow_life) {
@@ -357,12 +402,6 @@
         }
     }
 
-    /// Requests in progress and waiting.
-    #[must_use]
-    pub const fn busy(&self) -> u32 {
-        self.busy
-    }
-
     fn on_opening(
         &mut self,
         now: Millis,
@@ -405,7 +444,7 @@
             self.forget(now, &packet.flow);
         } else {
             self.watch(now, packet.flow, |conn| {
-                conn.on_caller(now, balancer, &segment);
+                conn.on_caller(balancer, &segment);
             });
         }
         let bytes = packet.bytes;
@@ -491,6 +530,50 @@
         knows_all || was_returned
     }
 
+    /// The process was paused, so that silence until now says nothing about the target.
+    fn forgive_silence(&mut self, now: Millis) {
+        if now.since(self.ticked) > PAUSE
+            && let Some((at, _)) = &mut self.last_heartbeat
+        {
+            *at = now;
+        }
+        self.ticked = now;
+    }
+
+    /// Whether the target has ended, by its own word or by a long silence.
+    fn is_gone(&self, now: Millis) -> bool {
+        if let Some(goodbye) = self.goodbye {
+            return now.since(goodbye) >= END_WITHIN;
+        }
+        let Some((at, _)) = self.last_heartbeat else {
+            return false;
+        };
+        let patience = Millis(self.limits.heartbeat.0 * GONE_HEARTBEATS);
+        now.since(at) > patience && now.since(self.last_packet) > patience
+    }
+
+    /// Resets the callers of all flows that began before `end`.
+    fn reset_flows(&mut self, now: Millis, end: Millis, out: &mut Vec<AgentAction<B>>) {
+        let is_before = |conn: &Conn| conn.since < end && conn.stage != Stage::Offered;
+        let flows: Vec<_> = self
+            .conns
+            .newest_first()
+            .filter(|(_, conn)| is_before(conn))
+            .map(|(flow, conn)| (*flow, *conn))
+            .collect();
+        for (flow, conn) in flows {
+            self.forget(now, &flow);
+            if let Some(seq) = conn.reset_seq() {
+                out.push(AgentAction::Reset(Reset { flow, seq }));
+            }
+            let holding = Holding::No;
+            out.extend(
+                conn.balancer
+                    .map(|to| AgentAction::Reply { to, flow, holding }),
+            );
+        }
+    }
+
     fn end_trials(&mut self, now: Millis, out: &mut Vec<AgentAction<B>>) {
         let is_over = |trial: &Trial| now.since(trial.since) >= RETURN_WITHIN;
         let ended = self.trials.extract_if(|_, trial| is_over(trial));
--- a/crates/core/src/pass_through/balancer.rs
+++ b/crates/core/src/pass_through/balancer.rs
@@ -31,7 +31,11 @@
 /// lost.
 const SETTLE: Millis = Millis::from_secs(3);
 
-/// A target whose agent is silent for this long is gone.
+/// A target whose agent is silent for this long without having said that it is being stopped has
+/// lost its machine or the way to it. Agents that crash are back sooner.
+const LOST_AFTER: Millis = Millis(2_000);
+
+/// A target whose agent is silent for this long is gone, whatever it said.
 const GONE_AFTER: Millis = Millis::from_secs(8);
 
 /// A gap between two ticks that shows that the process itself was paused.
@@ -83,6 +87,8 @@
     target: TargetKey,
     /// Sequence number of the opening packet, if it came by here.
     caller_isn: Option<u32>,
+    /// What the caller acknowledged last.
+    caller_ack: Option<u32>,
     tried: [Option<TargetKey>; MAX_OFFERS],
 }
 
@@ -282,9 +288,33 @@
         for flow in flows {
             self.advance(now, flow, out);
         }
+        self.reset_lost_flows(now, out);
         while self.flows.pop_unused(now, self.limits.flow_life).is_some() {}
     }
 
+    /// Resets the callers of targets that have been lost, also those that wait for nothing: their
+    /// next request would be lost.
+    ///
+    /// A balancer that hears from few targets may itself be cut off, and concludes nothing.
+    fn reset_lost_flows(&mut self, now: Millis, out: &mut Vec<BalancerAction<B>>) {
+        let lost = self.fleet.take_lost(now, LOST_AFTER, GONE_AFTER);
+        if lost.is_empty() {
+            return;
+        }
+        let flows: Vec<_> = self
+            .flows
+            .newest_first()
+            .filter(|(_, entry)| lost.contains(&entry.target))
+            .map(|(flow, entry)| (*flow, entry.caller_ack))
+            .collect();
+        for (flow, ack) in flows {
+            self.flows.remove(&flow);
+            if let Some(seq) = ack {
+                out.push(BalancerAction::Reset(Reset { flow, seq }));
+            }
+        }
+    }
+
     fn on_opening(
         &mut self,
         now: Millis,
@@ -307,6 +337,7 @@
         let entry = Entry {
             target: TargetKey::default(),
             caller_isn: Some(packet.segment.seq),
+            caller_ack: None,
             tried: [None; MAX_OFFERS],
         };
         self.offer(now, entry, packet, repeats, out);
@@ -420,6 +451,11 @@
                 seq: packet.segment.ack_seq,
             }));
         } else if member.is_heard(now, GONE_AFTER) {
+            if let Some(entry) = self.flows.get_mut(&packet.flow)
+                && packet.segment.ack
+            {
+                entry.caller_ack = Some(packet.segment.ack_seq);
+            }
             self.flows.touch(now, &packet.flow);
             self.forward(&entry, Offer::Held, packet.bytes, out);
         } else {
@@ -558,6 +594,7 @@
         Self {
             target,
             caller_isn: None,
+            caller_ack: None,
             tried: [None; MAX_OFFERS],
         }
     }
--- a/crates/core/src/pass_through/conn.rs
+++ b/crates/core/src/pass_through/conn.rs
@@ -32,10 +32,13 @@
     pub(super) is_busy: bool,
     /// End of what the caller sent so far.
     caller_end: Option<u32>,
+    /// What the caller acknowledged last.
+    caller_ack: Option<u32>,
+    /// End of what the target sent last.
+    target_end: Option<u32>,
     caller_ended: bool,
     target_ended: bool,
     pub(super) since: Millis,
-    pub(super) used: Millis,
 }
 
 impl Conn {
@@ -47,10 +50,11 @@
             balancer,
             is_busy: false,
             caller_end: None,
+            caller_ack: None,
+            target_end: None,
             caller_ended: false,
             target_ended: false,
             since: now,
-            used: now,
         }
     }
 
@@ -67,15 +71,22 @@
         self.stage == Stage::Answered && segment.ack && own != Some(segment.ack_seq)
     }
 
+    /// Sequence number at which the caller accepts a reset, none if too little was seen.
+    pub(super) fn reset_seq(&self) -> Option<u32> {
+        self.caller_ack.or(self.target_end)
+    }
+
     /// Both ends have closed.
     pub(super) const fn has_ended(&self) -> bool {
         self.caller_ended && self.target_ended
     }
 
     /// The caller's packet goes to the target.
-    pub(super) fn on_caller(&mut self, now: Millis, balancer: SocketAddr, segment: &Segment) {
-        self.used = now;
+    pub(super) fn on_caller(&mut self, balancer: SocketAddr, segment: &Segment) {
         self.balancer = Some(balancer);
+        if segment.ack {
+            self.caller_ack = Some(segment.ack_seq);
+        }
         if self.stage == Stage::Answered && segment.ack {
             self.stage = Stage::Open;
         }
@@ -89,8 +100,8 @@
     }
 
     /// The target's packet goes to the caller.
-    pub(super) const fn on_target(&mut self, now: Millis, segment: &Segment) {
-        self.used = now;
+    pub(super) const fn on_target(&mut self, segment: &Segment) {
+        self.target_end = Some(segment.seq.wrapping_add(segment.payload));
         if segment.syn {
             self.target_isn = Some(segment.seq);
             if matches!(self.stage, Stage::Offered) {
--- a/crates/core/src/pass_through/fleet.rs
+++ b/crates/core/src/pass_through/fleet.rs
@@ -66,6 +66,8 @@
     pub(super) seen: Millis,
     /// Flows given to the target since then.
     pub(super) given: u32,
+    /// The target was taken to be lost since then.
+    is_lost: bool,
 }
 
 /// All targets that were ever reported and are not forgotten.
@@ -121,6 +123,36 @@
         }
     }
 
+    /// Targets whose agents have become silent for `lost`, or for `gone` if they said that they
+    /// were being stopped. Each is returned once. None if most targets are silent, since the
+    /// process itself is then more likely to be cut off.
+    pub(super) fn take_lost(&mut self, now: Millis, lost: Millis, gone: Millis) -> Vec<TargetKey> {
+        let expected = |member: &Member| member.report.state != TargetState::Dead;
+        let is_due = |member: &Member| {
+            let limit = if member.report.is_stopping {
+                gone
+            } else {
+                lost
+            };
+            expected(member) && !member.is_lost && !member.is_heard(now, limit)
+        };
+        if !self.members.iter().any(is_due) {
+            return Vec::new();
+        }
+        let known = self.members.iter().filter(|member| expected(member));
+        let silent = known.clone().filter(|member| !member.is_heard(now, lost));
+        if silent.count() * 2 > known.count() {
+            return Vec::new();
+        }
+        let keys = (0_u32..).map(TargetKey).zip(&mut self.members);
+        let due = keys.filter(|(_, member)| is_due(member));
+        due.map(|(key, member)| {
+            member.is_lost = true;
+            key
+        })
+        .collect()
+    }
+
     fn add(&mut self, now: Millis, report: Report) -> TargetKey {
         let key = TargetKey(u32::try_from(self.members.len()).expect("fewer than 2^32 targets"));
         self.members.push(Member::new(now, report));
@@ -135,6 +167,7 @@
             report,
             seen,
             given: 0,
+            is_lost: false,
         }
     }
 
