Keep each target's list of flows at the store

Cause: when everything loses its power at once, nobody is left who knows which flows there were.

Change: an agent writes the flows of its target to the store every 3 s, if they changed. After a start it reads the list: if the target was started since, it resets these callers at once; if not, it knows again what the target holds, without a search.

--- a/crates/agent/src/pass_through/control.rs
+++ b/crates/agent/src/pass_through/control.rs
@@ -4,6 +4,7 @@
 
 use citronhollow_adapter::heartbeat;
 use citronhollow_adapter::store::{self, Entries, Entry};
+use citronhollow_core::pass_through::FlowList;
 use citronhollow_operator::listener;
 use citronhollow_platform::{Client, Presence};
 use tokio::net::TcpListener;
@@ -23,6 +24,10 @@
 /// Time between two looks at the list of balancers.
 const LIST_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Time between two lists of flows. A caller accepts a reset within 76,800 bytes of what it
+/// acknowledged, which a flow of 10 KB/s carries in 7 s.
+const FLOW_LIST_INTERVAL: Duration = Duration::from_secs(3);
+
 /// Pause after a list that could not be read.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
@@ -123,3 +128,44 @@
         }
     }
 }
+
+/// Keeps the target's list of flows at the platform, after the last one was read.
+pub(super) async fn keep_flows(client: Client, name: String, commands: UnboundedSender<Command>) {
+    inherit_flows(&client, &name, &commands).await;
+    let mut written = FlowList::default();
+    loop {
+        sleep(FLOW_LIST_INTERVAL).await;
+        let (listed, list) = oneshot::channel();
+        if commands.send(Command::ListFlows(listed)).is_err() {
+            return;
+        }
+        let Ok(Some(list)) = list.await else {
+            continue;
+        };
+        if list == written {
+            continue;
+        }
+        match store::write_flows(&client, &name, &list).await {
+            Ok(()) => written = list,
+            Err(err) => log::warn!("platform: list of flows not written: {err}"),
+        }
+    }
+}
+
+async fn inherit_flows(client: &Client, name: &str, commands: &UnboundedSender<Command>) {
+    loop {
+        match store::read_flows(client, name).await {
+            Ok(list) => {
+                if let Some(list) = list {
+                    // The traffic thread is gone only while the process ends.
+                    let _ = commands.send(Command::Inherit(list));
+                }
+                return;
+            }
+            Err(err) => {
+                log::warn!("platform: list of flows not read: {err}");
+                sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
--- a/crates/agent/src/pass_through/link.rs
+++ b/crates/agent/src/pass_through/link.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use citronhollow_core::members::TargetState;
-use citronhollow_core::pass_through::Heartbeat;
+use citronhollow_core::pass_through::{FlowList, Heartbeat};
 use tokio::sync::oneshot;
 
 /// From the control thread to the traffic thread.
@@ -13,6 +13,10 @@
     Heartbeat(Heartbeat, oneshot::Sender<()>),
     /// The target says that it is gone. Answered when it is applied.
     Goodbye(oneshot::Sender<()>),
+    /// An earlier agent of the target left this list of flows.
+    Inherit(FlowList),
+    /// Answered with the flows to be listed.
+    ListFlows(oneshot::Sender<Option<FlowList>>),
     /// Balancers may be at these addresses.
     Balancers(Vec<SocketAddr>),
     /// The agent is going to be stopped. Answered with the target's state when it has no request in
--- a/crates/agent/src/pass_through/run.rs
+++ b/crates/agent/src/pass_through/run.rs
@@ -78,6 +78,8 @@
         address: settings.peer_listen,
     };
     let entry = tokio::spawn(control::keep_entry(client.clone(), own));
+    let name = settings.name.clone();
+    let flows = tokio::spawn(control::keep_flows(client.clone(), name, commands.clone()));
     log::info!("agent: {} is at work", settings.name);
 
     tokio::select! {
@@ -90,6 +92,7 @@
     let is_sent = commands.send(Command::Leave(left)).is_ok();
     if is_sent && has_left.await == Ok(TargetState::Dead) {
         entry.abort();
+        flows.abort();
         remove_entry(&client, &settings.name).await;
     }
     Ok(())
@@ -98,7 +101,10 @@
 /// A target that is gone needs no entry. One that goes on without its agent keeps it, so that
 /// balancers know that somebody is missing.
 async fn remove_entry(client: &Client, name: &str) {
-    let remove = store::remove(client, Entries::Agents, name);
+    let remove = async {
+        store::remove(client, Entries::Agents, name).await?;
+        store::remove_flows(client, name).await
+    };
     match timeout(REMOVE_WITHIN, remove).await {
         Ok(Ok(())) => {}
         Ok(Err(err)) => log::warn!("platform: own entry not removed: {err}"),
--- a/crates/agent/src/pass_through/traffic.rs
+++ b/crates/agent/src/pass_through/traffic.rs
@@ -128,6 +128,16 @@
                 self.report_state(now);
                 let _ = applied.send(());
             }
+            Command::Inherit(list) => {
+                log::info!(
+                    "target: {} flows were listed by an earlier agent",
+                    list.flows.len()
+                );
+                self.decide(|agent, out| agent.inherit(now, list, out));
+            }
+            Command::ListFlows(listed) => {
+                let _ = listed.send(self.agent.flow_list(now));
+            }
             Command::Balancers(addrs) => {
                 for addr in addrs {
                     self.meet(now, addr);
--- a/crates/core/src/pass_through.rs
+++ b/crates/core/src/pass_through.rs
@@ -19,7 +19,7 @@
 mod search;
 mod steering;
 
-pub use agent::{Agent, AgentAction, AgentLimits, Heartbeat, Place};
+pub use agent::{Agent, AgentAction, AgentLimits, FlowList, Heartbeat, ListedFlow, Place};
 pub use balancer::{Balancer, BalancerAction, BalancerLimits};
 pub use fleet::Report;
 pub use packet::{DropReason, Holding, Offer, Packet, RejectReason, Reset};
--- a/crates/core/src/pass_through/agent.rs
+++ b/crates/core/src/pass_through/agent.rs
@@ -8,6 +8,8 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
+use serde::{Deserialize, Serialize};
+
 use crate::clock::Millis;
 use crate::flow::FlowId;
 use crate::id::{DomainId, GroupId, TargetId};
@@ -43,6 +45,12 @@
 /// Time after its goodbye in which the target ends.
 const END_WITHIN: Millis = Millis(100);
 
+/// Flows that are younger are not listed: most of them are over before the list is written.
+const LISTED_AGE: Millis = Millis(500);
+
+/// Flows that are listed, about 80 bytes each, so that a list fits one object of the platform.
+const LISTED_MAX: usize = 8_000;
+
 /// A gap between two ticks that shows that the process itself was paused.
 const PAUSE: Millis = Millis(600);
 
@@ -146,6 +154,30 @@
     pub age: Millis,
 }
 
+/// A flow in a [`FlowList`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ListedFlow {
+    /// Both ends.
+    #[serde(flatten)]
+    pub flow: FlowId,
+    /// Sequence number at which the caller accepted a reset when the list was made.
+    pub seq: u32,
+}
+
+/// The flows of a target, to be kept where they outlive the machine.
+///
+/// A machine that loses its power loses its target's flows and the only list of them. Their
+/// callers would learn of it from the requests that they lose.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FlowList {
+    /// Start of the target that held them, as the time of day in ms.
+    pub born: u64,
+    /// The flows.
+    pub flows: Vec<ListedFlow>,
+}
+
 /// The agent's table. `B` is a packet's bytes, opaque here.
 #[derive(Debug)]
 pub struct Agent<B> {
@@ -161,6 +193,8 @@
     /// Flows that the target returned, with the time of it.
     absent: Recent<FlowId, Millis>,
     last_heartbeat: Option<(Millis, Heartbeat)>,
+    /// The list that an earlier agent of the target left, until the target's start is known.
+    inherited: Option<FlowList>,
     /// When the target sent a packet last.
     last_packet: Millis,
     /// When the target said goodbye, until its flows are reset.
@@ -190,6 +224,7 @@
             trials: HashMap::new(),
             absent: Recent::new(limits.flows),
             last_heartbeat: None,
+            inherited: None,
             last_packet: now,
             goodbye: None,
             ticked: now,
@@ -324,9 +359,39 @@
         }
         self.last_heartbeat = Some((now, heartbeat));
         self.life = Life::Seen;
+        self.use_inherited(now, out);
         Some(self.state(now) != before)
     }
 
+    /// The flows to be listed, none before the target's start is known.
+    #[must_use]
+    pub fn flow_list(&self, now: Millis) -> Option<FlowList> {
+        let (_, heartbeat) = self.last_heartbeat?;
+        let is_listed =
+            |conn: &Conn| conn.stage == Stage::Open && now.since(conn.since) >= LISTED_AGE;
+        let flows = self
+            .conns
+            .newest_first()
+            .filter(|(_, conn)| is_listed(conn))
+            .filter_map(|(flow, conn)| {
+                let (flow, seq) = (*flow, conn.reset_seq()?);
+                Some(ListedFlow { flow, seq })
+            });
+        Some(FlowList {
+            born: heartbeat.born,
+            flows: flows.take(LISTED_MAX).collect(),
+        })
+    }
+
+    /// Takes the list that an earlier agent of the target left.
+    ///
+    /// If the target is still the one that the list is about, it holds these flows. If it was
+    /// started since, nobody holds them, and their callers are reset.
+    pub fn inherit(&mut self, now: Millis, list: FlowList, out: &mut Vec<AgentAction<B>>) {
+        self.inherited = Some(list);
+        self.use_inherited(now, out);
+    }
+
     /// The target of this start says that it is gone.
     pub const fn on_goodbye(&mut self, now: Millis) {
         if let Some((_, heartbeat)) = &mut self.last_heartbeat {
@@ -530,6 +595,26 @@
         knows_all || was_returned
     }
 
+    fn use_inherited(&mut self, now: Millis, out: &mut Vec<AgentAction<B>>) {
+        let Some((_, heartbeat)) = self.last_heartbeat else {
+            return;
+        };
+        let Some(list) = self.inherited.take() else {
+            return;
+        };
+        for ListedFlow { flow, seq } in list.flows {
+            if self.conns.contains(&flow) {
+                continue;
+            }
+            if heartbeat.born > list.born {
+                out.push(AgentAction::Reset(Reset { flow, seq }));
+            } else if heartbeat.born == list.born {
+                let conn = Conn::new(now, Stage::Presumed, None);
+                self.conns.insert(now, flow, conn);
+            }
+        }
+    }
+
     /// The process was paused, so that silence until now says nothing about the target.
     fn forgive_silence(&mut self, now: Millis) {
         if now.since(self.ticked) > PAUSE
