Let opening packets wait for the first revision, and watch from the store's revision

Change: opening packets wait up to 600 ms for a revision and a target; the configuration is listed and watched from the store's own revision; pauses double while calls fail; resets carry a reason, which the log says.

Ruled out: refusals for want of targets, of which there was none.

--- a/crates/agent/src/pass_through/control.rs
+++ b/crates/agent/src/pass_through/control.rs
@@ -6,6 +6,7 @@
 use citronhollow_adapter::store::{self, Entries, Entry};
 use citronhollow_core::pass_through::FlowList;
 use citronhollow_operator::listener;
+use citronhollow_platform::retry::Pause;
 use citronhollow_platform::{Client, Presence};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::UnboundedSender;
@@ -28,9 +29,6 @@
 /// acknowledged, which a flow of 10 KB/s carries in 7 s.
 const FLOW_LIST_INTERVAL: Duration = Duration::from_secs(3);
 
-/// Pause after a list that could not be read.
-const RETRY_PAUSE: Duration = Duration::from_millis(300);
-
 /// Takes heartbeats until the process ends.
 pub(super) async fn serve_target(
     listener: TcpListener,
@@ -90,6 +88,7 @@
 /// Looks for balancers at the platform for as long as the process runs.
 pub(super) async fn follow_balancers(client: Client, commands: UnboundedSender<Command>) {
     let mut may_be_stale = false;
+    let mut pause = Pause::default();
     loop {
         match store::list(&client, Entries::Balancers, may_be_stale).await {
             Ok(found) => {
@@ -97,11 +96,12 @@
                 let addrs = found.into_iter().map(|entry| entry.address).collect();
                 // The traffic thread is gone only while the process ends.
                 let _ = commands.send(Command::Balancers(addrs));
+                pause.reset();
                 sleep(LIST_INTERVAL).await;
             }
             Err(err) => {
                 log::warn!("platform: balancers not listed: {err}");
-                sleep(RETRY_PAUSE).await;
+                sleep(pause.after_failure()).await;
             }
         }
     }
@@ -110,13 +110,17 @@
 /// Keeps this agent's entry at the platform for as long as the process runs.
 pub(super) async fn keep_entry(client: Client, own: Entry) {
     let mut presence = Presence::default();
+    let mut pause = Pause::default();
     loop {
         if presence.is_due() {
             match store::add(&client, Entries::Agents, &own).await {
-                Ok(()) => presence.on_written(),
+                Ok(()) => {
+                    presence.on_written();
+                    pause.reset();
+                }
                 Err(err) => {
                     log::warn!("platform: own entry not written: {err}");
-                    sleep(RETRY_PAUSE).await;
+                    sleep(pause.after_failure()).await;
                     continue;
                 }
             }
@@ -153,6 +157,7 @@
 }
 
 async fn inherit_flows(client: &Client, name: &str, commands: &UnboundedSender<Command>) {
+    let mut pause = Pause::default();
     loop {
         match store::read_flows(client, name).await {
             Ok(list) => {
@@ -164,7 +169,7 @@
             }
             Err(err) => {
                 log::warn!("platform: list of flows not read: {err}");
-                sleep(RETRY_PAUSE).await;
+                sleep(pause.after_failure()).await;
             }
         }
     }
--- a/crates/agent/src/pass_through/traffic.rs
+++ b/crates/agent/src/pass_through/traffic.rs
@@ -298,9 +298,10 @@
             }
             AgentAction::Reset(reset) => {
                 log::info!(
-                    "traffic: flow {} to {} is reset, its target has lost it",
+                    "traffic: flow {} to {} is reset: {}",
                     reset.flow.caller,
-                    reset.flow.service
+                    reset.flow.service,
+                    reset.reason
                 );
                 self.send_packet(&packet::reset(&reset), self.caller_addr(reset.flow.caller));
             }
--- a/crates/balancer/src/pass_through/control.rs
+++ b/crates/balancer/src/pass_through/control.rs
@@ -11,6 +11,7 @@
 use citronhollow_core::id::TargetId;
 use citronhollow_peer::message::{RevisionReply, RevisionRequest};
 use citronhollow_peer::{Body, Keyring, exchange};
+use citronhollow_platform::retry::Pause;
 use citronhollow_platform::{Client, PlatformError, Presence};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
@@ -23,8 +24,8 @@
 /// it, and a change must be in force within 3 s.
 const WATCH_WAIT: Millis = Millis(2_000);
 
-/// Pause after a call that failed.
-const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// Pause after an accept that failed, which it does when the process has no descriptor left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
 /// Time between two looks at the lists of balancers and agents.
 const LIST_INTERVAL: Duration = Duration::from_secs(2);
@@ -61,6 +62,7 @@
     /// Follows the configuration at the platform for as long as the process runs.
     pub(super) async fn follow_config(self) {
         let mut at = None;
+        let mut pause = Pause::default();
         loop {
             let read = match at {
                 None => store::read_config(&self.client).await,
@@ -68,18 +70,16 @@
             };
             match read {
                 Ok(read) => {
-                    // A platform that was reached without a configuration gets one soon.
-                    at = (read.at > 0).then_some(read.at);
-                    match read.revision {
-                        Some(revision) => self.take(revision),
-                        None if at.is_none() => sleep(RETRY_PAUSE).await,
-                        None => {}
+                    pause.reset();
+                    at = Some(read.at);
+                    if let Some(revision) = read.revision {
+                        self.take(revision);
                     }
                 }
                 Err(err) => {
                     log::warn!("platform: configuration not read: {err}");
                     at = at.filter(|_| !matches!(err, PlatformError::TooOld { .. }));
-                    sleep(RETRY_PAUSE).await;
+                    sleep(pause.after_failure()).await;
                 }
             }
         }
@@ -116,8 +116,9 @@
     /// Looks for agents at the platform.
     pub(super) async fn follow_agents(self) {
         let mut may_be_stale = false;
+        let mut pause = Pause::default();
         loop {
-            let pause = match store::list(&self.client, Entries::Agents, may_be_stale).await {
+            let wait = match store::list(&self.client, Entries::Agents, may_be_stale).await {
                 Ok(found) => {
                     let listed = found
                         .into_iter()
@@ -130,14 +131,15 @@
                         is_complete,
                     };
                     let _ = self.commands.send(command);
+                    pause.reset();
                     LIST_INTERVAL
                 }
                 Err(err) => {
                     log::warn!("platform: agents not listed: {err}");
-                    RETRY_PAUSE
+                    pause.after_failure()
                 }
             };
-            sleep(pause).await;
+            sleep(wait).await;
         }
     }
 
@@ -166,7 +168,7 @@
     pub(super) async fn serve_revisions(self, listener: TcpListener) {
         loop {
             let Ok((stream, from)) = listener.accept().await else {
-                sleep(RETRY_PAUSE).await;
+                sleep(ACCEPT_PAUSE).await;
                 continue;
             };
             let newest = self.newest.subscribe();
--- a/crates/balancer/src/pass_through/traffic.rs
+++ b/crates/balancer/src/pass_through/traffic.rs
@@ -340,9 +340,10 @@
             }
             BalancerAction::Reset(reset) => {
                 log::info!(
-                    "traffic: flow {} to {} is reset",
+                    "traffic: flow {} to {} is reset: {}",
                     reset.flow.caller,
-                    reset.flow.service
+                    reset.flow.service,
+                    reset.reason
                 );
                 let to = SocketAddr::new(reset.flow.caller.ip(), self.caller_port);
                 if let Err(err) = self.fabric.send(&packet::reset(&reset), to) {
--- a/crates/core/src/pass_through.rs
+++ b/crates/core/src/pass_through.rs
@@ -22,4 +22,4 @@
 pub use agent::{Agent, AgentAction, AgentLimits, FlowList, Heartbeat, ListedFlow, Place};
 pub use balancer::{Balancer, BalancerAction, BalancerLimits};
 pub use fleet::Report;
-pub use packet::{DropReason, Holding, Offer, Packet, RejectReason, Reset};
+pub use packet::{DropReason, Holding, Offer, Packet, RejectReason, Reset, ResetReason};
--- a/crates/core/src/pass_through/agent.rs
+++ b/crates/core/src/pass_through/agent.rs
@@ -18,7 +18,7 @@
 
 use super::conn::{Conn, Stage};
 use super::fleet::Report;
-use super::packet::{DropReason, Holding, Offer, Packet, RejectReason, Reset};
+use super::packet::{DropReason, Holding, Offer, Packet, RejectReason, Reset, ResetReason};
 
 /// Time in which the target returns a packet that it does not want. The two share a machine, so
 /// this covers one turn of a slow processor.
@@ -577,8 +577,8 @@
         self.forget(now, &flow);
         // Seen open at this target and returned by it: no target holds the flow any more.
         if conn.stage == Stage::Open && packet.segment.ack {
-            let seq = packet.segment.ack_seq;
-            out.push(AgentAction::Reset(Reset { flow, seq }));
+            let (seq, reason) = (packet.segment.ack_seq, ResetReason::Returned);
+            out.push(AgentAction::Reset(Reset { flow, seq, reason }));
             let holding = Holding::No;
             out.extend(
                 conn.balancer
@@ -611,7 +611,8 @@
                 continue;
             }
             if heartbeat.born > list.born {
-                out.push(AgentAction::Reset(Reset { flow, seq }));
+                let reason = ResetReason::TargetEnded;
+                out.push(AgentAction::Reset(Reset { flow, seq, reason }));
             } else if heartbeat.born == list.born {
                 let conn = Conn::new(now, Stage::Presumed, None);
                 self.conns.insert(now, flow, conn);
@@ -653,7 +654,8 @@
         for (flow, conn) in flows {
             self.forget(now, &flow);
             if let Some(seq) = conn.reset_seq() {
-                out.push(AgentAction::Reset(Reset { flow, seq }));
+                let reason = ResetReason::TargetEnded;
+                out.push(AgentAction::Reset(Reset { flow, seq, reason }));
             }
             let holding = Holding::No;
             out.extend(
--- a/crates/core/src/pass_through/balancer.rs
+++ b/crates/core/src/pass_through/balancer.rs
@@ -19,7 +19,7 @@
 use crate::recent::Recent;
 
 use super::fleet::{Fleet, Report, TargetKey};
-use super::packet::{DropReason, Holding, Offer, Packet, Reset};
+use super::packet::{DropReason, Holding, Offer, Packet, Reset, ResetReason};
 use super::search::{Progress, Search};
 use super::steering::{self, Wish};
 
@@ -38,6 +38,13 @@
 /// A target whose agent is silent for this long is gone, whatever it said.
 const GONE_AFTER: Millis = Millis::from_secs(8);
 
+/// Time for which an opening packet waits for a revision or a target. The caller sends a copy
+/// sooner, which then waits in its place.
+const OPENING_WAIT: Millis = Millis(600);
+
+/// Opening packets that wait at most.
+const OPENINGS_MAX: usize = 1_024;
+
 /// A gap between two ticks that shows that the process itself was paused.
 const PAUSE: Millis = Millis(600);
 
@@ -107,6 +114,8 @@
     fleet: Fleet,
     flows: Recent<FlowId, Entry>,
     searches: HashMap<FlowId, Search<B>>,
+    /// Opening packets that came before this balancer knew enough, by their time of arrival.
+    openings: Vec<(Millis, Packet<B>)>,
     /// Targets that the platform lists and that have not reported yet, none before it was read.
     missing: Option<HashSet<TargetId>>,
     rng: SmallRng,
@@ -128,6 +137,7 @@
             fleet: Fleet::default(),
             flows: Recent::new(limits.flows),
             searches: HashMap::new(),
+            openings: Vec::new(),
             missing: None,
             rng: SmallRng::seed_from_u64(seed),
         }
@@ -160,6 +170,28 @@
         self.revision
     }
 
+    /// Offers the opening packets that waited, now that more may be known.
+    fn offer_waiting(&mut self, now: Millis, out: &mut Vec<BalancerAction<B>>) {
+        for (since, packet) in std::mem::take(&mut self.openings) {
+            if now.since(since) >= OPENING_WAIT {
+                out.push(BalancerAction::Drop(DropReason::NoTarget));
+            } else {
+                let entry = Entry::opening(&packet);
+                self.offer(now, entry, packet, 0, since, out);
+            }
+        }
+    }
+
+    /// Keeps an opening packet until more is known.
+    fn wait(&mut self, since: Millis, packet: Packet<B>, out: &mut Vec<BalancerAction<B>>) {
+        self.openings.retain(|(_, other)| other.flow != packet.flow);
+        if self.openings.len() < OPENINGS_MAX {
+            self.openings.push((since, packet));
+        } else {
+            out.push(BalancerAction::Drop(DropReason::NoTarget));
+        }
+    }
+
     /// Whether callers can be served: a revision is in force and a target is known.
     #[must_use]
     pub fn is_ready(&self, now: Millis) -> bool {
@@ -289,6 +321,7 @@
             self.advance(now, flow, out);
         }
         self.reset_lost_flows(now, out);
+        self.offer_waiting(now, out);
         while self.flows.pop_unused(now, self.limits.flow_life).is_some() {}
     }
 
@@ -310,7 +343,8 @@
         for (flow, ack) in flows {
             self.flows.remove(&flow);
             if let Some(seq) = ack {
-                out.push(BalancerAction::Reset(Reset { flow, seq }));
+                let reason = ResetReason::TargetLost;
+                out.push(BalancerAction::Reset(Reset { flow, seq, reason }));
             }
         }
     }
@@ -334,13 +368,8 @@
             }
             return;
         }
-        let entry = Entry {
-            target: TargetKey::default(),
-            caller_isn: Some(packet.segment.seq),
-            caller_ack: None,
-            tried: [None; MAX_OFFERS],
-        };
-        self.offer(now, entry, packet, repeats, out);
+        let entry = Entry::opening(&packet);
+        self.offer(now, entry, packet, repeats, now, out);
     }
 
     fn offer_elsewhere(
@@ -351,22 +380,27 @@
         out: &mut Vec<BalancerAction<B>>,
     ) {
         let Some(place) = entry.tried.iter_mut().find(|tried| tried.is_none()) else {
-            self.refuse(&packet, out);
+            self.refuse(&packet, ResetReason::Rejected, out);
             return;
         };
         *place = Some(entry.target);
-        self.offer(now, entry, packet, 0, out);
+        self.offer(now, entry, packet, 0, now, out);
     }
 
-    /// Offers a new flow to the best target that was not tried.
+    /// Offers a new flow, whose packet came at `since`, to the best target that was not tried.
     fn offer(
         &mut self,
         now: Millis,
         mut entry: Entry,
         packet: Packet<B>,
         repeats: u32,
+        since: Millis,
         out: &mut Vec<BalancerAction<B>>,
     ) {
+        if self.revision == 0 {
+            self.wait(since, packet, out);
+            return;
+        }
         let Some(service) = self.services.at(packet.flow.service) else {
             self.on_unknown_service(&packet, repeats, out);
             return;
@@ -378,10 +412,9 @@
                 self.flows.insert(now, packet.flow, entry);
                 self.forward(&entry, Offer::New, packet.bytes, out);
             }
-            None if !self.is_settled(now) => {
-                out.push(BalancerAction::Drop(DropReason::NoTarget));
-            }
-            None => self.refuse(&packet, out),
+            None if !self.is_settled(now) => self.wait(since, packet, out),
+            None if entry.tried[0].is_some() => self.refuse(&packet, ResetReason::Rejected, out),
+            None => self.refuse(&packet, ResetReason::NoTarget, out),
         }
     }
 
@@ -405,11 +438,17 @@
     }
 
     /// Refuses a new flow. Nothing of it has run, because no target has taken it.
-    fn refuse(&mut self, packet: &Packet<B>, out: &mut Vec<BalancerAction<B>>) {
+    fn refuse(
+        &mut self,
+        packet: &Packet<B>,
+        reason: ResetReason,
+        out: &mut Vec<BalancerAction<B>>,
+    ) {
         self.flows.remove(&packet.flow);
         out.push(BalancerAction::Reset(Reset {
             flow: packet.flow,
             seq: 0,
+            reason,
         }));
     }
 
@@ -422,7 +461,7 @@
         out: &mut Vec<BalancerAction<B>>,
     ) {
         if repeats > 0 || self.removed.contains(&packet.flow.service) {
-            self.refuse(packet, out);
+            self.refuse(packet, ResetReason::UnknownService, out);
         } else {
             out.push(BalancerAction::Drop(DropReason::UnknownService));
         }
@@ -449,6 +488,7 @@
             out.push(BalancerAction::Reset(Reset {
                 flow: packet.flow,
                 seq: packet.segment.ack_seq,
+                reason: ResetReason::TargetEnded,
             }));
         } else if member.is_heard(now, GONE_AFTER) {
             if let Some(entry) = self.flows.get_mut(&packet.flow)
@@ -554,7 +594,8 @@
     ) {
         match seq {
             Some(seq) if self.is_settled(now) => {
-                out.push(BalancerAction::Reset(Reset { flow, seq }));
+                let reason = ResetReason::Unclaimed;
+                out.push(BalancerAction::Reset(Reset { flow, seq, reason }));
             }
             _ => out.push(BalancerAction::Drop(DropReason::Unclaimed)),
         }
@@ -590,6 +631,16 @@
 }
 
 impl Entry {
+    /// A flow that was offered to nobody yet.
+    fn opening<B>(packet: &Packet<B>) -> Self {
+        Self {
+            target: TargetKey::default(),
+            caller_isn: Some(packet.segment.seq),
+            caller_ack: None,
+            tried: [None; MAX_OFFERS],
+        }
+    }
+
     const fn found(target: TargetKey) -> Self {
         Self {
             target,
--- a/crates/core/src/pass_through/packet.rs
+++ b/crates/core/src/pass_through/packet.rs
@@ -61,6 +61,33 @@
     NotHeld,
 }
 
+/// Why a caller is reset.
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ResetReason {
+    /// No service has the address. Nothing has run.
+    #[display("no service has the address")]
+    UnknownService,
+    /// No target of the service takes new flows. Nothing has run.
+    #[display("no target takes new flows")]
+    NoTarget,
+    /// Every target that was offered the flow rejected it. Nothing has run.
+    #[display("every target rejected the flow")]
+    Rejected,
+    /// The target returned a packet of the flow, which it held before.
+    #[display("the target has lost the flow")]
+    Returned,
+    /// The target ended or was started again.
+    #[display("the target has ended")]
+    TargetEnded,
+    /// The target's machine, or the way to it, is lost.
+    #[display("the target cannot be reached")]
+    TargetLost,
+    /// Every target denies the flow.
+    #[display("no target holds the flow")]
+    Unclaimed,
+}
+
 /// A reset towards a caller.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -69,6 +96,8 @@
     pub flow: FlowId,
     /// Sequence number that the caller accepts: the last one that it acknowledged.
     pub seq: u32,
+    /// Why.
+    pub reason: ResetReason,
 }
 
 /// Why a packet is dropped. The caller repeats it where it matters.
--- a/crates/core/tests/pass_through/agent.rs
+++ b/crates/core/tests/pass_through/agent.rs
@@ -5,7 +5,7 @@
 use citronhollow_core::id::GroupId;
 use citronhollow_core::members::TargetState;
 use citronhollow_core::pass_through::{
-    Agent, AgentAction, FlowList, Holding, ListedFlow, Offer, RejectReason, Reset,
+    Agent, AgentAction, FlowList, Holding, ListedFlow, Offer, RejectReason, Reset, ResetReason,
 };
 
 use crate::fixture::{
@@ -256,7 +256,7 @@
         let mut agent = agent(START);
         open(&mut agent, START, flow(1));
         let actions = returned(&mut agent, SOON, flow(1), request());
-        assert_eq!(resets(&actions), [Reset { flow: flow(1), seq: TARGET_ISN + 1 }]);
+        assert_eq!(resets(&actions), [Reset { flow: flow(1), seq: TARGET_ISN + 1, reason: ResetReason::Returned }]);
     };
 
     second_packet_that_is_returned_resets_nothing_more => {
@@ -328,7 +328,7 @@
         agent.inherit(START, FlowList { born: 1, flows }, &mut out);
         assert_eq!(out, [], "nothing is known of the target yet");
         let actions = beat(&mut agent, SOON, heartbeat(2, 1, TargetState::Ready));
-        assert_eq!(resets(&actions), [Reset { flow: flow(1), seq: 9 }]);
+        assert_eq!(resets(&actions), [Reset { flow: flow(1), seq: 9, reason: ResetReason::TargetEnded }]);
     };
 
     list_has_the_flows_that_are_open_for_a_while => {
--- a/crates/core/tests/pass_through/balancer.rs
+++ b/crates/core/tests/pass_through/balancer.rs
@@ -7,7 +7,7 @@
 use citronhollow_core::id::GroupId;
 use citronhollow_core::members::TargetState;
 use citronhollow_core::pass_through::{
-    Balancer, BalancerAction, DropReason, Holding, Offer, Reset,
+    Balancer, BalancerAction, DropReason, Holding, Offer, Reset, ResetReason,
 };
 
 use crate::fixture::{
@@ -228,7 +228,7 @@
         balancer.on_report(SETTLED, report(1, 2));
         balancer.on_report(SETTLED, report(2, 2));
         send(&mut balancer, SETTLED, 1, request());
-        let expected = Reset { flow: flow(1), seq: TARGET_ISN + 1 };
+        let expected = Reset { flow: flow(1), seq: TARGET_ISN + 1, reason: ResetReason::Unclaimed };
         assert_eq!(resets(&deny(&mut balancer, SETTLED)), [expected]);
     };
 
@@ -284,7 +284,7 @@
             }
             all.extend(tick(&mut balancer, now));
         }
-        assert_eq!(resets(&all), [Reset { flow: flow(1), seq: TARGET_ISN + 1 }]);
+        assert_eq!(resets(&all), [Reset { flow: flow(1), seq: TARGET_ISN + 1, reason: ResetReason::TargetLost }]);
     };
 
     balancer_that_hears_from_few_resets_nothing => {
@@ -351,6 +351,31 @@
         assert_eq!(resets(&out).len(), 1);
     };
 
+    // Seen in incident inc-60a6: balancers that had no configuration yet refused repeated packets.
+    opening_packet_waits_for_the_first_revision => {
+        let limits = crate::fixture::balancer_limits();
+        let mut balancer = Balancer::new(START, crate::fixture::domain(0), limits, 1);
+        balancer.on_report(START, report(1, 1));
+        assert_eq!(repeat(&mut balancer, START, 1, syn(), 1), []);
+        balancer.set_revision(&revision(1));
+        assert_eq!(offered_to(&tick(&mut balancer, START.after(Millis(25)))), 1);
+        assert_eq!(tick(&mut balancer, START.after(Millis(50))), [], "only once");
+    };
+
+    opening_packet_waits_for_the_first_target => {
+        let mut balancer = balancer(START);
+        assert_eq!(send(&mut balancer, START, 1, syn()), []);
+        balancer.on_report(START, report(1, 1));
+        assert_eq!(offered_to(&tick(&mut balancer, START.after(Millis(25)))), 1);
+    };
+
+    opening_packet_waits_no_longer_than_its_caller_repeats_it => {
+        let mut balancer = balancer(START);
+        send(&mut balancer, START, 1, syn());
+        let actions = tick(&mut balancer, START.after(Millis(600)));
+        assert_eq!(actions, [BalancerAction::Drop(DropReason::NoTarget)]);
+    };
+
     balancer_is_ready_with_a_revision_and_a_target => {
         let mut balancer = balancer(START);
         assert!(!balancer.is_ready(START));
--- a/crates/core/tests/pass_through/fixture.rs
+++ b/crates/core/tests/pass_through/fixture.rs
@@ -162,14 +162,17 @@
     out
 }
 
-pub fn balancer(now: Millis) -> Balancer<Bytes> {
-    let limits = BalancerLimits {
+pub fn balancer_limits() -> BalancerLimits {
+    BalancerLimits {
         flows: 10_000,
         flow_life: FLOW_LIFE,
         searches: 100,
         search_packets: 4,
-    };
-    let mut balancer = Balancer::new(now, domain(0), limits, 1);
+    }
+}
+
+pub fn balancer(now: Millis) -> Balancer<Bytes> {
+    let mut balancer = Balancer::new(now, domain(0), balancer_limits(), 1);
     balancer.set_revision(&revision(1));
     balancer
 }
--- a/crates/core/tests/pass_through/world.rs
+++ b/crates/core/tests/pass_through/world.rs
@@ -277,17 +277,17 @@
                 AgentAction::ToCaller { .. } | AgentAction::Drop(_) => {}
                 AgentAction::Reject { to, bytes, .. } => {
                     let message = ToBalancer::Reject(packet(bytes.0, bytes.1));
-                    self.to_balancer(from, to, message);
+                    self.send_to_balancer(from, to, message);
                 }
                 AgentAction::Reply { to, flow, holding } => {
-                    self.to_balancer(from, to, ToBalancer::Reply(flow, holding));
+                    self.send_to_balancer(from, to, ToBalancer::Reply(flow, holding));
                 }
                 AgentAction::Reset(reset) => self.on_reset(reset.flow),
             }
         }
     }
 
-    fn to_balancer(&mut self, from: u16, to: SocketAddr, message: ToBalancer) {
+    fn send_to_balancer(&mut self, from: u16, to: SocketAddr, message: ToBalancer) {
         self.queue
             .push_back(Message::ToBalancer(from, to.port(), message));
     }
@@ -300,13 +300,13 @@
             }
             target.flows.insert(flow);
             self.held.insert(flow, number);
-            self.from_target(number, flow, syn_ack(crate::fixture::TARGET_ISN));
+            self.on_target_packet(number, flow, syn_ack(crate::fixture::TARGET_ISN));
             return;
         }
         if target.flows.contains(&flow) {
             *self.arrived.entry(flow).or_default() += 1;
             self.strayed.remove(&flow);
-            self.from_target(number, flow, response());
+            self.on_target_packet(number, flow, response());
             return;
         }
         if self.is_alive(&flow) {
@@ -320,7 +320,7 @@
         self.act_agent(number, out);
     }
 
-    fn from_target(&mut self, number: u16, flow: FlowId, segment: Segment) {
+    fn on_target_packet(&mut self, number: u16, flow: FlowId, segment: Segment) {
         let mut out = Vec::new();
         let packet = packet(flow, segment);
         self.agents[usize::from(number)].on_target_packet(self.now, packet, &mut out);
