Write a decision log, metrics as text, and follow the settings file

Change: one JSON line for each decision about a flow or about what the process believes, from a closed list of events, with a budget of 200 lines a second and a writer that nobody waits for; counts of all of them and a few gauges at /metrics; citronhollow explain joins the lines of one caller; a changed settings file is noticed by SIGHUP or within 10 s, and the log level taken from it.

Not done of the issue: latency histograms, status on this platform.

--- a/crates/agent/src/command.rs
+++ b/crates/agent/src/command.rs
@@ -66,7 +66,7 @@
             if self.check_settings {
                 return Ok(valid);
             }
-            pass_through::run(&checked)?;
+            pass_through::run(path, &checked)?;
             return Ok(String::new());
         }
         let checked = Settings::load(path)?;
--- a/crates/agent/src/pass_through/run.rs
+++ b/crates/agent/src/pass_through/run.rs
@@ -10,15 +10,17 @@
 use citronhollow_adapter::store::{self, Entries, Entry};
 use citronhollow_core::clock::Millis;
 use citronhollow_core::members::TargetState;
+use citronhollow_operator::decisions::{Decision, DecisionLog, Event};
 use citronhollow_operator::failure::Failure;
-use citronhollow_operator::{logging, probe, stop, worker};
+use citronhollow_operator::{logging, probe, reload, stop, worker};
 use citronhollow_platform::client::{Client, ClientConfig};
+use prometheus::Registry;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 
 use super::control;
 use super::link::Command;
-use super::settings::Checked;
+use super::settings::{Checked, Settings};
 use super::traffic::Traffic;
 
 /// Time limit of a call on the platform, far above its usual answer.
@@ -27,25 +29,33 @@
 /// Time that the end of the process waits for the platform.
 const REMOVE_WITHIN: Duration = Duration::from_millis(400);
 
-/// Runs an agent until it is stopped.
+/// Runs an agent until it is stopped. Its settings came from the file at `path`.
 ///
 /// # Errors
 ///
 /// [`Failure`] if an address of the settings cannot be bound.
-pub fn run(checked: &Checked) -> Result<(), Failure> {
+pub fn run(path: &str, checked: &Checked) -> Result<(), Failure> {
     let settings = checked.settings();
     logging::init(checked.log_level())?;
     let (commands, commands_rx) = mpsc::unbounded_channel();
+    let registry = Registry::new();
+    let decisions = DecisionLog::start(&settings.name, &registry, std::io::stdout());
     let thread = {
         let settings = settings.clone();
         let keys = checked.keys().clone();
+        let (decisions, registry) = (decisions.clone(), registry.clone());
         worker::spawn_traffic(
             "target_listen, peer_listen",
-            move || Traffic::bind(&settings, keys),
+            move || Traffic::bind(&settings, keys, (decisions, &registry)),
             move |traffic| traffic.run(commands_rx),
         )?
     };
-    let outcome = worker::runtime()?.block_on(control(checked, commands.clone()));
+    let outcome = worker::runtime()?.block_on(control(
+        path,
+        checked,
+        commands.clone(),
+        (decisions, registry),
+    ));
     // The thread may have ended already, and then needs no command.
     let _ = commands.send(Command::Stop);
     if thread.join().is_err() {
@@ -56,14 +66,24 @@
 }
 
 async fn control(
+    path: &str,
     checked: &Checked,
     commands: mpsc::UnboundedSender<Command>,
+    (mut decisions, registry): (DecisionLog, Registry),
 ) -> Result<(), Failure> {
     let settings = checked.settings();
     let mut stop = stop::on_signal()?;
     let probes = worker::listen("ready_listen", settings.ready_listen).await?;
     let heartbeats = worker::listen("heartbeat_listen", settings.heartbeat_listen).await?;
-    tokio::spawn(probe::serve(probes, READY_PATH, || true));
+    tokio::spawn(probe::serve(probes, READY_PATH, || true, registry));
+    let load = |path: &str| Settings::load(path).map_err(|err| err.to_string());
+    tokio::spawn(reload::follow(
+        String::from(path),
+        checked.clone(),
+        load,
+        Checked::log_level,
+        decisions.clone(),
+    ));
     let group = settings.group.clone();
     tokio::spawn(control::serve_target(heartbeats, group, commands.clone()));
     let client = Client::new(ClientConfig {
@@ -81,6 +101,7 @@
     let name = settings.name.clone();
     let flows = tokio::spawn(control::keep_flows(client.clone(), name, commands.clone()));
     log::info!("agent: {} is at work", settings.name);
+    decisions.write(Decision::new(Event::ProcessStarted));
 
     tokio::select! {
         // The sender lives as long as its receivers.
@@ -88,6 +109,7 @@
         () = commands.closed() => return Err(worker::traffic_ended()),
     }
     log::info!("agent: {} is leaving", settings.name);
+    decisions.write(Decision::new(Event::ProcessStopping));
     let (left, has_left) = oneshot::channel();
     let is_sent = commands.send(Command::Leave(left)).is_ok();
     if is_sent && has_left.await == Ok(TargetState::Dead) {
--- a/crates/agent/src/pass_through/traffic.rs
+++ b/crates/agent/src/pass_through/traffic.rs
@@ -11,9 +11,12 @@
 use citronhollow_core::id::{DomainId, GroupId, TargetId};
 use citronhollow_core::members::TargetState;
 use citronhollow_core::pass_through::{Agent, AgentAction, AgentLimits, Offer, Place};
+use citronhollow_operator::decisions::{Decision, DecisionLog, Event};
+use citronhollow_operator::exposition;
 use citronhollow_peer::datagram::Datagrams;
 use citronhollow_peer::message::Forward;
 use citronhollow_peer::{Body, Codec, Envelope, Keyring, addr_from_bytes, pass_through};
+use prometheus::{IntGauge, Registry};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::oneshot;
 use tokio::time::{MissedTickBehavior, interval};
@@ -54,11 +57,35 @@
     leaving: Option<(Millis, oneshot::Sender<TargetState>)>,
     actions: Vec<AgentAction<Bytes>>,
     frame: BytesMut,
+    decisions: DecisionLog,
+    gauges: Gauges,
+}
+
+/// What the metrics show of the target.
+struct Gauges {
+    flows: IntGauge,
+    busy: IntGauge,
+    balancers: IntGauge,
+}
+
+impl Gauges {
+    fn new(registry: &Registry) -> Self {
+        let gauge = |name, help| exposition::gauge(registry, name, help);
+        Self {
+            flows: gauge("citronhollow_flows", "Flows of the target"),
+            busy: gauge("citronhollow_requests", "Requests in progress and waiting"),
+            balancers: gauge("citronhollow_balancers", "Balancers that get reports"),
+        }
+    }
 }
 
 impl Traffic {
     /// Binds the sockets. To be called within the thread's runtime.
-    pub(super) fn bind(settings: &Settings, keys: Keyring) -> io::Result<Self> {
+    pub(super) fn bind(
+        settings: &Settings,
+        keys: Keyring,
+        (decisions, registry): (DecisionLog, &Registry),
+    ) -> io::Result<Self> {
         let limits = AgentLimits {
             flows: FLOWS,
             flow_life: settings.flow_life_ms,
@@ -86,6 +113,8 @@
             leaving: None,
             actions: Vec::new(),
             frame: BytesMut::new(),
+            decisions,
+            gauges: Gauges::new(registry),
         })
     }
 
@@ -182,7 +211,10 @@
     }
 
     fn report_state(&mut self, now: Millis) {
-        log::info!("target: state is {:?}", self.agent.state(now));
+        let state = self.agent.state(now);
+        log::info!("target: state is {state:?}");
+        let decision = Decision::new(Event::TargetState);
+        self.decisions.write(decision.reason(&format!("{state:?}")));
         self.report(now);
     }
 
@@ -197,6 +229,10 @@
 
     fn report_message(&mut self, now: Millis) -> Envelope {
         let report = self.agent.report(now);
+        self.gauges.flows.set(i64::from(report.flows));
+        self.gauges.busy.set(i64::from(report.busy));
+        let balancers = i64::try_from(self.balancers.len());
+        self.gauges.balancers.set(balancers.unwrap_or(i64::MAX));
         Envelope::from(Body::TargetReport(pass_through::report_to_message(&report)))
     }
 
@@ -280,13 +316,15 @@
     }
 
     fn act(&mut self, action: AgentAction<Bytes>) {
+        if let Some(decision) = decision_of(&action) {
+            self.decisions.write(decision);
+        }
         match action {
             AgentAction::Deliver { bytes } => self.send_packet(&bytes, self.target),
             AgentAction::ToCaller { flow, bytes } => {
                 self.send_packet(&bytes, self.caller_addr(flow.caller));
             }
-            AgentAction::Reject { to, reason, bytes } => {
-                log::debug!("traffic: packet given back to {to}: {reason}");
+            AgentAction::Reject { to, bytes, .. } => {
                 self.send(
                     &Envelope::from(pass_through::reject(self.target_id, bytes)),
                     to,
@@ -297,15 +335,9 @@
                 self.send(&Envelope::from(reply), to);
             }
             AgentAction::Reset(reset) => {
-                log::info!(
-                    "traffic: flow {} to {} is reset: {}",
-                    reset.flow.caller,
-                    reset.flow.service,
-                    reset.reason
-                );
                 self.send_packet(&packet::reset(&reset), self.caller_addr(reset.flow.caller));
             }
-            AgentAction::Drop(reason) => log::debug!("traffic: packet dropped: {reason}"),
+            AgentAction::Drop(_) => {}
         }
     }
 
@@ -327,3 +359,24 @@
         }
     }
 }
+
+/// The line of an action, none for the packets that simply pass.
+fn decision_of(action: &AgentAction<Bytes>) -> Option<Decision> {
+    let decision = match action {
+        AgentAction::Deliver { .. } | AgentAction::ToCaller { .. } => return None,
+        AgentAction::Reject { to, reason, bytes } => {
+            let caller = packet::from_caller(bytes.clone()).ok()?;
+            let decision = Decision::new(Event::FlowGivenBack).flow(caller.packet.flow);
+            decision.peer(*to).reason(reason)
+        }
+        AgentAction::Reply { to, flow, holding } => Decision::new(Event::FlowAnswered)
+            .flow(*flow)
+            .peer(*to)
+            .reason(holding),
+        AgentAction::Reset(reset) => Decision::new(Event::FlowReset)
+            .flow(reset.flow)
+            .reason(&reset.reason),
+        AgentAction::Drop(reason) => Decision::new(Event::PacketDropped).reason(reason),
+    };
+    Some(decision)
+}
--- a/crates/balancer/src/commands.rs
+++ b/crates/balancer/src/commands.rs
@@ -15,6 +15,7 @@
 mod balancer;
 mod check;
 mod drain;
+mod explain;
 mod get;
 mod remote;
 mod set;
@@ -41,6 +42,8 @@
       writes the drafts as a file that apply takes
   citronhollow status --balancer 127.0.0.1:7980
       shows the fleet, the revisions, drains and the platform
+  citronhollow explain 100.64.0.7:40001 < decisions.log
+      shows what every process decided about the flow of this caller
   citronhollow drain match-desk-3 --wait 600
       takes a target out of service and waits until it holds no flow
   citronhollow undrain match-desk-3
@@ -73,6 +76,8 @@
     Get(get::GetOptions),
     #[options(help = "show what a balancer knows of the fleet")]
     Status(status::StatusOptions),
+    #[options(help = "join the decision logs of several processes about one flow")]
+    Explain(explain::ExplainOptions),
     #[options(help = "take a target out of service without breaking a flow")]
     Drain(drain::DrainOptions),
     #[options(help = "put a drained target back into service")]
@@ -102,6 +107,7 @@
             Some(Command::Apply(options)) => apply::run(&options),
             Some(Command::Get(options)) => get::run(&options),
             Some(Command::Status(options)) => status::run(&options),
+            Some(Command::Explain(options)) => explain::run(&options),
             Some(Command::Drain(options)) => drain::run(&options.into()),
             Some(Command::Undrain(options)) => drain::run(&options.into()),
             None => Ok(PROGRAM.help(&self)),
--- a/crates/balancer/src/commands/balancer.rs
+++ b/crates/balancer/src/commands/balancer.rs
@@ -33,7 +33,7 @@
         if options.check_settings {
             return Ok(valid);
         }
-        pass_through::run(&checked)?;
+        pass_through::run(&options.settings, &checked)?;
         return Ok(String::new());
     }
     let checked = Settings::load(&options.settings)?;
--- a/crates/balancer/src/pass_through/control.rs
+++ b/crates/balancer/src/pass_through/control.rs
@@ -9,6 +9,7 @@
 use citronhollow_core::clock::Millis;
 use citronhollow_core::config::Revision;
 use citronhollow_core::id::TargetId;
+use citronhollow_operator::decisions::{self, Decision, DecisionLog};
 use citronhollow_peer::message::{RevisionReply, RevisionRequest};
 use citronhollow_peer::{Body, Keyring, exchange};
 use citronhollow_platform::retry::Pause;
@@ -40,6 +41,7 @@
     pub(super) commands: UnboundedSender<Command>,
     /// The newest revision that this process has seen, from wherever.
     pub(super) newest: watch::Sender<Arc<Revision>>,
+    pub(super) decisions: DecisionLog,
 }
 
 impl Control {
@@ -60,8 +62,9 @@
     }
 
     /// Follows the configuration at the platform for as long as the process runs.
-    pub(super) async fn follow_config(self) {
+    pub(super) async fn follow_config(mut self) {
         let mut at = None;
+        let mut is_lost = false;
         let mut pause = Pause::default();
         loop {
             let read = match at {
@@ -71,6 +74,10 @@
             match read {
                 Ok(read) => {
                     pause.reset();
+                    if std::mem::take(&mut is_lost) {
+                        self.decisions
+                            .write(Decision::new(decisions::Event::StoreBack));
+                    }
                     at = Some(read.at);
                     if let Some(revision) = read.revision {
                         self.take(revision);
@@ -78,6 +85,10 @@
                 }
                 Err(err) => {
                     log::warn!("platform: configuration not read: {err}");
+                    if !std::mem::replace(&mut is_lost, true) {
+                        let decision = Decision::new(decisions::Event::StoreLost);
+                        self.decisions.write(decision.reason(&err));
+                    }
                     at = at.filter(|_| !matches!(err, PlatformError::TooOld { .. }));
                     sleep(pause.after_failure()).await;
                 }
--- a/crates/balancer/src/pass_through/run.rs
+++ b/crates/balancer/src/pass_through/run.rs
@@ -11,9 +11,11 @@
 use citronhollow_adapter::store::{self, Entries};
 use citronhollow_core::clock::Millis;
 use citronhollow_core::config::Revision;
+use citronhollow_operator::decisions::{Decision, DecisionLog, Event};
 use citronhollow_operator::failure::Failure;
-use citronhollow_operator::{logging, probe, stop, worker};
+use citronhollow_operator::{logging, probe, reload, stop, worker};
 use citronhollow_platform::client::{Client, ClientConfig};
+use prometheus::Registry;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 
@@ -38,36 +40,45 @@
 /// Time that a watch gets on top of its wait.
 const WATCH_MARGIN: Millis = Millis(600);
 
-/// Runs a balancer until it has left.
+/// Runs a balancer until it has left. Its settings came from the file at `path`.
 ///
 /// # Errors
 ///
 /// [`Failure`] if an address of the settings cannot be bound.
-pub fn run(checked: &Checked) -> Result<(), Failure> {
+pub fn run(path: &str, checked: &Checked) -> Result<(), Failure> {
     let settings = checked.settings();
     logging::init(checked.log_level())?;
     let started = Instant::now();
     let shared = Arc::new(Shared::default());
+    let registry = Registry::new();
+    let decisions = DecisionLog::start(&settings.name, &registry, std::io::stdout());
     let (commands, commands_rx) = mpsc::unbounded_channel();
     let (events, events_rx) = mpsc::unbounded_channel();
     let thread = {
         let settings = settings.clone();
         let keys = checked.keys().clone();
         let shared = Arc::clone(&shared);
+        let telemetry = (decisions.clone(), registry.clone());
         worker::spawn_traffic(
             "fabric_listen, peer_listen",
-            move || Traffic::bind(&settings, keys, started, shared, events),
+            move || {
+                let (decisions, registry) = telemetry;
+                let telemetry = (decisions, &registry);
+                Traffic::bind(&settings, keys, started, shared, events, telemetry)
+            },
             move |traffic| traffic.run(commands_rx),
         )?
     };
     let runtime = worker::runtime()?;
-    let outcome = runtime.block_on(control(
+    let process = Process {
+        path,
         checked,
         started,
-        &shared,
-        commands.clone(),
-        events_rx,
-    ));
+        shared: &shared,
+        registry,
+        decisions,
+    };
+    let outcome = runtime.block_on(control(process, commands.clone(), events_rx));
     // The thread may have ended already, and then needs no command.
     let _ = commands.send(Command::Stop);
     if thread.join().is_err() {
@@ -77,13 +88,29 @@
     outcome
 }
 
-async fn control(
-    checked: &Checked,
+/// What the control thread starts with.
+struct Process<'a> {
+    path: &'a str,
+    checked: &'a Checked,
     started: Instant,
-    shared: &Arc<Shared>,
+    shared: &'a Arc<Shared>,
+    registry: Registry,
+    decisions: DecisionLog,
+}
+
+async fn control(
+    process: Process<'_>,
     commands: mpsc::UnboundedSender<Command>,
     events: mpsc::UnboundedReceiver<super::link::Event>,
 ) -> Result<(), Failure> {
+    let Process {
+        path,
+        checked,
+        started,
+        shared,
+        registry,
+        mut decisions,
+    } = process;
     let settings = checked.settings();
     let mut stop = stop::on_signal()?;
     let is_leaving = Arc::new(AtomicBool::new(false));
@@ -93,7 +120,15 @@
         let (shared, is_leaving) = (Arc::clone(shared), Arc::clone(&is_leaving));
         move || shared.is_ready.load(Ordering::Relaxed) && !is_leaving.load(Ordering::Relaxed)
     };
-    tokio::spawn(probe::serve(probes, READY_PATH, is_ready));
+    tokio::spawn(probe::serve(probes, READY_PATH, is_ready, registry));
+    let load = |path: &str| Settings::load(path).map_err(|err| err.to_string());
+    tokio::spawn(reload::follow(
+        String::from(path),
+        checked.clone(),
+        load,
+        Checked::log_level,
+        decisions.clone(),
+    ));
     let client = Client::new(ClientConfig {
         address: settings.platform,
         deadline: CALL_LIMIT,
@@ -106,6 +141,7 @@
         keys: checked.keys().clone(),
         commands: commands.clone(),
         newest: watch::channel(Arc::new(Revision::default())).0,
+        decisions: decisions.clone(),
     };
     // Nobody receives this only while the process ends.
     let _ = commands.send(Command::Balancers(settings.seed_peers()));
@@ -115,6 +151,7 @@
     tokio::spawn(control.clone().follow_agents());
     let entry = tokio::spawn(control.follow_balancers());
     log::info!("balancer: {} is at work", settings.name);
+    decisions.write(Decision::new(Event::ProcessStarted));
 
     tokio::select! {
         // The sender lives as long as its receivers.
@@ -122,6 +159,7 @@
         () = commands.closed() => return Err(worker::traffic_ended()),
     }
     log::info!("balancer: {} is leaving", settings.name);
+    decisions.write(Decision::new(Event::ProcessStopping));
     is_leaving.store(true, Ordering::Relaxed);
     entry.abort();
     leave(settings, started, shared, &client).await;
--- a/crates/balancer/src/pass_through/traffic.rs
+++ b/crates/balancer/src/pass_through/traffic.rs
@@ -11,12 +11,15 @@
 use citronhollow_adapter::packet;
 use citronhollow_core::clock::Millis;
 use citronhollow_core::id::{DomainId, TargetId};
-use citronhollow_core::pass_through::{Balancer, BalancerAction, BalancerLimits, Report};
+use citronhollow_core::pass_through::{Balancer, BalancerAction, BalancerLimits, Offer, Report};
+use citronhollow_operator::decisions::{self, Decision, DecisionLog};
+use citronhollow_operator::exposition;
 use citronhollow_peer::datagram::Datagrams;
 use citronhollow_peer::message::{Greeting, TargetReports};
 use citronhollow_peer::{
     Body, Codec, Envelope, Keyring, addr_from_bytes, addr_to_bytes, pass_through,
 };
+use prometheus::{IntGauge, Registry};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::time::{MissedTickBehavior, interval};
 
@@ -66,6 +69,26 @@
     events: UnboundedSender<Event>,
     actions: Vec<BalancerAction<Bytes>>,
     frame: BytesMut,
+    decisions: DecisionLog,
+    gauges: Gauges,
+}
+
+/// What the metrics show of the thread's state.
+struct Gauges {
+    revision: IntGauge,
+    targets: IntGauge,
+    flows: IntGauge,
+}
+
+impl Gauges {
+    fn new(registry: &Registry) -> Self {
+        let gauge = |name, help| exposition::gauge(registry, name, help);
+        Self {
+            revision: gauge("citronhollow_revision", "Revision in force"),
+            targets: gauge("citronhollow_targets", "Targets that are not gone"),
+            flows: gauge("citronhollow_flows", "Flows that are remembered"),
+        }
+    }
 }
 
 impl Traffic {
@@ -76,6 +99,7 @@
         started: Instant,
         shared: Arc<Shared>,
         events: UnboundedSender<Event>,
+        (decisions, registry): (DecisionLog, &Registry),
     ) -> io::Result<Self> {
         let limits = BalancerLimits {
             flows: FLOWS,
@@ -99,6 +123,8 @@
             events,
             actions: Vec::new(),
             frame: BytesMut::new(),
+            decisions,
+            gauges: Gauges::new(registry),
         })
     }
 
@@ -129,6 +155,8 @@
             Command::Revision(revision) => {
                 if self.balancer.set_revision(&revision) {
                     log::info!("config: revision {} is in force", revision.number);
+                    let decision = Decision::new(decisions::Event::RevisionInForce);
+                    self.decisions.write(decision.revision(revision.number));
                     self.greet_balancers(false);
                 }
             }
@@ -173,6 +201,7 @@
         self.shared.is_ready.store(is_ready, Ordering::Relaxed);
         if now >= self.next_greeting {
             self.next_greeting = now.after(GREET_BALANCERS);
+            self.show();
             self.greet_balancers(false);
         }
         if now >= self.next_agent_greeting {
@@ -181,6 +210,16 @@
         }
     }
 
+    fn show(&self) {
+        let count = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        let revision = i64::try_from(self.balancer.revision());
+        self.gauges.revision.set(revision.unwrap_or(i64::MAX));
+        self.gauges
+            .targets
+            .set(count(self.balancer.reports().count()));
+        self.gauges.flows.set(count(self.balancer.flow_count()));
+    }
+
     fn greet_balancers(&mut self, wants_reports: bool) {
         let now = self.now();
         self.balancers
@@ -323,6 +362,10 @@
     }
 
     fn act(&mut self, action: BalancerAction<Bytes>) {
+        if let Some(decision) = decision_of(&action) {
+            self.decisions
+                .write(decision.revision(self.balancer.revision()));
+        }
         match action {
             BalancerAction::Forward {
                 to,
@@ -339,18 +382,12 @@
                 self.send(&Envelope::from(pass_through::question(&flow)), to);
             }
             BalancerAction::Reset(reset) => {
-                log::info!(
-                    "traffic: flow {} to {} is reset: {}",
-                    reset.flow.caller,
-                    reset.flow.service,
-                    reset.reason
-                );
                 let to = SocketAddr::new(reset.flow.caller.ip(), self.caller_port);
                 if let Err(err) = self.fabric.send(&packet::reset(&reset), to) {
                     log::debug!("traffic: reset to {to} failed: {err}");
                 }
             }
-            BalancerAction::Drop(reason) => log::debug!("traffic: packet dropped: {reason}"),
+            BalancerAction::Drop(_) => {}
         }
     }
 
@@ -376,3 +413,30 @@
         }
     }
 }
+
+/// The line of an action, none for the packets of a known flow.
+fn decision_of(action: &BalancerAction<Bytes>) -> Option<Decision> {
+    let decision = match action {
+        BalancerAction::Forward {
+            to, offer, bytes, ..
+        } => {
+            let event = match offer {
+                Offer::New => decisions::Event::FlowOffered,
+                Offer::Trial => decisions::Event::FlowTried,
+                Offer::Held => return None,
+            };
+            let caller = packet::from_caller(bytes.clone()).ok()?;
+            Decision::new(event).flow(caller.packet.flow).peer(*to)
+        }
+        BalancerAction::Ask { to, flow } => Decision::new(decisions::Event::FlowAsked)
+            .flow(*flow)
+            .peer(*to),
+        BalancerAction::Reset(reset) => Decision::new(decisions::Event::FlowReset)
+            .flow(reset.flow)
+            .reason(&reset.reason),
+        BalancerAction::Drop(reason) => {
+            Decision::new(decisions::Event::PacketDropped).reason(reason)
+        }
+    };
+    Some(decision)
+}
--- a/crates/core/src/pass_through/balancer.rs
+++ b/crates/core/src/pass_through/balancer.rs
@@ -234,6 +234,12 @@
         members.filter(|report| report.state != TargetState::Dead)
     }
 
+    /// Flows that are remembered.
+    #[must_use]
+    pub fn flow_count(&self) -> usize {
+        self.flows.len()
+    }
+
     /// Decides about a caller's packet. `repeats` counts the copies of an opening packet that the
     /// caller sent before.
     pub fn on_packet(
--- /dev/null
+++ b/crates/operator/src/exposition.rs
@@ -0,0 +1,28 @@
+//! Metrics as text, for whoever fetches them over HTTP.
+
+use prometheus::{IntGauge, Registry, TextEncoder};
+
+/// Registers a gauge.
+///
+/// # Panics
+///
+/// If the name is invalid or taken, which a test of the process shows.
+#[must_use]
+pub fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+    let gauge = IntGauge::new(name, help).expect("a valid name");
+    registry
+        .register(Box::new(gauge.clone()))
+        .expect("a name of its own");
+    gauge
+}
+
+/// All metrics of a registry as text.
+#[must_use]
+pub fn render(registry: &Registry) -> String {
+    let mut text = String::new();
+    let encoded = TextEncoder::new().encode_utf8(&registry.gather(), &mut text);
+    if let Err(err) = encoded {
+        log::warn!("metrics: not encoded: {err}");
+    }
+    text
+}
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -7,7 +7,9 @@
 pub mod cli;
 pub mod client;
 pub mod control;
+pub mod decisions;
 pub mod documents;
+pub mod exposition;
 pub mod failure;
 pub mod http;
 pub mod input;
@@ -16,6 +18,7 @@
 pub mod metrics;
 pub mod probe;
 pub mod problem;
+pub mod reload;
 pub mod repeats;
 pub mod report;
 pub mod settings;
--- a/crates/operator/src/probe.rs
+++ b/crates/operator/src/probe.rs
@@ -1,24 +1,30 @@
-//! The answer to whoever asks whether this process takes traffic.
+//! The HTTP of a process in pass-through delivery: whether it takes traffic, and its metrics.
 
 use std::io;
 use std::sync::Arc;
 
+use prometheus::Registry;
 use tokio::net::TcpListener;
 use volo_http::http::StatusCode;
 use volo_http::server::Server;
 use volo_http::server::route::{Router, get};
 
-use crate::listener;
+use crate::{exposition, listener};
 
-/// Answers `GET path` with 200 while `is_ready` says so, else with 503, until the process ends.
+/// Path of the metrics.
+pub const METRICS_PATH: &str = "/metrics";
+
+/// Answers `GET ready_path` with 200 while `is_ready` says so, else with 503, and gives the metrics
+/// of the registry, until the process ends.
 ///
 /// # Errors
 ///
 /// The error of the signal handlers.
 pub async fn serve(
     listener: TcpListener,
-    path: &'static str,
+    ready_path: &'static str,
     is_ready: impl Fn() -> bool + Send + Sync + 'static,
+    registry: Registry,
 ) -> io::Result<()> {
     let is_ready = Arc::new(is_ready);
     listener::serve(listener, |incoming| {
@@ -31,7 +37,15 @@
             };
             async move { status }
         };
-        Server::new(Router::new().route(path, get(answer))).run(incoming)
+        let registry = registry.clone();
+        let metrics = move || {
+            let text = exposition::render(&registry);
+            async move { text }
+        };
+        let router = Router::new()
+            .route(ready_path, get(answer))
+            .route(METRICS_PATH, get(metrics));
+        Server::new(router).run(incoming)
     })
     .await
 }
--- a/crates/operator/src/settings/checked.rs
+++ b/crates/operator/src/settings/checked.rs
@@ -2,15 +2,19 @@
 
 use citronhollow_peer::{Key, Keyring};
 use log::LevelFilter;
+use serde::Serialize;
 
 use super::{check_keys, check_level};
 use crate::problem::Problem;
 
 /// Settings that have passed the check, with what it has parsed already.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize)]
+#[serde(transparent)]
 pub struct Checked<S> {
     settings: S,
+    #[serde(skip)]
     keys: Keyring,
+    #[serde(skip)]
     log_level: LevelFilter,
 }
 
