Listen to SIGHUP first of all, measure the decisions, split the large modules

Change: the handler is set before anything else; list, target and unknown, opening and ongoing are modules of their own; an address is enough to end the belief in a target; targets that are silent for twice the life of a flow are forgotten; a dropped packet's line names its flow.

--- a/crates/agent/src/pass_through/run.rs
+++ b/crates/agent/src/pass_through/run.rs
@@ -15,6 +15,7 @@
 use citronhollow_operator::{logging, probe, reload, stop, worker};
 use citronhollow_platform::client::{Client, ClientConfig};
 use prometheus::Registry;
+use tokio::signal::unix::Signal;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 
@@ -37,6 +38,11 @@
 pub fn run(path: &str, checked: &Checked) -> Result<(), Failure> {
     let settings = checked.settings();
     logging::init(checked.log_level())?;
+    let runtime = worker::runtime()?;
+    let hangup = {
+        let _context = runtime.enter();
+        reload::hangup()?
+    };
     let (commands, commands_rx) = mpsc::unbounded_channel();
     let registry = Registry::new();
     let decisions = DecisionLog::start(&settings.name, &registry, std::io::stdout());
@@ -50,8 +56,8 @@
             move |traffic| traffic.run(commands_rx),
         )?
     };
-    let outcome = worker::runtime()?.block_on(control(
-        path,
+    let outcome = runtime.block_on(control(
+        (path, hangup),
         checked,
         commands.clone(),
         (decisions, registry),
@@ -66,7 +72,7 @@
 }
 
 async fn control(
-    path: &str,
+    (path, hangup): (&str, Signal),
     checked: &Checked,
     commands: mpsc::UnboundedSender<Command>,
     (mut decisions, registry): (DecisionLog, Registry),
@@ -78,6 +84,7 @@
     tokio::spawn(probe::serve(probes, READY_PATH, || true, registry));
     let load = |path: &str| Settings::load(path).map_err(|err| err.to_string());
     tokio::spawn(reload::follow(
+        hangup,
         String::from(path),
         checked.clone(),
         load,
--- a/crates/agent/src/pass_through/traffic.rs
+++ b/crates/agent/src/pass_through/traffic.rs
@@ -337,7 +337,7 @@
             AgentAction::Reset(reset) => {
                 self.send_packet(&packet::reset(&reset), self.caller_addr(reset.flow.caller));
             }
-            AgentAction::Drop(_) => {}
+            AgentAction::Drop { .. } => {}
         }
     }
 
@@ -376,7 +376,9 @@
         AgentAction::Reset(reset) => Decision::new(Event::FlowReset)
             .flow(reset.flow)
             .reason(&reset.reason),
-        AgentAction::Drop(reason) => Decision::new(Event::PacketDropped).reason(reason),
+        AgentAction::Drop { flow, reason } => Decision::new(Event::PacketDropped)
+            .flow(*flow)
+            .reason(reason),
     };
     Some(decision)
 }
--- a/crates/balancer/src/pass_through/run.rs
+++ b/crates/balancer/src/pass_through/run.rs
@@ -16,6 +16,7 @@
 use citronhollow_operator::{logging, probe, reload, stop, worker};
 use citronhollow_platform::client::{Client, ClientConfig};
 use prometheus::Registry;
+use tokio::signal::unix::Signal;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 
@@ -48,6 +49,11 @@
 pub fn run(path: &str, checked: &Checked) -> Result<(), Failure> {
     let settings = checked.settings();
     logging::init(checked.log_level())?;
+    let runtime = worker::runtime()?;
+    let hangup = {
+        let _context = runtime.enter();
+        reload::hangup()?
+    };
     let started = Instant::now();
     let shared = Arc::new(Shared::default());
     let registry = Registry::new();
@@ -69,8 +75,8 @@
             move |traffic| traffic.run(commands_rx),
         )?
     };
-    let runtime = worker::runtime()?;
     let process = Process {
+        hangup,
         path,
         checked,
         started,
@@ -90,6 +96,7 @@
 
 /// What the control thread starts with.
 struct Process<'a> {
+    hangup: Signal,
     path: &'a str,
     checked: &'a Checked,
     started: Instant,
@@ -104,6 +111,7 @@
     events: mpsc::UnboundedReceiver<super::link::Event>,
 ) -> Result<(), Failure> {
     let Process {
+        hangup,
         path,
         checked,
         started,
@@ -123,6 +131,7 @@
     tokio::spawn(probe::serve(probes, READY_PATH, is_ready, registry));
     let load = |path: &str| Settings::load(path).map_err(|err| err.to_string());
     tokio::spawn(reload::follow(
+        hangup,
         String::from(path),
         checked.clone(),
         load,
--- a/crates/balancer/src/pass_through/traffic.rs
+++ b/crates/balancer/src/pass_through/traffic.rs
@@ -387,7 +387,7 @@
                     log::debug!("traffic: reset to {to} failed: {err}");
                 }
             }
-            BalancerAction::Drop(_) => {}
+            BalancerAction::Drop { .. } => {}
         }
     }
 
@@ -434,9 +434,9 @@
         BalancerAction::Reset(reset) => Decision::new(decisions::Event::FlowReset)
             .flow(reset.flow)
             .reason(&reset.reason),
-        BalancerAction::Drop(reason) => {
-            Decision::new(decisions::Event::PacketDropped).reason(reason)
-        }
+        BalancerAction::Drop { flow, reason } => Decision::new(decisions::Event::PacketDropped)
+            .flow(*flow)
+            .reason(reason),
     };
     Some(decision)
 }
--- /dev/null
+++ b/crates/core/src/pass_through/agent/unknown.rs
@@ -0,0 +1,98 @@
+//! Flows that the agent does not know, and packets that the target returned.
+//!
+//! A packet that comes back proves that the target does not hold its flow. One that stays proves the
+//! opposite only if the target is at work.
+
+use std::net::SocketAddr;
+
+use crate::clock::Millis;
+use crate::flow::FlowId;
+
+use super::super::conn::{Conn, Stage};
+use super::super::packet::{Holding, Offer, Packet, RejectReason, Reset, ResetReason};
+use super::{Agent, AgentAction, Life, Trial, drop_ended, reject};
+
+/// Time in which the target returns a packet that it does not want. The two share a machine, so
+/// this covers one turn of a slow processor.
+const RETURN_WITHIN: Millis = Millis(60);
+
+/// Time for which a flow that the target returned is answered for without asking it again.
+pub(super) const ABSENT_LIFE: Millis = Millis::from_secs(3);
+
+impl<B: Clone> Agent<B> {
+    pub(super) fn on_unknown(
+        &mut self,
+        now: Millis,
+        balancer: SocketAddr,
+        offer: Offer,
+        packet: Packet<B>,
+        out: &mut Vec<AgentAction<B>>,
+    ) {
+        if self.is_absent(now, &packet.flow) || offer == Offer::New {
+            reject(balancer, RejectReason::NotHeld, packet.bytes, out);
+            return;
+        }
+        let since = now;
+        self.trials
+            .entry(packet.flow)
+            .or_insert(Trial { balancer, since });
+        let bytes = packet.bytes;
+        out.push(AgentAction::Deliver { bytes });
+    }
+
+    pub(super) fn on_returned_ongoing(
+        &mut self,
+        now: Millis,
+        packet: Packet<B>,
+        out: &mut Vec<AgentAction<B>>,
+    ) {
+        let flow = packet.flow;
+        self.absent.insert(now, flow, now);
+        if let Some(trial) = self.trials.remove(&flow) {
+            reject(trial.balancer, RejectReason::NotHeld, packet.bytes, out);
+            return;
+        }
+        let Some(conn) = self.conns.get(&flow).copied() else {
+            drop_ended(flow, out);
+            return;
+        };
+        self.forget(now, &flow);
+        // Seen open at this target and returned by it: no target holds the flow any more.
+        if conn.stage == Stage::Open && packet.segment.ack {
+            let (seq, reason) = (packet.segment.ack_seq, ResetReason::Returned);
+            out.push(AgentAction::Reset(Reset { flow, seq, reason }));
+            let holding = Holding::No;
+            out.extend(
+                conn.balancer
+                    .map(|to| AgentAction::Reply { to, flow, holding }),
+            );
+        } else if let Some(balancer) = conn.balancer {
+            reject(balancer, RejectReason::NotHeld, packet.bytes, out);
+        }
+    }
+
+    /// Whether the target does not hold the flow, which is unknown here.
+    pub(super) fn is_absent(&self, now: Millis, flow: &FlowId) -> bool {
+        let knows_all = self.saw_start || now.since(self.started) > self.limits.flow_life;
+        let was_returned = self
+            .absent
+            .get(flow)
+            .is_some_and(|at| now.since(*at) <= ABSENT_LIFE);
+        knows_all || was_returned
+    }
+
+    pub(super) fn end_trials(&mut self, now: Millis, out: &mut Vec<AgentAction<B>>) {
+        let is_over = |trial: &Trial| now.since(trial.since) >= RETURN_WITHIN;
+        let ended = self.trials.extract_if(|_, trial| is_over(trial));
+        // A target that is not at work yet returns nothing, which proves nothing.
+        let ended: Vec<_> = ended.filter(|_| self.life != Life::Unseen).collect();
+        for (flow, trial) in ended {
+            let conn = Conn::new(now, Stage::Presumed, Some(trial.balancer));
+            if let Some((_, evicted)) = self.conns.insert(now, flow, conn) {
+                self.on_gone(now, &evicted);
+            }
+            let (to, holding) = (trial.balancer, Holding::Here);
+            out.push(AgentAction::Reply { to, flow, holding });
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/pass_through/balancer/ongoing.rs
@@ -0,0 +1,203 @@
+//! Packets of flows that are open: to their target, or to a search for it.
+
+use std::net::SocketAddr;
+
+use crate::clock::Millis;
+use crate::flow::FlowId;
+use crate::members::TargetState;
+
+use super::super::fleet::TargetKey;
+use super::super::packet::{DropReason, Holding, Offer, Packet, Reset, ResetReason};
+use super::super::search::{Progress, Search};
+use super::{Balancer, BalancerAction, Entry, drop_for};
+
+/// A target whose agent is silent for this long without having said that it is being stopped has
+/// lost its machine or the way to it. Agents that crash are back sooner.
+const LOST_AFTER: Millis = Millis(2_000);
+
+/// A target whose agent is silent for this long is gone, whatever it said.
+const GONE_AFTER: Millis = Millis::from_secs(8);
+
+impl<B: Clone> Balancer<B> {
+    /// Resets the callers of targets that have been lost, also those that wait for nothing: their
+    /// next request would be lost.
+    ///
+    /// A balancer that hears from few targets may itself be cut off, and concludes nothing.
+    pub(super) fn reset_lost_flows(&mut self, now: Millis, out: &mut Vec<BalancerAction<B>>) {
+        let lost = self.fleet.take_lost(now, LOST_AFTER, GONE_AFTER);
+        if lost.is_empty() {
+            return;
+        }
+        let flows: Vec<_> = self
+            .flows
+            .newest_first()
+            .filter(|(_, entry)| lost.contains(&entry.target))
+            .map(|(flow, entry)| (*flow, entry.caller_ack))
+            .collect();
+        for (flow, ack) in flows {
+            self.flows.remove(&flow);
+            if let Some(seq) = ack {
+                let reason = ResetReason::TargetLost;
+                out.push(BalancerAction::Reset(Reset { flow, seq, reason }));
+            }
+        }
+    }
+
+    pub(super) fn on_ongoing(
+        &mut self,
+        now: Millis,
+        packet: Packet<B>,
+        out: &mut Vec<BalancerAction<B>>,
+    ) {
+        let flow = packet.flow;
+        if let Some(search) = self.searches.get_mut(&flow) {
+            search.segment = packet.segment;
+            if search.later.len() < self.limits.search_packets {
+                search.later.push(packet.bytes);
+            } else {
+                drop_for(flow, DropReason::SearchFull, out);
+            }
+            return;
+        }
+        let Some(entry) = self.flows.get(&packet.flow).copied() else {
+            self.search(now, packet, None, out);
+            return;
+        };
+        let member = self.fleet.get(entry.target);
+        if member.report.state == TargetState::Dead && packet.segment.ack {
+            // The target itself announced its end, and its flows ended with it.
+            self.flows.remove(&packet.flow);
+            out.push(BalancerAction::Reset(Reset {
+                flow: packet.flow,
+                seq: packet.segment.ack_seq,
+                reason: ResetReason::TargetEnded,
+            }));
+        } else if member.is_heard(now, GONE_AFTER) {
+            if let Some(entry) = self.flows.get_mut(&packet.flow)
+                && packet.segment.ack
+            {
+                entry.caller_ack = Some(packet.segment.ack_seq);
+            }
+            self.flows.touch(now, &packet.flow);
+            self.forward(&entry, Offer::Held, packet.bytes, out);
+        } else {
+            self.flows.remove(&packet.flow);
+            self.search(now, packet, None, out);
+        }
+    }
+
+    /// Asks all agents but the one that has just said no.
+    pub(super) fn search(
+        &mut self,
+        now: Millis,
+        packet: Packet<B>,
+        not_at: Option<TargetKey>,
+        out: &mut Vec<BalancerAction<B>>,
+    ) {
+        // Nobody waits for an answer to a reset.
+        if packet.segment.rst {
+            drop_for(packet.flow, DropReason::Ended, out);
+            return;
+        }
+        if self.searches.len() >= self.limits.searches {
+            drop_for(packet.flow, DropReason::SearchFull, out);
+            return;
+        }
+        let flow = packet.flow;
+        let asked = self.askable(now);
+        let keys = asked.iter().map(|(key, _)| *key);
+        let mut search = Search::new(now, packet.segment, keys, packet.bytes);
+        for (key, to) in asked {
+            if Some(key) == not_at {
+                search.on_answer(key, Holding::No);
+            } else {
+                out.push(BalancerAction::Ask { to, flow });
+            }
+        }
+        self.searches.insert(flow, search);
+        self.advance(now, flow, out);
+    }
+
+    /// Targets that may hold a flow, with the addresses of their agents.
+    pub(super) fn askable(&self, now: Millis) -> Vec<(TargetKey, SocketAddr)> {
+        self.fleet
+            .iter()
+            .filter(|(_, member)| member.report.state != TargetState::Dead)
+            .filter(|(_, member)| member.is_heard(now, GONE_AFTER))
+            .map(|(key, member)| (key, member.report.agent))
+            .collect()
+    }
+
+    pub(super) fn advance(&mut self, now: Millis, flow: FlowId, out: &mut Vec<BalancerAction<B>>) {
+        let Some(search) = self.searches.get_mut(&flow) else {
+            return;
+        };
+        match search.progress(now) {
+            Progress::Waiting => {}
+            Progress::Try => {
+                let packet = search.first.clone();
+                let candidates: Vec<_> = search.candidates().collect();
+                for target in candidates {
+                    let entry = Entry::found(target);
+                    self.forward(&entry, Offer::Trial, packet.clone(), out);
+                }
+            }
+            Progress::AskAgain => {
+                let asked = self.askable(now);
+                if let Some(search) = self.searches.get_mut(&flow) {
+                    search.ask_again(now, asked.iter().map(|(key, _)| *key));
+                }
+                out.extend(
+                    asked
+                        .into_iter()
+                        .map(|(_, to)| BalancerAction::Ask { to, flow }),
+                );
+            }
+            Progress::Nobody => {
+                let segment = search.segment;
+                self.searches.remove(&flow);
+                self.on_unclaimed(now, flow, segment.ack.then_some(segment.ack_seq), out);
+            }
+            Progress::Unknown => {
+                self.searches.remove(&flow);
+                drop_for(flow, DropReason::Unclaimed, out);
+            }
+        }
+    }
+
+    /// Every target was asked and does not hold the flow. That is proof only if all targets are
+    /// known.
+    pub(super) fn on_unclaimed(
+        &self,
+        now: Millis,
+        flow: FlowId,
+        seq: Option<u32>,
+        out: &mut Vec<BalancerAction<B>>,
+    ) {
+        match seq {
+            Some(seq) if self.is_settled(now) => {
+                let reason = ResetReason::Unclaimed;
+                out.push(BalancerAction::Reset(Reset { flow, seq, reason }));
+            }
+            _ => drop_for(flow, DropReason::Unclaimed, out),
+        }
+    }
+
+    pub(super) fn found(
+        &mut self,
+        now: Millis,
+        flow: FlowId,
+        target: TargetKey,
+        out: &mut Vec<BalancerAction<B>>,
+    ) {
+        let Some(search) = self.searches.remove(&flow) else {
+            return;
+        };
+        let entry = Entry::found(target);
+        self.flows.insert(now, flow, entry);
+        // The holder may have seen the first packet as a trial, and drops the copy of it.
+        for bytes in std::iter::once(search.first).chain(search.later) {
+            self.forward(&entry, Offer::Held, bytes, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/pass_through/balancer/opening.rs
@@ -0,0 +1,168 @@
+//! New flows: to whom they are offered, and when they are refused.
+//!
+//! A target that gives the opening packet back has not taken the flow, so the next one may be asked.
+//! A refusal is sent at once, and only where nothing of the flow can have run. What a balancer does
+//! not know yet, just after its start, is no reason to refuse: the packet waits.
+
+use crate::clock::Millis;
+use crate::flow::FlowId;
+use crate::flows::services::ServiceKey;
+
+use super::super::fleet::TargetKey;
+use super::super::packet::{DropReason, Offer, Packet, Reset, ResetReason};
+use super::super::steering::{self, Wish};
+use super::{Balancer, BalancerAction, Entry, drop_for};
+
+/// Time for which an opening packet waits for a revision or a target. The caller sends a copy
+/// sooner, which then waits in its place.
+const OPENING_WAIT: Millis = Millis(600);
+
+/// Opening packets that wait at most.
+const OPENINGS_MAX: usize = 1_024;
+
+impl<B: Clone> Balancer<B> {
+    /// Offers the opening packets that waited, now that more may be known.
+    pub(super) fn offer_waiting(&mut self, now: Millis, out: &mut Vec<BalancerAction<B>>) {
+        for (since, packet) in std::mem::take(&mut self.openings) {
+            if now.since(since) >= OPENING_WAIT {
+                drop_for(packet.flow, DropReason::NoTarget, out);
+            } else {
+                let entry = Entry::opening(&packet);
+                self.offer(now, entry, packet, 0, since, out);
+            }
+        }
+    }
+
+    /// Keeps an opening packet until more is known.
+    pub(super) fn wait(
+        &mut self,
+        since: Millis,
+        packet: Packet<B>,
+        out: &mut Vec<BalancerAction<B>>,
+    ) {
+        self.openings.retain(|(_, other)| other.flow != packet.flow);
+        if self.openings.len() < OPENINGS_MAX {
+            self.openings.push((since, packet));
+        } else {
+            drop_for(packet.flow, DropReason::NoTarget, out);
+        }
+    }
+
+    pub(super) fn on_opening(
+        &mut self,
+        now: Millis,
+        packet: Packet<B>,
+        repeats: u32,
+        out: &mut Vec<BalancerAction<B>>,
+    ) {
+        let known = self.flows.get(&packet.flow).copied();
+        let known = known.filter(|entry| entry.caller_isn == Some(packet.segment.seq));
+        if let Some(entry) = known {
+            // The caller got no answer, and the agent gives back what its target does not answer.
+            // So the agent or the way to it is the likely reason.
+            if repeats > 0 {
+                self.offer_elsewhere(now, entry, packet, out);
+            } else {
+                self.forward(&entry, Offer::New, packet.bytes, out);
+            }
+            return;
+        }
+        let entry = Entry::opening(&packet);
+        self.offer(now, entry, packet, repeats, now, out);
+    }
+
+    pub(super) fn offer_elsewhere(
+        &mut self,
+        now: Millis,
+        mut entry: Entry,
+        packet: Packet<B>,
+        out: &mut Vec<BalancerAction<B>>,
+    ) {
+        let Some(place) = entry.tried.iter_mut().find(|tried| tried.is_none()) else {
+            self.refuse(&packet, ResetReason::Rejected, out);
+            return;
+        };
+        *place = Some(entry.target);
+        self.offer(now, entry, packet, 0, now, out);
+    }
+
+    /// Offers a new flow, whose packet came at `since`, to the best target that was not tried.
+    pub(super) fn offer(
+        &mut self,
+        now: Millis,
+        mut entry: Entry,
+        packet: Packet<B>,
+        repeats: u32,
+        since: Millis,
+        out: &mut Vec<BalancerAction<B>>,
+    ) {
+        if self.revision == 0 {
+            self.wait(since, packet, out);
+            return;
+        }
+        let Some(service) = self.services.at(packet.flow.service) else {
+            self.on_unknown_service(&packet, repeats, out);
+            return;
+        };
+        match self.choose(now, service, &packet.flow, &entry.tried) {
+            Some(target) => {
+                self.fleet.member_mut(target).given += 1;
+                entry.target = target;
+                self.flows.insert(now, packet.flow, entry);
+                self.forward(&entry, Offer::New, packet.bytes, out);
+            }
+            None if !self.is_settled(now) => self.wait(since, packet, out),
+            None if entry.tried[0].is_some() => self.refuse(&packet, ResetReason::Rejected, out),
+            None => self.refuse(&packet, ResetReason::NoTarget, out),
+        }
+    }
+
+    pub(super) fn choose(
+        &mut self,
+        now: Millis,
+        service: ServiceKey,
+        flow: &FlowId,
+        tried: &[Option<TargetKey>],
+    ) -> Option<TargetKey> {
+        let services = &self.services;
+        let pool = services.pool_for(service, flow);
+        let tried: Vec<_> = tried.iter().flatten().copied().collect();
+        let wish = Wish {
+            groups: &|group| services.contains(pool, group),
+            domain: self.domain,
+            spill: services.spill(service),
+            tried: &tried,
+        };
+        steering::choose(now, &self.fleet, &wish, &mut self.rng)
+    }
+
+    /// Refuses a new flow. Nothing of it has run, because no target has taken it.
+    pub(super) fn refuse(
+        &mut self,
+        packet: &Packet<B>,
+        reason: ResetReason,
+        out: &mut Vec<BalancerAction<B>>,
+    ) {
+        self.flows.remove(&packet.flow);
+        out.push(BalancerAction::Reset(Reset {
+            flow: packet.flow,
+            seq: 0,
+            reason,
+        }));
+    }
+
+    /// A service that was removed is refused at once. One that was never known may come with the
+    /// next revision, so the caller's first packet is left to be repeated.
+    pub(super) fn on_unknown_service(
+        &mut self,
+        packet: &Packet<B>,
+        repeats: u32,
+        out: &mut Vec<BalancerAction<B>>,
+    ) {
+        if repeats > 0 || self.removed.contains(&packet.flow.service) {
+            self.refuse(packet, ResetReason::UnknownService, out);
+        } else {
+            drop_for(packet.flow, DropReason::UnknownService, out);
+        }
+    }
+}
--- a/crates/core/src/pass_through/fleet.rs
+++ b/crates/core/src/pass_through/fleet.rs
@@ -68,6 +68,7 @@
     pub(super) given: u32,
     /// The target was taken to be lost since then.
     is_lost: bool,
+    is_forgotten: bool,
 }
 
 /// All targets that were ever reported and are not forgotten.
@@ -75,6 +76,8 @@
 pub(super) struct Fleet {
     members: Vec<Member>,
     by_id: HashMap<TargetId, TargetKey>,
+    /// Places of targets that are forgotten.
+    free: Vec<TargetKey>,
 }
 
 impl Fleet {
@@ -112,8 +115,25 @@
         self.by_id.get(&id).copied()
     }
 
+    /// Address of the target's agent.
+    pub(super) fn agent(&self, key: TargetKey) -> SocketAddr {
+        self.get(key).report.agent
+    }
+
     pub(super) fn iter(&self) -> impl Iterator<Item = (TargetKey, &Member)> {
-        (0_u32..).map(TargetKey).zip(&self.members)
+        let members = (0_u32..).map(TargetKey).zip(&self.members);
+        members.filter(|(_, member)| !member.is_forgotten)
+    }
+
+    /// Makes room in the place of targets that were silent for `life`. No flow may refer to them.
+    pub(super) fn forget_silent(&mut self, now: Millis, life: Millis) {
+        for (key, member) in (0_u32..).map(TargetKey).zip(&mut self.members) {
+            if !member.is_forgotten && !member.is_heard(now, life) {
+                member.is_forgotten = true;
+                self.by_id.remove(&member.report.target);
+                self.free.push(key);
+            }
+        }
     }
 
     /// The process was paused, so that silence until now says nothing about anybody.
@@ -127,7 +147,8 @@
     /// were being stopped. Each is returned once. None if most targets are silent, since the
     /// process itself is then more likely to be cut off.
     pub(super) fn take_lost(&mut self, now: Millis, lost: Millis, gone: Millis) -> Vec<TargetKey> {
-        let expected = |member: &Member| member.report.state != TargetState::Dead;
+        let expected =
+            |member: &Member| !member.is_forgotten && member.report.state != TargetState::Dead;
         let is_due = |member: &Member| {
             let limit = if member.report.is_stopping {
                 gone
@@ -154,8 +175,15 @@
     }
 
     fn add(&mut self, now: Millis, report: Report) -> TargetKey {
-        let key = TargetKey(u32::try_from(self.members.len()).expect("fewer than 2^32 targets"));
-        self.members.push(Member::new(now, report));
+        let member = Member::new(now, report);
+        let key = if let Some(key) = self.free.pop() {
+            *self.member_mut(key) = member;
+            key
+        } else {
+            self.members.push(member);
+            let at = self.members.len() - 1;
+            TargetKey(u32::try_from(at).expect("fewer than 2^32 targets"))
+        };
         self.by_id.insert(report.target, key);
         key
     }
@@ -168,6 +196,7 @@
             seen,
             given: 0,
             is_lost: false,
+            is_forgotten: false,
         }
     }
 
--- a/crates/core/tests/pass_through/balancer.rs
+++ b/crates/core/tests/pass_through/balancer.rs
@@ -237,7 +237,7 @@
         send(&mut balancer, START, 1, request());
         let actions = deny(&mut balancer, START);
         assert_eq!(resets(&actions), []);
-        assert!(actions.contains(&BalancerAction::Drop(DropReason::Unclaimed)));
+        assert!(actions.contains(&BalancerAction::Drop { flow: flow(1), reason: DropReason::Unclaimed }));
     };
 
     flow_is_reset_soon_after_a_start_if_all_listed_targets_deny_it => {
@@ -345,7 +345,7 @@
         let mut balancer = with_targets(START);
         let mut out = Vec::new();
         balancer.on_packet(START, packet(flow_to(1, 99), syn()), 0, &mut out);
-        assert_eq!(out, [BalancerAction::Drop(DropReason::UnknownService)]);
+        assert_eq!(out, [BalancerAction::Drop { flow: flow_to(1, 99), reason: DropReason::UnknownService }]);
         out.clear();
         balancer.on_packet(START, packet(flow_to(1, 99), syn()), 1, &mut out);
         assert_eq!(resets(&out).len(), 1);
@@ -373,7 +373,33 @@
         let mut balancer = balancer(START);
         send(&mut balancer, START, 1, syn());
         let actions = tick(&mut balancer, START.after(Millis(600)));
-        assert_eq!(actions, [BalancerAction::Drop(DropReason::NoTarget)]);
+        assert_eq!(actions, [BalancerAction::Drop { flow: flow(1), reason: DropReason::NoTarget }]);
+    };
+
+    machine_at_the_address_of_a_lost_one_ends_the_balancers_belief => {
+        let mut balancer = with_targets(START);
+        let to = offered_to(&send(&mut balancer, START, 1, syn()));
+        let mut successor = report(7, 1);
+        successor.agent = agent_addr(to);
+        balancer.on_report(START, successor);
+        let actions = reject(&mut balancer, START, 7, request());
+        assert_eq!(forwarded(&actions), [], "the packet would come back for ever");
+        assert!(asked(&actions) > 0);
+    };
+
+    target_that_is_silent_for_long_is_forgotten => {
+        let mut balancer = with_targets(START);
+        let later = START.after(Millis::from_secs(130));
+        balancer.on_report(later, report(1, 2));
+        tick(&mut balancer, later);
+        assert!(balancer.knows(target_id(1)));
+        let end = later.after(Millis(100));
+        balancer.on_report(end, report(1, 3));
+        tick(&mut balancer, end);
+        let much_later = end.after(Millis::from_secs(121));
+        balancer.on_report(much_later, report(1, 4));
+        balancer.on_report(much_later, report(3, 1));
+        assert!(balancer.knows(target_id(3)), "in the place of the one that was forgotten");
     };
 
     balancer_is_ready_with_a_revision_and_a_target => {
--- a/crates/core/tests/pass_through/world.rs
+++ b/crates/core/tests/pass_through/world.rs
@@ -265,7 +265,7 @@
                         .push_back(Message::ToAgent(from, to.port(), message));
                 }
                 BalancerAction::Reset(reset) => self.on_reset(reset.flow),
-                BalancerAction::Drop(_) => {}
+                BalancerAction::Drop { .. } => {}
             }
         }
     }
@@ -274,7 +274,7 @@
         for action in actions {
             match action {
                 AgentAction::Deliver { bytes } => self.at_target(from, bytes),
-                AgentAction::ToCaller { .. } | AgentAction::Drop(_) => {}
+                AgentAction::ToCaller { .. } | AgentAction::Drop { .. } => {}
                 AgentAction::Reject { to, bytes, .. } => {
                     let message = ToBalancer::Reject(packet(bytes.0, bytes.1));
                     self.send_to_balancer(from, to, message);
--- a/crates/operator/src/reload.rs
+++ b/crates/operator/src/reload.rs
@@ -5,31 +5,42 @@
 
 use std::time::Duration;
 
+use citronhollow_core::error::ErrorKind;
 use log::LevelFilter;
 use serde::Serialize;
 use serde_json::Value;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::time::timeout;
 
 use crate::decisions::{Decision, DecisionLog, Event};
+use crate::failure::Failure;
 use crate::logging;
 
 /// Time between two looks at the file.
 const LOOK_INTERVAL: Duration = Duration::from_secs(10);
 
+/// SIGHUP, which ends a process that does not listen to it. To be asked for first of all.
+///
+/// # Errors
+///
+/// [`Failure`] if the system takes no handler.
+pub fn hangup() -> Result<Signal, Failure> {
+    signal(SignalKind::hangup()).map_err(|err| {
+        let message = format!("no handler for SIGHUP: {err}");
+        Failure::new(ErrorKind::Invalid, message)
+    })
+}
+
 /// Follows the file at `path` for as long as the process runs. `log_level` tells a settings' level,
 /// which is put in force at once.
 pub async fn follow<S: Serialize>(
+    mut hangup: Signal,
     path: String,
     mut current: S,
     load: impl Fn(&str) -> Result<S, String>,
     log_level: impl Fn(&S) -> LevelFilter,
     mut decisions: DecisionLog,
 ) {
-    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
-        log::warn!("settings: no handler for SIGHUP, changes of the file are not noticed");
-        return;
-    };
     loop {
         // The time limit is the second way to the next look.
         let _ = timeout(LOOK_INTERVAL, hangup.recv()).await;
