Fail the probe of a balancer that hears from no agent

Ruled out: a search through other balancers, which are cut off as well.

Change: without a report for 800 ms a balancer is not ready; the routers then turn to others, and the flows are found there.

--- a/crates/core/src/pass_through/balancer.rs
+++ b/crates/core/src/pass_through/balancer.rs
@@ -33,6 +33,9 @@
 /// lost.
 const SETTLE: Millis = Millis::from_secs(3);
 
+/// A balancer that heard from no agent for this long is cut off: three reports of each are missing.
+const CUT_OFF_AFTER: Millis = Millis(800);
+
 /// Removed addresses that are remembered at most.
 const REMOVED_MAX: usize = 10_000;
 
@@ -169,11 +172,16 @@
         self.revision
     }
 
-    /// Whether callers can be served: a revision is in force and a target is known.
+    /// Whether callers can be served: a revision is in force, and an agent is heard. A balancer that
+    /// hears from none is cut off, and another one serves its callers better.
     #[must_use]
     pub fn is_ready(&self, now: Millis) -> bool {
-        let has_target = self.fleet.iter().next().is_some();
-        self.revision > 0 && (has_target || now.since(self.started) > SETTLE)
+        let is_heard = self
+            .fleet
+            .iter()
+            .any(|(_, member)| member.is_heard(now, CUT_OFF_AFTER));
+        let is_empty = self.fleet.iter().next().is_none();
+        self.revision > 0 && (is_heard || (is_empty && now.since(self.started) > SETTLE))
     }
 
     /// Takes a report. Returns whether the target was unknown.
--- a/crates/core/tests/pass_through/balancer.rs
+++ b/crates/core/tests/pass_through/balancer.rs
@@ -402,6 +402,14 @@
         assert!(balancer.knows(target_id(3)), "in the place of the one that was forgotten");
     };
 
+    balancer_that_hears_from_nobody_is_not_ready => {
+        let mut balancer = with_targets(START);
+        let later = START.after(Millis(1_500));
+        assert!(!balancer.is_ready(later));
+        balancer.on_report(later, report(1, 2));
+        assert!(balancer.is_ready(later));
+    };
+
     balancer_is_ready_with_a_revision_and_a_target => {
         let mut balancer = balancer(START);
         assert!(!balancer.is_ready(START));
