Keep a late answer of one target from claiming the flow of another

Cause, seen in reading: a target that answers an opening packet after the agent gave it back made the flow known there as open, so that a search could find it at two targets.

Change: such a flow counts as answered and not as open, so the caller's acknowledgement decides. The test failed before. Both traffic threads share one socket type for messages; wording.

--- a/crates/agent/src/pass_through/link.rs
+++ b/crates/agent/src/pass_through/link.rs
@@ -1,4 +1,4 @@
-//! What the control thread of an agent tells its traffic thread.
+//! Commands of the control thread of an agent to its traffic thread.
 
 use std::net::SocketAddr;
 
--- a/crates/agent/src/pass_through/traffic.rs
+++ b/crates/agent/src/pass_through/traffic.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use citronhollow_adapter::packet::{self, FromTarget};
 use citronhollow_core::clock::Millis;
 use citronhollow_core::id::{DomainId, GroupId, TargetId};
@@ -13,9 +13,9 @@
 use citronhollow_core::pass_through::{Agent, AgentAction, AgentLimits, Offer, Place};
 use citronhollow_operator::decisions::{Decision, DecisionLog, Event};
 use citronhollow_operator::exposition;
-use citronhollow_peer::datagram::Datagrams;
+use citronhollow_peer::datagram::{Datagrams, MessageSocket};
 use citronhollow_peer::message::Forward;
-use citronhollow_peer::{Body, Codec, Envelope, Keyring, addr_from_bytes, pass_through};
+use citronhollow_peer::{Body, Envelope, Keyring, addr_from_bytes, pass_through};
 use prometheus::{IntGauge, Registry};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::oneshot;
@@ -47,8 +47,7 @@
     /// Port at which callers' machines take packets.
     caller_port: u16,
     from_target: Datagrams,
-    peers: Datagrams,
-    codec: Codec,
+    peers: MessageSocket,
     started: Instant,
     agent: Agent<Bytes>,
     /// When each balancer was listed or heard last.
@@ -56,7 +55,6 @@
     next_report: Millis,
     leaving: Option<(Millis, oneshot::Sender<TargetState>)>,
     actions: Vec<AgentAction<Bytes>>,
-    frame: BytesMut,
     decisions: DecisionLog,
     gauges: Gauges,
 }
@@ -96,7 +94,7 @@
             group: GroupId::of(&settings.group),
             domain: DomainId::of(&settings.domain),
             agent: settings.peer_listen,
-            // Balancers tell this start's reports from the last one's by it.
+            // Balancers order the reports of two starts by it.
             incarnation: time_of_day_ms(),
         };
         Ok(Self {
@@ -104,15 +102,13 @@
             target_id: place.target,
             caller_port: settings.fabric_listen.port(),
             from_target: Datagrams::bind(settings.target_listen)?,
-            peers: Datagrams::bind(settings.peer_listen)?,
-            codec: Codec::new(keys),
+            peers: MessageSocket::bind(settings.peer_listen, keys)?,
             started: Instant::now(),
             agent: Agent::new(Millis::ZERO, place, limits),
             balancers: HashMap::new(),
             next_report: Millis::ZERO,
             leaving: None,
             actions: Vec::new(),
-            frame: BytesMut::new(),
             decisions,
             gauges: Gauges::new(registry),
         })
@@ -184,7 +180,7 @@
     fn meet(&mut self, now: Millis, balancer: SocketAddr) {
         if self.balancers.insert(balancer, now).is_none() {
             let report = self.report_message(now);
-            self.send(&report, balancer);
+            self.peers.send(&report, balancer);
         }
     }
 
@@ -223,7 +219,7 @@
         let report = self.report_message(now);
         let balancers: Vec<_> = self.balancers.keys().copied().collect();
         for balancer in balancers {
-            self.send(&report, balancer);
+            self.peers.send(&report, balancer);
         }
     }
 
@@ -252,11 +248,8 @@
     }
 
     fn read_peers(&mut self) {
-        for (bytes, from) in self.peers.read() {
-            match self.codec.open(&bytes) {
-                Ok(envelope) => self.on_message(envelope, from),
-                Err(err) => log::warn!("peer: message from {from} dropped: {err}"),
-            }
+        for (envelope, from) in self.peers.read() {
+            self.on_message(envelope, from);
         }
     }
 
@@ -325,14 +318,14 @@
                 self.send_packet(&bytes, self.caller_addr(flow.caller));
             }
             AgentAction::Reject { to, bytes, .. } => {
-                self.send(
+                self.peers.send(
                     &Envelope::from(pass_through::reject(self.target_id, bytes)),
                     to,
                 );
             }
             AgentAction::Reply { to, flow, holding } => {
                 let reply = pass_through::reply(self.target_id, &flow, holding);
-                self.send(&Envelope::from(reply), to);
+                self.peers.send(&Envelope::from(reply), to);
             }
             AgentAction::Reset(reset) => {
                 self.send_packet(&packet::reset(&reset), self.caller_addr(reset.flow.caller));
@@ -350,14 +343,6 @@
             log::debug!("traffic: packet to {to} failed: {err}");
         }
     }
-
-    fn send(&mut self, envelope: &Envelope, to: SocketAddr) {
-        self.frame.clear();
-        self.codec.seal(envelope, &mut self.frame);
-        if let Err(err) = self.peers.send(&self.frame, to) {
-            log::debug!("peer: message to {to} failed: {err}");
-        }
-    }
 }
 
 /// The line of an action, none for the packets that simply pass.
--- a/crates/balancer/src/pass_through/control.rs
+++ b/crates/balancer/src/pass_through/control.rs
@@ -22,7 +22,7 @@
 use super::link::{Command, Event};
 
 /// Time that a watch of the configuration waits. A connection that went silent is found out after
-/// it. Other balancers, whose watches end at other times, tell of a change sooner.
+/// it. Other balancers, whose watches end at other times, announce a change sooner.
 const WATCH_WAIT: Millis = Millis(4_000);
 
 /// Pause after an accept that failed, which it does when the process has no descriptor left.
--- a/crates/balancer/src/pass_through/link.rs
+++ b/crates/balancer/src/pass_through/link.rs
@@ -1,4 +1,4 @@
-//! What the control thread and the traffic thread of a balancer tell one another.
+//! Messages between the control thread and the traffic thread of a balancer.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/balancer/src/pass_through/traffic.rs
+++ b/crates/balancer/src/pass_through/traffic.rs
@@ -7,18 +7,16 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use citronhollow_adapter::packet;
 use citronhollow_core::clock::Millis;
 use citronhollow_core::id::{DomainId, TargetId};
 use citronhollow_core::pass_through::{Balancer, BalancerAction, BalancerLimits, Offer, Report};
 use citronhollow_operator::decisions::{self, Decision, DecisionLog};
 use citronhollow_operator::exposition;
-use citronhollow_peer::datagram::Datagrams;
+use citronhollow_peer::datagram::{Datagrams, MessageSocket};
 use citronhollow_peer::message::{Greeting, TargetReports};
-use citronhollow_peer::{
-    Body, Codec, Envelope, Keyring, addr_from_bytes, addr_to_bytes, pass_through,
-};
+use citronhollow_peer::{Body, Envelope, Keyring, addr_from_bytes, addr_to_bytes, pass_through};
 use prometheus::{IntGauge, Registry};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::time::{MissedTickBehavior, interval};
@@ -57,8 +55,7 @@
     /// Port at which callers' machines take packets.
     caller_port: u16,
     fabric: Datagrams,
-    peers: Datagrams,
-    codec: Codec,
+    peers: MessageSocket,
     started: Instant,
     balancer: Balancer<Bytes>,
     /// Other balancers, and when each was heard last.
@@ -68,7 +65,6 @@
     shared: Arc<Shared>,
     events: UnboundedSender<Event>,
     actions: Vec<BalancerAction<Bytes>>,
-    frame: BytesMut,
     decisions: DecisionLog,
     gauges: Gauges,
 }
@@ -112,8 +108,7 @@
             own_addr: settings.peer_listen,
             caller_port: settings.fabric_listen.port(),
             fabric: Datagrams::bind(settings.fabric_listen)?,
-            peers: Datagrams::bind(settings.peer_listen)?,
-            codec: Codec::new(keys),
+            peers: MessageSocket::bind(settings.peer_listen, keys)?,
             started,
             balancer: Balancer::new(Millis::ZERO, domain, limits, rand::random()),
             balancers: HashMap::new(),
@@ -122,7 +117,6 @@
             shared,
             events,
             actions: Vec::new(),
-            frame: BytesMut::new(),
             decisions,
             gauges: Gauges::new(registry),
         })
@@ -178,7 +172,7 @@
         let greeting = self.greeting(false);
         for (target, agent) in listed {
             if !self.balancer.knows(*target) {
-                self.send(&greeting, *agent);
+                self.peers.send(&greeting, *agent);
             }
         }
     }
@@ -189,7 +183,7 @@
         for &addr in addrs {
             if addr != self.own_addr && !self.balancers.contains_key(&addr) {
                 self.balancers.insert(addr, now);
-                self.send(&self.greeting(true), addr);
+                self.peers.send(&self.greeting(true), addr);
             }
         }
     }
@@ -227,7 +221,7 @@
         let greeting = self.greeting(wants_reports);
         let addrs: Vec<_> = self.balancers.keys().copied().collect();
         for addr in addrs {
-            self.send(&greeting, addr);
+            self.peers.send(&greeting, addr);
         }
     }
 
@@ -235,7 +229,7 @@
         let greeting = self.greeting(false);
         let agents: Vec<_> = self.balancer.reports().map(|report| report.agent).collect();
         for agent in agents {
-            self.send(&greeting, agent);
+            self.peers.send(&greeting, agent);
         }
     }
 
@@ -263,11 +257,8 @@
     }
 
     fn read_peers(&mut self) {
-        for (bytes, from) in self.peers.read() {
-            match self.codec.open(&bytes) {
-                Ok(envelope) => self.on_message(envelope, from),
-                Err(err) => log::warn!("peer: message from {from} dropped: {err}"),
-            }
+        for (envelope, from) in self.peers.read() {
+            self.on_message(envelope, from);
         }
     }
 
@@ -308,7 +299,7 @@
         let now = self.now();
         let is_new = self.balancers.insert(addr, now).is_none();
         if is_new {
-            self.send(&self.greeting(false), addr);
+            self.peers.send(&self.greeting(false), addr);
         }
         if greeting.wants_reports {
             self.send_reports(addr);
@@ -332,7 +323,7 @@
         for chunk in reports.chunks(REPORTS_PER_DATAGRAM) {
             let reports = chunk.to_vec();
             let body = Body::TargetReports(TargetReports { reports });
-            self.send(&Envelope::from(body), to);
+            self.peers.send(&Envelope::from(body), to);
         }
     }
 
@@ -344,7 +335,7 @@
                 continue;
             };
             if self.balancer.on_report(now, report) {
-                self.send(&self.greeting(false), report.agent);
+                self.peers.send(&self.greeting(false), report.agent);
             }
         }
     }
@@ -374,12 +365,11 @@
                 bytes,
             } => {
                 let message = pass_through::offer_to_message(offer, group);
-                self.frame.clear();
-                self.codec.seal_forward(&message, &bytes, &mut self.frame);
-                self.send_frame(to);
+                self.peers.send_forward(&message, &bytes, to);
             }
             BalancerAction::Ask { to, flow } => {
-                self.send(&Envelope::from(pass_through::question(&flow)), to);
+                self.peers
+                    .send(&Envelope::from(pass_through::question(&flow)), to);
             }
             BalancerAction::Reset(reset) => {
                 let to = SocketAddr::new(reset.flow.caller.ip(), self.caller_port);
@@ -390,18 +380,6 @@
             BalancerAction::Drop { .. } => {}
         }
     }
-
-    fn send(&mut self, envelope: &Envelope, to: SocketAddr) {
-        self.frame.clear();
-        self.codec.seal(envelope, &mut self.frame);
-        self.send_frame(to);
-    }
-
-    fn send_frame(&self, to: SocketAddr) {
-        if let Err(err) = self.peers.send(&self.frame, to) {
-            log::debug!("peer: message to {to} failed: {err}");
-        }
-    }
 }
 
 fn decoded(message: &citronhollow_peer::message::TargetReport, from: SocketAddr) -> Option<Report> {
--- a/crates/core/src/pass_through/agent.rs
+++ b/crates/core/src/pass_through/agent.rs
@@ -251,7 +251,13 @@
         if segment.rst {
             self.forget(now, &flow);
         } else if !self.ended.contains(&flow) {
-            self.watch(now, flow, |conn| conn.on_target(&segment));
+            // An answer that came after its opening packet was given back opens nothing by itself.
+            let stage = if segment.syn {
+                Stage::Answered
+            } else {
+                Stage::Open
+            };
+            self.watch(now, flow, stage, |conn| conn.on_target(&segment));
         }
         out.push(AgentAction::ToCaller { flow, bytes });
     }
@@ -293,7 +299,7 @@
         self.is_stopping = true;
     }
 
-    /// Does what is due. Returns whether balancers must be told at once. To be called at least
+    /// Does what is due. Returns whether balancers must be notified at once. To be called at least
     /// every 50 ms.
     pub fn on_tick(&mut self, now: Millis, out: &mut Vec<AgentAction<B>>) -> bool {
         let before = self.state(now);
@@ -354,7 +360,7 @@
         if segment.rst {
             self.forget(now, &packet.flow);
         } else {
-            self.watch(now, packet.flow, |conn| {
+            self.watch(now, packet.flow, Stage::Open, |conn| {
                 conn.on_caller(balancer, &segment);
             });
         }
@@ -402,11 +408,11 @@
         }
     }
 
-    /// Applies a packet to its flow, which is made known if it was not.
-    fn watch(&mut self, now: Millis, flow: FlowId, apply: impl FnOnce(&mut Conn)) {
+    /// Applies a packet to its flow, which is made known at `stage` if it was not.
+    fn watch(&mut self, now: Millis, flow: FlowId, stage: Stage, apply: impl FnOnce(&mut Conn)) {
         self.measure(now);
         if !self.conns.contains(&flow) {
-            let conn = Conn::new(now, Stage::Open, None);
+            let conn = Conn::new(now, stage, None);
             if let Some((_, evicted)) = self.conns.insert(now, flow, conn) {
                 self.on_gone(now, &evicted);
             }
--- a/crates/core/src/pass_through/agent/target.rs
+++ b/crates/core/src/pass_through/agent/target.rs
@@ -24,7 +24,7 @@
 const PAUSE: Millis = Millis(600);
 
 impl<B: Clone> Agent<B> {
-    /// Takes a heartbeat of the target. Returns whether balancers must be told at once, or none if
+    /// Takes a heartbeat of the target. Returns whether balancers must be notified at once, or none if
     /// the heartbeat is older than what is known.
     ///
     /// A target that was started again has lost the flows of its last start. Their callers are
--- a/crates/core/src/pass_through/fleet.rs
+++ b/crates/core/src/pass_through/fleet.rs
@@ -13,7 +13,7 @@
 use crate::id::{DomainId, GroupId, TargetId};
 use crate::members::TargetState;
 
-/// What an agent tells balancers of its target.
+/// What an agent reports of its target to balancers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Report {
@@ -40,7 +40,7 @@
     pub cold_left: Millis,
     /// Flows that the target holds.
     pub flows: u32,
-    /// Requests in progress and waiting at the moment.
+    /// Requests in progress and waiting now.
     pub busy: u32,
     /// Requests in progress and waiting over the last seconds, in thousandths.
     pub mean_busy_milli: u32,
--- a/crates/core/tests/pass_through/agent.rs
+++ b/crates/core/tests/pass_through/agent.rs
@@ -184,6 +184,17 @@
         assert_eq!(agent.state(later), TargetState::Ready, "it is alive after all");
     };
 
+    late_answer_to_an_opening_packet_that_went_back_claims_no_flow_of_another_target => {
+        let mut agent = agent(START);
+        from_caller(&mut agent, START, Offer::New, flow(1), syn());
+        tick(&mut agent, START.after(Millis(200)));
+        let later = START.after(Millis(300));
+        from_target(&mut agent, later, flow(1), syn_ack(TARGET_ISN));
+        let elsewhere = ack(TARGET_ISN + 9);
+        let actions = from_caller(&mut agent, later, Offer::Held, flow(1), elsewhere);
+        assert_eq!(rejected(&actions), Some(RejectReason::NotHeld));
+    };
+
     copy_of_an_opening_packet_is_delivered_again => {
         let mut agent = agent(START);
         from_caller(&mut agent, START, Offer::New, flow(1), syn());
--- a/crates/operator/src/decisions.rs
+++ b/crates/operator/src/decisions.rs
@@ -34,7 +34,7 @@
     /// The process is at work.
     #[display("process_started")]
     ProcessStarted,
-    /// The process was told to stop.
+    /// The process got the signal to stop.
     #[display("process_stopping")]
     ProcessStopping,
     /// The settings file changed.
--- a/crates/operator/src/reload.rs
+++ b/crates/operator/src/reload.rs
@@ -31,7 +31,7 @@
     })
 }
 
-/// Follows the file at `path` for as long as the process runs. `log_level` tells a settings' level,
+/// Follows the file at `path` for as long as the process runs. `log_level` returns the level in settings,
 /// which is put in force at once.
 pub async fn follow<S: Serialize>(
     mut hangup: Signal,
