Hear an agent that is started again after its clock went back

Cause: reports of two starts of an agent were ordered by the time of day of their starts. An agent that was started while its clock was 5 s ahead, and again once the clock was right, had reports that looked older than those of its first start. Balancers ignored them until the target was forgotten, 120 s later, took the target to be lost, and reset flows that it held. A second fault showed the same way: a balancer that could ask nobody for a flow took that for a denial by everybody, since a search without anybody asked has no answer but "no".

Change: a start is a random number, and starts have no order. A report is overtaken only by a later one of its own start; the start that goes on reporting wins. A flow counts as held by nobody only if a balancer hears at least as many targets as it misses.

--- a/crates/agent/src/pass_through/traffic.rs
+++ b/crates/agent/src/pass_through/traffic.rs
@@ -23,7 +23,6 @@
 
 use super::link::Command;
 use super::settings::Settings;
-use super::time_of_day_ms;
 
 /// Time between two ticks of the decisions.
 const TICK: Duration = Duration::from_millis(25);
@@ -94,8 +93,7 @@
             group: GroupId::of(&settings.group),
             domain: DomainId::of(&settings.domain),
             agent: settings.peer_listen,
-            // Balancers order the reports of two starts by it.
-            incarnation: time_of_day_ms(),
+            incarnation: rand::random(),
         };
         Ok(Self {
             target: settings.target,
--- a/crates/core/src/pass_through/agent.rs
+++ b/crates/core/src/pass_through/agent.rs
@@ -114,7 +114,7 @@
     pub domain: DomainId,
     /// Address at which the agent takes packets.
     pub agent: SocketAddr,
-    /// Start of the agent, as the time of day in ms.
+    /// Start of the agent, a number that no other start has.
     pub incarnation: u64,
 }
 
--- a/crates/core/src/pass_through/balancer/ongoing.rs
+++ b/crates/core/src/pass_through/balancer/ongoing.rs
@@ -165,8 +165,8 @@
         }
     }
 
-    /// Every target was asked and does not hold the flow. That is proof only if all targets are
-    /// known.
+    /// Every target that could be asked does not hold the flow. That is proof only if all targets are
+    /// known and most of them could be asked.
     pub(super) fn on_unclaimed(
         &self,
         now: Millis,
@@ -175,7 +175,7 @@
         out: &mut Vec<BalancerAction<B>>,
     ) {
         match seq {
-            Some(seq) if self.is_settled(now) => {
+            Some(seq) if self.is_settled(now) && self.fleet.hears_most(now, GONE_AFTER) => {
                 let reason = ResetReason::Unclaimed;
                 out.push(BalancerAction::Reset(Reset { flow, seq, reason }));
             }
--- a/crates/core/src/pass_through/fleet.rs
+++ b/crates/core/src/pass_through/fleet.rs
@@ -1,8 +1,10 @@
 //! What a balancer knows of the targets, all of it from their agents' reports.
 //!
-//! A report replaces the one before. A report that was delayed and overtaken is recognised by the
-//! start of the agent and its sequence number. Targets live in an arena and are named by a small
-//! key, which stays valid for as long as flows refer to it.
+//! A report replaces the one before. A report that was delayed and overtaken is recognised by its
+//! sequence number, within one start of the agent. Two starts have no order, since no clock that
+//! survives a restart can be trusted to go forward: the start that goes on reporting is the one that
+//! lives. Targets live in an arena and are named by a small key, which stays valid for as long as
+//! flows refer to it.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -19,7 +21,7 @@
 pub struct Report {
     /// The target.
     pub target: TargetId,
-    /// Start of the agent, as the time of day in ms.
+    /// Start of the agent, a number that no other start has.
     pub incarnation: u64,
     /// Grows with every report of one start.
     pub sequence: u64,
@@ -46,14 +48,6 @@
     pub mean_busy_milli: u32,
 }
 
-impl Report {
-    /// Order of two reports of one agent, the later one greater.
-    #[must_use]
-    pub const fn version(&self) -> (u64, u64) {
-        (self.incarnation, self.sequence)
-    }
-}
-
 /// Position of a target in [`Fleet`].
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub(super) struct TargetKey(u32);
@@ -66,6 +60,8 @@
     pub(super) seen: Millis,
     /// Flows given to the target since then.
     pub(super) given: u32,
+    /// Another start of the agent, and the last report of it.
+    other_start: Option<(u64, u64)>,
     /// The target was taken to be lost since then.
     is_lost: bool,
     is_forgotten: bool,
@@ -87,9 +83,14 @@
             return Some(self.add(now, report));
         };
         let member = self.member_mut(key);
-        if report.version() <= member.report.version() {
+        if member.is_overtaken(&report) {
             return None;
         }
+        let other_start = if member.report.incarnation == report.incarnation {
+            member.other_start
+        } else {
+            Some((member.report.incarnation, member.report.sequence))
+        };
         let mut report = report;
         // The agent alone was started again, and its target goes on as before. An address that
         // changed belongs to another machine under the same name.
@@ -99,7 +100,10 @@
             report.state = member.report.state;
             report.slots = member.report.slots;
         }
-        *member = Member::new(now, report);
+        *member = Member {
+            other_start,
+            ..Member::new(now, report)
+        };
         Some(key)
     }
 
@@ -143,26 +147,30 @@
         }
     }
 
+    /// Whether at least one target was heard within `age`, and as many as were not. A process of which
+    /// that is not true is more likely to be cut off than to have lost the others.
+    pub(super) fn hears_most(&self, now: Millis, age: Millis) -> bool {
+        let expected = self.members.iter().filter(|member| member.is_expected());
+        let heard = expected.clone().filter(|member| member.is_heard(now, age));
+        let (heard, expected) = (heard.count(), expected.count());
+        heard > 0 && heard * 2 >= expected
+    }
+
     /// Targets whose agents have become silent for `lost`, or for `gone` if they said that they
-    /// were being stopped. Each is returned once. None if most targets are silent, since the
-    /// process itself is then more likely to be cut off.
+    /// were being stopped. Each is returned once, and none while most are silent.
     pub(super) fn take_lost(&mut self, now: Millis, lost: Millis, gone: Millis) -> Vec<TargetKey> {
-        let expected =
-            |member: &Member| !member.is_forgotten && member.report.state != TargetState::Dead;
         let is_due = |member: &Member| {
             let limit = if member.report.is_stopping {
                 gone
             } else {
                 lost
             };
-            expected(member) && !member.is_lost && !member.is_heard(now, limit)
+            member.is_expected() && !member.is_lost && !member.is_heard(now, limit)
         };
         if !self.members.iter().any(is_due) {
             return Vec::new();
         }
-        let known = self.members.iter().filter(|member| expected(member));
-        let silent = known.clone().filter(|member| !member.is_heard(now, lost));
-        if silent.count() * 2 > known.count() {
+        if !self.hears_most(now, lost) {
             return Vec::new();
         }
         let keys = (0_u32..).map(TargetKey).zip(&mut self.members);
@@ -195,11 +203,30 @@
             report,
             seen,
             given: 0,
+            other_start: None,
             is_lost: false,
             is_forgotten: false,
         }
     }
 
+    /// Whether a later report of the same start came before this one.
+    fn is_overtaken(&self, report: &Report) -> bool {
+        let last = if self.report.incarnation == report.incarnation {
+            Some(self.report.sequence)
+        } else {
+            let other = self
+                .other_start
+                .filter(|(start, _)| *start == report.incarnation);
+            other.map(|(_, sequence)| sequence)
+        };
+        last.is_some_and(|last| report.sequence <= last)
+    }
+
+    /// Whether reports of the target are expected: it is neither forgotten nor gone by its own word.
+    fn is_expected(&self) -> bool {
+        !self.is_forgotten && self.report.state != TargetState::Dead
+    }
+
     /// Whether the last report is at most `age` old.
     pub(super) const fn is_heard(&self, now: Millis, age: Millis) -> bool {
         now.since(self.seen).0 <= age.0
--- a/crates/core/tests/pass_through/balancer.rs
+++ b/crates/core/tests/pass_through/balancer.rs
@@ -86,6 +86,14 @@
     }
 }
 
+/// What the balancer knows of a target.
+fn state(balancer: &Balancer<Bytes>, number: u16) -> TargetState {
+    let target = target_id(number);
+    let mut reports = balancer.reports();
+    let report = reports.find(|report| report.target == target);
+    report.expect("a target that is known").state
+}
+
 /// Everybody says no, twice.
 fn deny(balancer: &mut Balancer<Bytes>, now: Millis) -> Actions {
     let mut all = Vec::new();
@@ -181,6 +189,74 @@
         assert_eq!(offered_to(&send(&mut balancer, START, 1, syn())), 2);
     };
 
+    // Found by deploy/days/clocks-and-kills.toml: an agent that was started while its clock was ahead
+    // and again after the clock was right was never heard again, and its flows were reset.
+    agent_that_is_started_again_after_its_clock_went_back_is_heard => {
+        let mut balancer = with_targets(START);
+        let mut ahead = report(1, 40);
+        ahead.incarnation = 9_000;
+        balancer.on_report(START, ahead);
+        let mut later = report(1, 1);
+        (later.incarnation, later.state) = (4_000, TargetState::Draining);
+        balancer.on_report(START, later);
+        assert_eq!(state(&balancer, 1), TargetState::Draining);
+    };
+
+    late_report_of_an_earlier_start_is_ignored => {
+        let mut balancer = with_targets(START);
+        let mut leaving = report(1, 1);
+        (leaving.incarnation, leaving.state) = (2, TargetState::Draining);
+        balancer.on_report(START, leaving);
+        balancer.on_report(START, report(1, 1));
+        assert_eq!(state(&balancer, 1), TargetState::Draining);
+    };
+
+    // The report of a dead start may be the second that a balancer gets to know of a target.
+    start_that_goes_on_reporting_outlasts_a_late_report => {
+        let mut balancer = with_targets(START);
+        let mut leaving = report(1, 3);
+        (leaving.incarnation, leaving.state) = (2, TargetState::Draining);
+        balancer.on_report(START, leaving);
+        balancer.on_report(START, report(1, 7));
+        leaving.sequence = 4;
+        balancer.on_report(START, leaving);
+        balancer.on_report(START, report(1, 6));
+        assert_eq!(state(&balancer, 1), TargetState::Draining);
+    };
+
+    // Found with the same day: with nobody left to ask, everybody had denied the flow.
+    flow_is_not_reset_by_a_balancer_that_can_ask_nobody => {
+        let mut balancer = with_targets(START);
+        let later = START.after(Millis::from_secs(9));
+        let mut all = Vec::new();
+        for step in 0..180 {
+            all.extend(tick(&mut balancer, START.after(Millis(step * 50))));
+        }
+        all.extend(send(&mut balancer, later, 1, request()));
+        for step in 1..20 {
+            all.extend(tick(&mut balancer, later.after(Millis(step * 25))));
+        }
+        assert_eq!(resets(&all), []);
+    };
+
+    flow_is_not_reset_by_a_balancer_that_hears_from_few => {
+        let mut balancer = with_targets(START);
+        balancer.on_report(START, report(3, 1));
+        balancer.on_report(START, report(4, 1));
+        let later = START.after(Millis::from_secs(9));
+        for step in 0..180 {
+            let now = START.after(Millis(step * 50));
+            balancer.on_report(now, report(1, 2 + step));
+            tick(&mut balancer, now);
+        }
+        let mut all = send(&mut balancer, later, 1, request());
+        all.extend(reply(&mut balancer, later, 1, Holding::No));
+        let again = later.after(Millis(120));
+        all.extend(tick(&mut balancer, again));
+        all.extend(reply(&mut balancer, again, 1, Holding::No));
+        assert_eq!(resets(&all), []);
+    };
+
     unknown_flow_is_asked_for_and_found => {
         let mut balancer = with_targets(START);
         assert_eq!(asked(&send(&mut balancer, START, 1, request())), 2);
--- a/crates/peer/src/message/pass_through.rs
+++ b/crates/peer/src/message/pass_through.rs
@@ -35,7 +35,7 @@
     /// The target.
     #[prost(fixed64, tag = "1")]
     pub target: u64,
-    /// Start of the agent, as the time of day in ms.
+    /// Start of the agent, a number that no other start has.
     #[prost(uint64, tag = "2")]
     pub incarnation: u64,
     /// Grows with every report of one start.
