Let starting processes find one another, and know who says goodbye

Cause, found by reading: (1) a balancer and an agent that start together each listed the other's kind before their own entry was written, so that neither might know the other until the next stale list; the balancer then called itself complete and could have reset a flow that the other's target held. (2) With the store away, an agent knew no balancers but the seeds, and the others denied its flows. (3) A goodbye that was read late ended the flows of the next instance beside the same agent, since it named nobody. (4) A stop of an agent was reported once; where that datagram was lost, 2 s of silence looked like a lost machine.

Ruled out: longer settling after a start, which would leave callers of lost flows waiting and only make (1) and (2) rarer.

Change: entries are written before others are listed, and a list counts as complete only then. Greetings name a few balancers that their sender hears, and reach 16 balancers a round. core::pass_through::Contacts keeps who is known, for both programs. Heartbeats and goodbyes carry the instance. A stop is reported with each tick for 75 ms.

--- a/crates/agent/src/pass_through/control.rs
+++ b/crates/agent/src/pass_through/control.rs
@@ -4,16 +4,19 @@
 
 use citronhollow_adapter::heartbeat;
 use citronhollow_adapter::store::{self, Entries, Entry};
+use citronhollow_core::id::InstanceId;
 use citronhollow_core::pass_through::FlowList;
 use citronhollow_operator::listener;
+use citronhollow_platform::Client;
+use citronhollow_platform::presence::{self, Presence};
 use citronhollow_platform::retry::Pause;
-use citronhollow_platform::{Client, Presence};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use tokio::time::{sleep, timeout};
 use volo_http::http::StatusCode;
 use volo_http::server::Server;
+use volo_http::server::param::PathParams;
 use volo_http::server::route::{Router, put};
 
 use super::link::Command;
@@ -46,23 +49,25 @@
 
 fn router(group: String, commands: UnboundedSender<Command>) -> Router {
     let leaving = commands.clone();
-    let announce = move |body: Vec<u8>| {
+    let announce = move |PathParams(name): PathParams<String>, body: Vec<u8>| {
         let (group, commands) = (group.clone(), commands.clone());
-        async move { announce(&body, &group, &commands).await }
+        async move { announce(&name, &body, &group, &commands).await }
     };
-    let leave = move || {
+    let leave = move |PathParams(name): PathParams<String>| {
         let commands = leaving.clone();
-        async move { apply(&commands, Command::Goodbye).await }
+        let instance = InstanceId::of(&name);
+        async move { apply(&commands, |applied| Command::Goodbye(instance, applied)).await }
     };
     Router::new().route(heartbeat::ROUTE, put(announce).delete(leave))
 }
 
 async fn announce(
+    name: &str,
     body: &[u8],
     group: &str,
     commands: &UnboundedSender<Command>,
 ) -> (StatusCode, &'static str) {
-    match heartbeat::parse(body, group, time_of_day_ms()) {
+    match heartbeat::parse(name, body, group, time_of_day_ms()) {
         Ok(heartbeat) => apply(commands, |applied| Command::Heartbeat(heartbeat, applied)).await,
         Err(err) => {
             log::warn!("target: {err}");
@@ -85,14 +90,21 @@
     }
 }
 
-/// Looks for balancers at the platform for as long as the process runs.
-pub(super) async fn follow_balancers(client: Client, commands: UnboundedSender<Command>) {
+/// Looks for balancers at the platform for as long as the process runs, after its own entry was
+/// written there: of two processes that start at once, one at least sees the other then.
+pub(super) async fn follow_balancers(
+    client: Client,
+    commands: UnboundedSender<Command>,
+    is_listed: watch::Sender<bool>,
+) {
     let mut may_be_stale = false;
     let mut pause = Pause::default();
+    presence::wait_until_listed(&is_listed).await;
     loop {
+        let was_listed = *is_listed.borrow();
         match store::list(&client, Entries::Balancers, may_be_stale).await {
             Ok(found) => {
-                may_be_stale = true;
+                may_be_stale = was_listed;
                 let addrs = found.into_iter().map(|entry| entry.address).collect();
                 // The traffic thread is gone only while the process ends.
                 let _ = commands.send(Command::Balancers(addrs));
@@ -108,7 +120,7 @@
 }
 
 /// Keeps this agent's entry at the platform for as long as the process runs.
-pub(super) async fn keep_entry(client: Client, own: Entry) {
+pub(super) async fn keep_entry(client: Client, own: Entry, is_listed: watch::Sender<bool>) {
     let mut presence = Presence::default();
     let mut pause = Pause::default();
     loop {
@@ -116,6 +128,7 @@
             match store::add(&client, Entries::Agents, &own).await {
                 Ok(()) => {
                     presence.on_written();
+                    is_listed.send_replace(true);
                     pause.reset();
                 }
                 Err(err) => {
--- a/crates/agent/src/pass_through/link.rs
+++ b/crates/agent/src/pass_through/link.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use citronhollow_core::id::InstanceId;
 use citronhollow_core::members::TargetState;
 use citronhollow_core::pass_through::{FlowList, Heartbeat};
 use tokio::sync::oneshot;
@@ -11,8 +12,8 @@
 pub enum Command {
     /// The target sent a heartbeat. Answered when it is applied.
     Heartbeat(Heartbeat, oneshot::Sender<()>),
-    /// The target says that it is gone. Answered when it is applied.
-    Goodbye(oneshot::Sender<()>),
+    /// An instance of the target says that it is gone. Answered when it is applied.
+    Goodbye(InstanceId, oneshot::Sender<()>),
     /// An earlier agent of the target left this list of flows.
     Inherit(FlowList),
     /// Answered with the flows to be listed.
--- a/crates/agent/src/pass_through/run.rs
+++ b/crates/agent/src/pass_through/run.rs
@@ -16,7 +16,7 @@
 use citronhollow_platform::client::{Client, ClientConfig};
 use prometheus::Registry;
 use tokio::signal::unix::Signal;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::timeout;
 
 use super::control;
@@ -99,12 +99,17 @@
     });
     // Nobody receives this only while the process ends.
     let _ = commands.send(Command::Balancers(settings.seed_balancers()));
-    tokio::spawn(control::follow_balancers(client.clone(), commands.clone()));
+    let (is_listed, _) = watch::channel(false);
+    tokio::spawn(control::follow_balancers(
+        client.clone(),
+        commands.clone(),
+        is_listed.clone(),
+    ));
     let own = Entry {
         name: settings.name.clone(),
         address: settings.peer_listen,
     };
-    let entry = tokio::spawn(control::keep_entry(client.clone(), own));
+    let entry = tokio::spawn(control::keep_entry(client.clone(), own, is_listed));
     let name = settings.name.clone();
     let flows = tokio::spawn(control::keep_flows(client.clone(), name, commands.clone()));
     log::info!("agent: {} is at work", settings.name);
--- a/crates/agent/src/pass_through/traffic.rs
+++ b/crates/agent/src/pass_through/traffic.rs
@@ -1,6 +1,5 @@
 //! The traffic thread of an agent: packets of balancers and of the target.
 
-use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -10,7 +9,7 @@
 use citronhollow_core::clock::Millis;
 use citronhollow_core::id::{DomainId, GroupId, TargetId};
 use citronhollow_core::members::TargetState;
-use citronhollow_core::pass_through::{Agent, AgentAction, AgentLimits, Offer, Place};
+use citronhollow_core::pass_through::{Agent, AgentAction, AgentLimits, Contacts, Offer, Place};
 use citronhollow_operator::decisions::{Decision, DecisionLog, Event};
 use citronhollow_operator::exposition;
 use citronhollow_peer::datagram::{Datagrams, MessageSocket};
@@ -30,12 +29,13 @@
 /// Time between two reports to a balancer. Balancers take four missing ones for silence.
 const REPORT_INTERVAL: Millis = Millis(250);
 
-/// A balancer that is neither listed nor heard for this long gets no reports any more.
-const FORGET_BALANCER: Millis = Millis::from_secs(20);
-
 /// Longest time that a stop waits for requests in progress.
 const LEAVE_WITHIN: Millis = Millis(2_000);
 
+/// Time for which a stop is reported with every tick, so that no balancer misses it when a datagram
+/// is lost and takes the silence that follows for a loss of the machine.
+const NOTICE: Millis = Millis(75);
+
 /// Flows that are remembered, about 150 bytes each.
 const FLOWS: usize = 65_536;
 
@@ -49,8 +49,7 @@
     peers: MessageSocket,
     started: Instant,
     agent: Agent<Bytes>,
-    /// When each balancer was listed or heard last.
-    balancers: HashMap<SocketAddr, Millis>,
+    contacts: Contacts,
     next_report: Millis,
     leaving: Option<(Millis, oneshot::Sender<TargetState>)>,
     actions: Vec<AgentAction<Bytes>>,
@@ -103,7 +102,7 @@
             peers: MessageSocket::bind(settings.peer_listen, keys)?,
             started: Instant::now(),
             agent: Agent::new(Millis::ZERO, place, limits),
-            balancers: HashMap::new(),
+            contacts: Contacts::default(),
             next_report: Millis::ZERO,
             leaving: None,
             actions: Vec::new(),
@@ -146,9 +145,12 @@
                 // Whoever asked may have given up.
                 let _ = applied.send(());
             }
-            Command::Goodbye(applied) => {
-                self.agent.on_goodbye(now);
-                self.report_state(now);
+            Command::Goodbye(instance, applied) => {
+                if self.agent.on_goodbye(now, instance) {
+                    self.report_state(now);
+                } else {
+                    log::info!("target: an earlier instance says goodbye, ignored");
+                }
                 let _ = applied.send(());
             }
             Command::Inherit(list) => {
@@ -163,7 +165,8 @@
             }
             Command::Balancers(addrs) => {
                 for addr in addrs {
-                    self.meet(now, addr);
+                    let is_new = self.contacts.on_named(now, addr);
+                    self.meet(now, addr, is_new);
                 }
             }
             Command::Leave(left) => {
@@ -175,13 +178,19 @@
         }
     }
 
-    fn meet(&mut self, now: Millis, balancer: SocketAddr) {
-        if self.balancers.insert(balancer, now).is_none() {
+    /// Reports to a balancer at once if it was unknown.
+    fn meet(&mut self, now: Millis, balancer: SocketAddr, is_new: bool) {
+        if is_new {
             let report = self.report_message(now);
             self.peers.send(&report, balancer);
         }
     }
 
+    fn on_heard(&mut self, now: Millis, balancer: SocketAddr) {
+        let is_new = self.contacts.on_heard(now, balancer);
+        self.meet(now, balancer, is_new);
+    }
+
     fn on_tick(&mut self) {
         let now = self.now();
         let mut has_changed = false;
@@ -189,13 +198,16 @@
         if has_changed {
             self.report_state(now);
         } else if now >= self.next_report {
-            self.balancers
-                .retain(|_, heard| now.since(*heard) < FORGET_BALANCER);
+            self.contacts.forget_silent(now);
             self.report(now);
         }
         let is_idle = self.agent.is_idle();
         if let Some((since, left)) = self.leaving.take() {
-            if is_idle || now.since(since) >= LEAVE_WITHIN {
+            let waited = now.since(since);
+            if waited < NOTICE {
+                self.report(now);
+                self.leaving = Some((since, left));
+            } else if is_idle || waited >= LEAVE_WITHIN {
                 // The process goes on to its end in any case.
                 let _ = left.send(self.agent.state(now));
             } else {
@@ -215,8 +227,7 @@
     fn report(&mut self, now: Millis) {
         self.next_report = now.after(REPORT_INTERVAL);
         let report = self.report_message(now);
-        let balancers: Vec<_> = self.balancers.keys().copied().collect();
-        for balancer in balancers {
+        for balancer in self.contacts.iter() {
             self.peers.send(&report, balancer);
         }
     }
@@ -225,7 +236,7 @@
         let report = self.agent.report(now);
         self.gauges.flows.set(i64::from(report.flows));
         self.gauges.busy.set(i64::from(report.busy));
-        let balancers = i64::try_from(self.balancers.len());
+        let balancers = i64::try_from(self.contacts.len());
         self.gauges.balancers.set(balancers.unwrap_or(i64::MAX));
         Envelope::from(Body::TargetReport(pass_through::report_to_message(&report)))
     }
@@ -264,7 +275,14 @@
                 }
             }
             Some(Body::Greeting(greeting)) => match addr_from_bytes(&greeting.balancer) {
-                Ok(balancer) => self.meet(now, balancer),
+                Ok(balancer) => {
+                    self.on_heard(now, balancer);
+                    let others = greeting.others.iter();
+                    for other in others.filter_map(|addr| addr_from_bytes(addr).ok()) {
+                        let is_new = self.contacts.on_named(now, other);
+                        self.meet(now, other, is_new);
+                    }
+                }
                 Err(err) => log::warn!("peer: greeting from {from} dropped: {err}"),
             },
             _ => log::debug!("peer: message from {from} is not for an agent"),
@@ -291,9 +309,7 @@
         group: GroupId,
         packet: citronhollow_core::pass_through::Packet<Bytes>,
     ) {
-        if let Some(heard) = self.balancers.get_mut(&from) {
-            *heard = now;
-        }
+        self.on_heard(now, from);
         self.decide(|agent, out| agent.on_packet(now, from, offer, group, packet, out));
     }
 
--- a/crates/balancer/src/pass_through/control.rs
+++ b/crates/balancer/src/pass_through/control.rs
@@ -12,8 +12,9 @@
 use citronhollow_operator::decisions::{self, Decision, DecisionLog};
 use citronhollow_peer::message::{RevisionReply, RevisionRequest};
 use citronhollow_peer::{Body, Keyring, exchange};
+use citronhollow_platform::presence::{self, Presence};
 use citronhollow_platform::retry::Pause;
-use citronhollow_platform::{Client, PlatformError, Presence};
+use citronhollow_platform::{Client, PlatformError};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::watch;
@@ -42,6 +43,8 @@
     /// The newest revision that this process has seen, from wherever.
     pub(super) newest: watch::Sender<Arc<Revision>>,
     pub(super) decisions: DecisionLog,
+    /// This balancer's entry is at the platform.
+    pub(super) is_listed: watch::Sender<bool>,
 }
 
 impl Control {
@@ -107,7 +110,10 @@
         loop {
             if presence.is_due() {
                 match store::add(&self.client, Entries::Balancers, &own).await {
-                    Ok(()) => presence.on_written(),
+                    Ok(()) => {
+                        presence.on_written();
+                        self.is_listed.send_replace(true);
+                    }
                     Err(err) => log::warn!("platform: own entry not written: {err}"),
                 }
             }
@@ -125,18 +131,24 @@
     }
 
     /// Looks for agents at the platform.
+    ///
+    /// Agents do the same as balancers: they write their own entry before they list the others. So of
+    /// two processes that start at once, one at least sees the other. A list is complete only if it
+    /// was read after this balancer's entry was written.
     pub(super) async fn follow_agents(self) {
         let mut may_be_stale = false;
         let mut pause = Pause::default();
+        presence::wait_until_listed(&self.is_listed).await;
         loop {
+            let is_listed = *self.is_listed.borrow();
             let wait = match store::list(&self.client, Entries::Agents, may_be_stale).await {
                 Ok(found) => {
                     let listed = found
                         .into_iter()
                         .map(|entry| (TargetId::of(&entry.name), entry.address))
                         .collect();
-                    let is_complete = !may_be_stale;
-                    may_be_stale = true;
+                    let is_complete = is_listed && !may_be_stale;
+                    may_be_stale = is_listed;
                     let command = Command::Agents {
                         listed,
                         is_complete,
--- a/crates/balancer/src/pass_through/run.rs
+++ b/crates/balancer/src/pass_through/run.rs
@@ -151,6 +151,7 @@
         commands: commands.clone(),
         newest: watch::channel(Arc::new(Revision::default())).0,
         decisions: decisions.clone(),
+        is_listed: watch::channel(false).0,
     };
     // Nobody receives this only while the process ends.
     let _ = commands.send(Command::Balancers(settings.seed_peers()));
--- a/crates/balancer/src/pass_through/traffic.rs
+++ b/crates/balancer/src/pass_through/traffic.rs
@@ -1,6 +1,5 @@
 //! The traffic thread of a balancer: packets of callers, messages of agents and balancers.
 
-use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -11,7 +10,9 @@
 use citronhollow_adapter::packet;
 use citronhollow_core::clock::Millis;
 use citronhollow_core::id::{DomainId, TargetId};
-use citronhollow_core::pass_through::{Balancer, BalancerAction, BalancerLimits, Offer, Report};
+use citronhollow_core::pass_through::{
+    Balancer, BalancerAction, BalancerLimits, Contacts, Offer, Report,
+};
 use citronhollow_operator::decisions::{self, Decision, DecisionLog};
 use citronhollow_operator::exposition;
 use citronhollow_peer::datagram::{Datagrams, MessageSocket};
@@ -34,8 +35,11 @@
 /// Time between two greetings to agents, which forget a balancer that is silent for long.
 const GREET_AGENTS: Millis = Millis::from_secs(4);
 
-/// A balancer that is silent for this long is greeted no more.
-const FORGET_BALANCER: Millis = Millis::from_secs(20);
+/// Balancers that are greeted at a time. A revision reaches 1,800 of them in three rounds then.
+const GREET_MAX: usize = 16;
+
+/// Other balancers that a greeting names.
+const OTHERS_MAX: usize = 4;
 
 /// Reports in one datagram.
 const REPORTS_PER_DATAGRAM: usize = 16;
@@ -58,8 +62,8 @@
     peers: MessageSocket,
     started: Instant,
     balancer: Balancer<Bytes>,
-    /// Other balancers, and when each was heard last.
-    balancers: HashMap<SocketAddr, Millis>,
+    /// Other balancers.
+    contacts: Contacts,
     next_greeting: Millis,
     next_agent_greeting: Millis,
     shared: Arc<Shared>,
@@ -111,7 +115,7 @@
             peers: MessageSocket::bind(settings.peer_listen, keys)?,
             started,
             balancer: Balancer::new(Millis::ZERO, domain, limits, rand::random()),
-            balancers: HashMap::new(),
+            contacts: Contacts::default(),
             next_greeting: Millis::ZERO,
             next_agent_greeting: Millis::ZERO,
             shared,
@@ -151,7 +155,7 @@
                     log::info!("config: revision {} is in force", revision.number);
                     let decision = Decision::new(decisions::Event::RevisionInForce);
                     self.decisions.write(decision.revision(revision.number));
-                    self.greet_balancers(false);
+                    self.greet_balancers();
                 }
             }
             Command::Balancers(addrs) => self.meet(&addrs),
@@ -181,8 +185,7 @@
     fn meet(&mut self, addrs: &[SocketAddr]) {
         let now = self.now();
         for &addr in addrs {
-            if addr != self.own_addr && !self.balancers.contains_key(&addr) {
-                self.balancers.insert(addr, now);
+            if addr != self.own_addr && self.contacts.on_named(now, addr) {
                 self.peers.send(&self.greeting(true), addr);
             }
         }
@@ -196,7 +199,7 @@
         if now >= self.next_greeting {
             self.next_greeting = now.after(GREET_BALANCERS);
             self.show();
-            self.greet_balancers(false);
+            self.greet_balancers();
         }
         if now >= self.next_agent_greeting {
             self.next_agent_greeting = now.after(GREET_AGENTS);
@@ -214,13 +217,10 @@
         self.gauges.flows.set(count(self.balancer.flow_count()));
     }
 
-    fn greet_balancers(&mut self, wants_reports: bool) {
-        let now = self.now();
-        self.balancers
-            .retain(|_, heard| now.since(*heard) < FORGET_BALANCER);
-        let greeting = self.greeting(wants_reports);
-        let addrs: Vec<_> = self.balancers.keys().copied().collect();
-        for addr in addrs {
+    fn greet_balancers(&mut self) {
+        self.contacts.forget_silent(self.now());
+        let greeting = self.greeting(false);
+        for addr in self.contacts.sample(GREET_MAX, &mut rand::rng()) {
             self.peers.send(&greeting, addr);
         }
     }
@@ -234,10 +234,14 @@
     }
 
     fn greeting(&self, wants_reports: bool) -> Envelope {
+        let others = self
+            .contacts
+            .sample_heard(self.now(), OTHERS_MAX, &mut rand::rng());
         Envelope::from(Body::Greeting(Greeting {
             balancer: addr_to_bytes(self.own_addr),
             revision: self.balancer.revision(),
             wants_reports,
+            others: others.into_iter().map(addr_to_bytes).collect(),
         }))
     }
 
@@ -297,10 +301,14 @@
             return;
         };
         let now = self.now();
-        let is_new = self.balancers.insert(addr, now).is_none();
-        if is_new {
+        if self.contacts.on_heard(now, addr) {
             self.peers.send(&self.greeting(false), addr);
         }
+        let others = greeting.others.iter();
+        let others: Vec<_> = others
+            .filter_map(|addr| addr_from_bytes(addr).ok())
+            .collect();
+        self.meet(&others);
         if greeting.wants_reports {
             self.send_reports(addr);
         }
--- a/crates/core/examples/pass_through_cost.rs
+++ b/crates/core/examples/pass_through_cost.rs
@@ -10,7 +10,7 @@
 use citronhollow_core::clock::Millis;
 use citronhollow_core::config::{Documents, Pool, Refusal, Revision, Service, Spill};
 use citronhollow_core::flow::{FlowId, Segment};
-use citronhollow_core::id::{DomainId, GroupId, TargetId};
+use citronhollow_core::id::{DomainId, GroupId, InstanceId, TargetId};
 use citronhollow_core::members::TargetState;
 use citronhollow_core::pass_through::{
     Agent, AgentLimits, Balancer, BalancerAction, BalancerLimits, Heartbeat, Holding, Offer,
@@ -176,6 +176,7 @@
     let before = resident();
     let mut agent = Agent::new(Millis::ZERO, place, limits);
     let heartbeat = Heartbeat {
+        instance: InstanceId::of("i-1"),
         born: 1,
         sequence: 1,
         state: TargetState::Ready,
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -34,6 +34,11 @@
     TargetId,
     0x7461_7267
 );
+name_id!(
+    /// The name under which a target announces itself. Mostly each of its starts has another one.
+    InstanceId,
+    0x696e_7374
+);
 name_id!(
     /// A balancer.
     BalancerId,
--- a/crates/core/src/pass_through.rs
+++ b/crates/core/src/pass_through.rs
@@ -14,6 +14,7 @@
 mod agent;
 mod balancer;
 mod conn;
+mod contacts;
 mod fleet;
 mod packet;
 mod search;
@@ -21,5 +22,6 @@
 
 pub use agent::{Agent, AgentAction, AgentLimits, FlowList, Heartbeat, ListedFlow, Place};
 pub use balancer::{Balancer, BalancerAction, BalancerLimits};
+pub use contacts::Contacts;
 pub use fleet::Report;
 pub use packet::{DropReason, Holding, Offer, Packet, RejectReason, Reset, ResetReason};
--- a/crates/core/src/pass_through/agent.rs
+++ b/crates/core/src/pass_through/agent.rs
@@ -10,7 +10,7 @@
 
 use crate::clock::Millis;
 use crate::flow::FlowId;
-use crate::id::{DomainId, GroupId, TargetId};
+use crate::id::{DomainId, GroupId, InstanceId, TargetId};
 use crate::members::TargetState;
 use crate::recent::Recent;
 
@@ -121,6 +121,8 @@
 /// What the target says of itself.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Heartbeat {
+    /// Who says it.
+    pub instance: InstanceId,
     /// Start of the target, as the time of day in ms.
     pub born: u64,
     /// Grows with every heartbeat of one start, from zero or one.
--- a/crates/core/src/pass_through/agent/target.rs
+++ b/crates/core/src/pass_through/agent/target.rs
@@ -1,6 +1,7 @@
 //! What the agent knows of its target: its state, its load, and when it has ended.
 
 use crate::clock::Millis;
+use crate::id::InstanceId;
 use crate::members::TargetState;
 
 use super::super::conn::{Conn, Stage};
@@ -60,12 +61,18 @@
         Some(self.state(now) != before)
     }
 
-    /// The target of this start says that it is gone.
-    pub const fn on_goodbye(&mut self, now: Millis) {
-        if let Some((_, heartbeat)) = &mut self.last_heartbeat {
-            heartbeat.state = TargetState::Dead;
-            self.goodbye = Some(now);
+    /// An instance of the target says that it is gone. That is of no interest if another one has been
+    /// heard since. Returns whether it was the one that is known.
+    pub fn on_goodbye(&mut self, now: Millis, instance: InstanceId) -> bool {
+        let Some((_, heartbeat)) = &mut self.last_heartbeat else {
+            return false;
+        };
+        if heartbeat.instance != instance {
+            return false;
         }
+        heartbeat.state = TargetState::Dead;
+        self.goodbye = Some(now);
+        true
     }
 
     /// Whether nothing is left to do for the target: it has no request in progress, or it is gone
--- /dev/null
+++ b/crates/core/src/pass_through/contacts.rs
@@ -0,0 +1,96 @@
+//! Which balancers a process knows, and which of them it may name to others.
+//!
+//! Balancers are named by the platform's list, by the seeds of the settings and by other balancers.
+//! While the platform is away only the last two are left, so every greeting names a few balancers
+//! that its sender hears. One that was only named is not named again: an address that nobody
+//! answers at would otherwise go round for ever.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use rand::Rng;
+use rand::seq::IteratorRandom;
+
+use crate::clock::Millis;
+
+/// A balancer that is neither named nor heard for this long is forgotten. The platform's list names
+/// it every 2 s, so this outlasts an outage of several lists.
+const FORGET_AFTER: Millis = Millis::from_secs(20);
+
+/// A balancer that was heard within this time is at work: three greetings of a small fleet.
+const HEARD_WITHIN: Millis = Millis::from_secs(3);
+
+#[derive(Clone, Copy, Debug)]
+struct Contact {
+    /// When it was named or heard last.
+    seen: Millis,
+    heard: Option<Millis>,
+}
+
+/// The balancers that a process knows.
+#[derive(Debug, Default)]
+pub struct Contacts {
+    known: HashMap<SocketAddr, Contact>,
+}
+
+impl Contacts {
+    /// Somebody names a balancer. Returns whether it was unknown.
+    pub fn on_named(&mut self, now: Millis, balancer: SocketAddr) -> bool {
+        self.note(now, balancer).1
+    }
+
+    /// A message of a balancer came. Returns whether it was unknown.
+    pub fn on_heard(&mut self, now: Millis, balancer: SocketAddr) -> bool {
+        let (contact, is_new) = self.note(now, balancer);
+        contact.heard = Some(now);
+        is_new
+    }
+
+    /// Forgets those that nobody has named or heard for long.
+    pub fn forget_silent(&mut self, now: Millis) {
+        self.known
+            .retain(|_, contact| now.since(contact.seen) < FORGET_AFTER);
+    }
+
+    /// Number of balancers.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.known.len()
+    }
+
+    /// Whether no balancer is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
+    /// Addresses of all of them.
+    pub fn iter(&self) -> impl Iterator<Item = SocketAddr> {
+        self.known.keys().copied()
+    }
+
+    /// At most `max` of them, by chance.
+    pub fn sample(&self, max: usize, rng: &mut impl Rng) -> Vec<SocketAddr> {
+        self.iter().choose_multiple(rng, max)
+    }
+
+    /// At most `max` of those that are at work, by chance.
+    pub fn sample_heard(&self, now: Millis, max: usize, rng: &mut impl Rng) -> Vec<SocketAddr> {
+        let is_heard = |contact: &Contact| {
+            let heard = contact.heard;
+            heard.is_some_and(|heard| now.since(heard) < HEARD_WITHIN)
+        };
+        let heard = self.known.iter().filter(|(_, contact)| is_heard(contact));
+        heard.map(|(addr, _)| *addr).choose_multiple(rng, max)
+    }
+
+    fn note(&mut self, now: Millis, balancer: SocketAddr) -> (&mut Contact, bool) {
+        let is_new = !self.known.contains_key(&balancer);
+        let contact = self.known.entry(balancer).or_insert(Contact {
+            seen: now,
+            heard: None,
+        });
+        contact.seen = now;
+        (contact, is_new)
+    }
+}
--- a/crates/core/tests/pass_through/agent.rs
+++ b/crates/core/tests/pass_through/agent.rs
@@ -10,7 +10,7 @@
 
 use crate::fixture::{
     Bytes, FLOW_LIFE, HEARTBEAT, TARGET_ISN, ack, agent, balancer_addr, beat, blank_agent, flow,
-    group, heartbeat, packet, request, response, syn, syn_ack,
+    group, heartbeat, instance, packet, request, response, syn, syn_ack,
 };
 
 const START: Millis = Millis(1_000);
@@ -296,13 +296,23 @@
     flows_of_a_target_that_said_goodbye_are_reset_when_it_has_ended => {
         let mut agent = agent(START);
         open(&mut agent, START, flow(1));
-        agent.on_goodbye(START);
+        agent.on_goodbye(START, instance(1));
         assert!(!agent.is_idle());
         assert_eq!(resets(&tick(&mut agent, SOON)), []);
         assert_eq!(resets(&tick(&mut agent, START.after(Millis(150)))).len(), 1);
         assert!(agent.is_idle());
     };
 
+    // A goodbye that waited in a slow agent may be read after the next start has announced itself.
+    late_goodbye_of_an_earlier_start_is_ignored => {
+        let mut agent = agent(START);
+        beat(&mut agent, START, heartbeat(2, 1, TargetState::Ready));
+        open(&mut agent, START, flow(1));
+        agent.on_goodbye(START, instance(1));
+        assert_eq!(resets(&tick(&mut agent, START.after(Millis(150)))), []);
+        assert_eq!(agent.state(SOON), TargetState::Ready);
+    };
+
     flows_of_a_target_that_crashed_are_reset => {
         let mut agent = agent(START);
         open(&mut agent, START, flow(1));
--- /dev/null
+++ b/crates/core/tests/pass_through/contacts.rs
@@ -0,0 +1,55 @@
+//! Which balancers are known, named and forgotten.
+
+use citronhollow_core::clock::Millis;
+use citronhollow_core::pass_through::Contacts;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::fixture::balancer_addr;
+
+const START: Millis = Millis(1_000);
+
+fn rng() -> SmallRng {
+    SmallRng::seed_from_u64(1)
+}
+
+cases! {
+    balancer_is_unknown_once => {
+        let mut contacts = Contacts::default();
+        assert!(contacts.on_named(START, balancer_addr(1)));
+        assert!(!contacts.on_named(START, balancer_addr(1)));
+        assert!(!contacts.on_heard(START, balancer_addr(1)));
+        assert!(contacts.on_heard(START, balancer_addr(2)));
+    };
+
+    only_balancers_that_are_heard_are_named => {
+        let mut contacts = Contacts::default();
+        contacts.on_named(START, balancer_addr(1));
+        contacts.on_heard(START, balancer_addr(2));
+        assert_eq!(contacts.sample_heard(START, 8, &mut rng()), [balancer_addr(2)]);
+        let later = START.after(Millis::from_secs(4));
+        contacts.on_named(later, balancer_addr(2));
+        assert!(contacts.sample_heard(later, 8, &mut rng()).is_empty());
+    };
+
+    sample_is_bounded => {
+        let mut contacts = Contacts::default();
+        for number in 0..100 {
+            contacts.on_heard(START, balancer_addr(number));
+        }
+        assert_eq!(contacts.sample(16, &mut rng()).len(), 16);
+        assert_eq!(contacts.sample_heard(START, 4, &mut rng()).len(), 4);
+    };
+
+    silent_balancer_is_forgotten => {
+        let mut contacts = Contacts::default();
+        contacts.on_heard(START, balancer_addr(1));
+        contacts.forget_silent(START.after(Millis::from_secs(19)));
+        assert_eq!(contacts.len(), 1);
+        contacts.on_named(START.after(Millis::from_secs(19)), balancer_addr(1));
+        contacts.forget_silent(START.after(Millis::from_secs(30)));
+        assert_eq!(contacts.len(), 1, "it was named in between");
+        contacts.forget_silent(START.after(Millis::from_secs(39)));
+        assert!(contacts.is_empty());
+    };
+}
--- a/crates/core/tests/pass_through/fixture.rs
+++ b/crates/core/tests/pass_through/fixture.rs
@@ -5,7 +5,7 @@
 use citronhollow_core::clock::Millis;
 use citronhollow_core::config::{Documents, Pool, Refusal, Revision, Rule, Service, Spill};
 use citronhollow_core::flow::{FlowId, Segment};
-use citronhollow_core::id::{DomainId, GroupId, TargetId};
+use citronhollow_core::id::{DomainId, GroupId, InstanceId, TargetId};
 use citronhollow_core::members::TargetState;
 use citronhollow_core::pass_through::{
     Agent, AgentAction, AgentLimits, Balancer, BalancerAction, BalancerLimits, Heartbeat, Packet,
@@ -110,6 +110,7 @@
 
 pub fn heartbeat(born: u64, sequence: u64, state: TargetState) -> Heartbeat {
     Heartbeat {
+        instance: instance(born),
         born,
         sequence,
         state,
@@ -119,6 +120,11 @@
     }
 }
 
+/// The name of the target in the start that began at `born`.
+pub fn instance(born: u64) -> InstanceId {
+    InstanceId::of(&format!("i-{born}"))
+}
+
 pub fn place(number: u16, incarnation: u64) -> Place {
     Place {
         target: target_id(number),
--- a/crates/core/tests/pass_through/main.rs
+++ b/crates/core/tests/pass_through/main.rs
@@ -8,6 +8,7 @@
 
 mod agent;
 mod balancer;
+mod contacts;
 mod fixture;
 mod load;
 mod properties;
--- a/crates/peer/src/message/pass_through.rs
+++ b/crates/peer/src/message/pass_through.rs
@@ -93,4 +93,7 @@
     /// The sender has just started and asks a balancer for the reports that it has.
     #[prost(bool, tag = "3")]
     pub wants_reports: bool,
+    /// Some of the balancers that the sender hears.
+    #[prost(bytes = "vec", repeated, tag = "4")]
+    pub others: Vec<Vec<u8>>,
 }
--- a/crates/platform/src/presence.rs
+++ b/crates/platform/src/presence.rs
@@ -4,6 +4,15 @@
 //! anyway sees that its own is missing. A list may be seconds old, so one that misses a fresh entry
 //! is no reason to write, and two in a row are.
 
+use std::time::Duration;
+
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+/// Longest wait for the own entry before the entries of others are listed: some round trips. While
+/// the service is slow, knowing the others matters more.
+const LISTED_WITHIN: Duration = Duration::from_millis(50);
+
 /// Lists in a row that must miss an entry before it is made again.
 const MISSED_MAX: u32 = 2;
 
@@ -40,3 +49,13 @@
         }
     }
 }
+
+/// Waits a moment until the entry of this process is written.
+///
+/// A process that lists the others only after its own entry was written is seen by each process
+/// that does the same and that it does not see itself.
+pub async fn wait_until_listed(is_listed: &watch::Sender<bool>) {
+    let mut changes = is_listed.subscribe();
+    // Without an entry in time, the first list is followed by another one.
+    let _ = timeout(LISTED_WITHIN, changes.wait_for(|is_listed| *is_listed)).await;
+}
--- /dev/null
+++ b/crates/platform/tests/presence.rs
@@ -0,0 +1,39 @@
+//! The own entry, and the wait for it before others are listed.
+
+use std::time::Duration;
+
+use citronhollow_platform::presence::{Presence, wait_until_listed};
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+#[test]
+fn entry_is_written_again_after_two_lists_without_it() {
+    let mut presence = Presence::default();
+    assert!(presence.is_due());
+    presence.on_written();
+    presence.on_listed(false);
+    assert!(!presence.is_due(), "the list may be old");
+    presence.on_listed(false);
+    assert!(presence.is_due());
+}
+
+#[tokio::test]
+async fn others_are_listed_after_the_own_entry() {
+    let (is_listed, _) = watch::channel(false);
+    let writer = is_listed.clone();
+    let written = tokio::spawn(async move {
+        tokio::task::yield_now().await;
+        writer.send_replace(true);
+    });
+    wait_until_listed(&is_listed).await;
+    assert!(*is_listed.borrow());
+    written.await.expect("the writer ends");
+}
+
+#[tokio::test]
+async fn store_that_is_away_holds_up_nothing() {
+    let (is_listed, _) = watch::channel(false);
+    let waited = timeout(Duration::from_secs(5), wait_until_listed(&is_listed)).await;
+    assert!(waited.is_ok());
+    assert!(!*is_listed.borrow());
+}
