Let new flows wait for room at the agent, the newest first

Cause: after a loss of power all callers come back within 300 ms, with 600 requests more than the targets, cold for 2 s, can take at once.

Change: an agent gives its target new flows up to three requests a slot, at work or about to come. Other opening packets wait there for up to 600 ms, the newest first, then go to the next target; balancers know of it and keep copies back. An opening of 1,200 ms is refused, since its caller gives it up at 1,400 ms. A target that sent nothing for a second gets one flow more. Reports count who waits.

A request is now new only past what the target had received when it answered last.

Test: core, rush.rs plays the pattern on one agent and a target with slots and a queue; three of its four cases fail without the bound.

--- a/crates/agent/src/traffic/wire.rs
+++ b/crates/agent/src/traffic/wire.rs
@@ -105,7 +105,9 @@
         Ok(message::Holding::No) => Holding::No,
         Ok(message::Holding::Here) => Holding::Here,
         Ok(message::Holding::At) => Holding::At(TargetId(reply.at)),
-        Ok(message::Holding::Maybe) | Err(_) => return Err(WireError::Value(reply.holding)),
+        Ok(message::Holding::Maybe | message::Holding::Waiting) | Err(_) => {
+            return Err(WireError::Value(reply.holding));
+        }
     };
     Ok((flow, holding))
 }
--- a/crates/core/src/pass_through/agent.rs
+++ b/crates/core/src/pass_through/agent.rs
@@ -14,10 +14,12 @@
 use crate::members::TargetState;
 use crate::recent::Recent;
 
+mod admission;
 mod list;
 mod target;
 mod unknown;
 
+use admission::Opening;
 pub use list::{FlowList, ListedFlow};
 use unknown::ABSENT_LIFE;
 
@@ -148,6 +150,10 @@
     ended: Recent<FlowId, ()>,
     /// Opening packets that the target has not answered, to be offered elsewhere.
     offers: HashMap<FlowId, B>,
+    /// Flows that were offered a moment ago, whose first request may still come.
+    offered: Vec<(Millis, FlowId)>,
+    /// Opening packets for which the target has no room, the newest last.
+    waiting: Vec<Opening<B>>,
     trials: HashMap<FlowId, Trial>,
     /// Flows that the target returned, with the time of it.
     absent: Recent<FlowId, Millis>,
@@ -180,6 +186,8 @@
             conns: Recent::new(limits.flows),
             ended: Recent::new(limits.flows),
             offers: HashMap::new(),
+            offered: Vec::new(),
+            waiting: Vec::new(),
             trials: HashMap::new(),
             absent: Recent::new(limits.flows),
             last_heartbeat: None,
@@ -262,6 +270,7 @@
             self.watch(now, flow, stage, |conn| conn.on_target(&segment));
         }
         out.push(AgentAction::ToCaller { flow, bytes });
+        self.admit_waiting(now, out);
     }
 
     /// Decides about a caller's packet that the target returned.
@@ -313,6 +322,8 @@
         }
         self.end_trials(now, out);
         self.withdraw_offers(now, out);
+        self.give_waiting_back(now, out);
+        self.admit_waiting(now, out);
         while let Some((_, conn)) = self.conns.pop_unused(now, self.limits.flow_life) {
             self.on_gone(now, &conn);
         }
@@ -329,26 +340,19 @@
         packet: Packet<B>,
         out: &mut Vec<AgentAction<B>>,
     ) {
-        let Packet {
-            flow,
-            segment,
-            bytes,
-        } = packet;
         if group != self.place.group {
-            reject(balancer, RejectReason::WrongGroup, bytes, out);
-            return;
-        }
-        if !matches!(self.state(now), TargetState::Ready | TargetState::Starting) {
-            reject(balancer, RejectReason::NotReady, bytes, out);
-            return;
-        }
-        self.forget(now, &flow);
-        let conn = Conn::offered(now, segment.seq, balancer);
-        if let Some((_, evicted)) = self.conns.insert(now, flow, conn) {
-            self.on_gone(now, &evicted);
+            reject(balancer, RejectReason::WrongGroup, packet.bytes, out);
+        } else if self.takes_new_flows(now) {
+            let since = now;
+            let opening = Opening {
+                since,
+                balancer,
+                packet,
+            };
+            self.admit(now, opening, out);
+        } else {
+            reject(balancer, RejectReason::NotReady, packet.bytes, out);
         }
-        self.offers.insert(flow, bytes.clone());
-        out.push(AgentAction::Deliver { bytes });
     }
 
     fn deliver(
--- a/crates/core/src/pass_through/agent/target.rs
+++ b/crates/core/src/pass_through/agent/target.rs
@@ -79,7 +79,7 @@
     /// and its flows are reset.
     #[must_use]
     pub const fn is_idle(&self) -> bool {
-        self.busy == 0 && self.goodbye.is_none()
+        self.busy == 0 && self.waiting.is_empty() && self.goodbye.is_none()
     }
 
     /// What balancers are to know.
@@ -98,7 +98,7 @@
             slots: heartbeat.map_or(1, |heartbeat| heartbeat.slots),
             cold_left: self.cold_left(now),
             flows: u32::try_from(self.conns.len()).unwrap_or(u32::MAX),
-            busy: self.busy,
+            busy: self.pending(),
             mean_busy_milli: u32::try_from(self.mean_busy_milli).unwrap_or(u32::MAX),
         }
     }
@@ -168,7 +168,7 @@
         if span == 0 {
             return;
         }
-        let current = u64::from(self.busy) * 1_000;
+        let current = u64::from(self.pending()) * 1_000;
         let old = self.mean_busy_milli * (BUSY_SPAN.0 - span);
         self.mean_busy_milli = (old + current * span) / BUSY_SPAN.0;
         self.measured = now;
--- a/crates/core/src/pass_through/balancer.rs
+++ b/crates/core/src/pass_through/balancer.rs
@@ -22,7 +22,7 @@
 mod opening;
 
 use super::fleet::{Fleet, Report, TargetKey};
-use super::packet::{DropReason, Holding, Offer, Packet, Reset};
+use super::packet::{DropReason, Holding, Offer, Packet, ROOM_WAIT, Reset};
 use super::search::Search;
 
 /// Targets that a new flow is offered to before it is refused.
@@ -91,10 +91,14 @@
 #[derive(Clone, Copy, Debug)]
 struct Entry {
     target: TargetKey,
+    /// When its first packet came by here.
+    since: Millis,
     /// Sequence number of the opening packet, if it came by here.
     caller_isn: Option<u32>,
     /// What the caller acknowledged last.
     caller_ack: Option<u32>,
+    /// The opening packet waits at the agent until then.
+    waits_until: Option<Millis>,
     tried: [Option<TargetKey>; MAX_OFFERS],
 }
 
@@ -293,6 +297,14 @@
         if holding == Holding::No && known.is_some_and(|entry| entry.target == target) {
             self.flows.remove(&flow);
         }
+        if holding == Holding::Waiting {
+            if let Some(entry) = self.flows.get_mut(&flow)
+                && entry.target == target
+            {
+                entry.waits_until = Some(now.after(ROOM_WAIT));
+            }
+            return;
+        }
         let Some(search) = self.searches.get_mut(&flow) else {
             return;
         };
@@ -335,20 +347,20 @@
 
 impl Entry {
     /// A flow that was offered to nobody yet.
-    fn opening<B>(packet: &Packet<B>) -> Self {
+    fn opening<B>(now: Millis, packet: &Packet<B>) -> Self {
         Self {
-            target: TargetKey::default(),
             caller_isn: Some(packet.segment.seq),
-            caller_ack: None,
-            tried: [None; MAX_OFFERS],
+            ..Self::found(now, TargetKey::default())
         }
     }
 
-    const fn found(target: TargetKey) -> Self {
+    const fn found(now: Millis, target: TargetKey) -> Self {
         Self {
             target,
+            since: now,
             caller_isn: None,
             caller_ack: None,
+            waits_until: None,
             tried: [None; MAX_OFFERS],
         }
     }
--- a/crates/core/src/pass_through/balancer/ongoing.rs
+++ b/crates/core/src/pass_through/balancer/ongoing.rs
@@ -138,7 +138,7 @@
                 let packet = search.first.clone();
                 let candidates: Vec<_> = search.candidates().collect();
                 for target in candidates {
-                    let entry = Entry::found(target);
+                    let entry = Entry::found(now, target);
                     self.forward(&entry, Offer::Trial, packet.clone(), out);
                 }
             }
@@ -193,7 +193,7 @@
         let Some(search) = self.searches.remove(&flow) else {
             return;
         };
-        let entry = Entry::found(target);
+        let entry = Entry::found(now, target);
         self.flows.insert(now, flow, entry);
         // The holder may have seen the first packet as a trial, and drops the copy of it.
         for bytes in std::iter::once(search.first).chain(search.later) {
--- a/crates/core/src/pass_through/balancer/opening.rs
+++ b/crates/core/src/pass_through/balancer/opening.rs
@@ -10,13 +10,17 @@
 
 use super::super::fleet::TargetKey;
 use super::super::packet::{DropReason, Offer, Packet, Reset, ResetReason};
-use super::super::steering::{self, Wish};
+use super::super::steering::{self, SILENT_AFTER, Wish};
 use super::{Balancer, BalancerAction, Entry, drop_for};
 
 /// Time for which an opening packet waits for a revision or a target. The caller sends a copy
 /// sooner, which then waits in its place.
 const OPENING_WAIT: Millis = Millis(600);
 
+/// Age of an opening at which it is refused instead of offered once more. The caller gives it up
+/// 1,400 ms after its first packet, and would not learn of an answer that comes later.
+const OPENING_LIFE: Millis = Millis(1_200);
+
 /// Opening packets that wait at most.
 const OPENINGS_MAX: usize = 1_024;
 
@@ -27,7 +31,7 @@
             if now.since(since) >= OPENING_WAIT {
                 drop_for(packet.flow, DropReason::NoTarget, out);
             } else {
-                let entry = Entry::opening(&packet);
+                let entry = Entry::opening(since, &packet);
                 self.offer(now, entry, packet, 0, since, out);
             }
         }
@@ -59,18 +63,25 @@
         let known = known.filter(|entry| entry.caller_isn == Some(packet.segment.seq));
         if let Some(entry) = known {
             // The caller got no answer, and the agent gives back what its target does not answer.
-            // So the agent or the way to it is the likely reason.
-            if repeats > 0 {
+            // So the agent or the way to it is the likely reason, unless the packet waits there.
+            if repeats > 0 && self.waits_for_room(now, &entry) {
+                drop_for(packet.flow, DropReason::Waiting, out);
+            } else if repeats > 0 {
                 self.offer_elsewhere(now, entry, packet, out);
             } else {
                 self.forward(&entry, Offer::New, packet.bytes, out);
             }
             return;
         }
-        let entry = Entry::opening(&packet);
+        let entry = Entry::opening(now, &packet);
         self.offer(now, entry, packet, repeats, now, out);
     }
 
+    fn waits_for_room(&self, now: Millis, entry: &Entry) -> bool {
+        let is_heard = self.fleet.get(entry.target).is_heard(now, SILENT_AFTER);
+        is_heard && entry.waits_until.is_some_and(|end| now < end)
+    }
+
     pub(super) fn offer_elsewhere(
         &mut self,
         now: Millis,
@@ -78,7 +89,9 @@
         packet: Packet<B>,
         out: &mut Vec<BalancerAction<B>>,
     ) {
-        let Some(place) = entry.tried.iter_mut().find(|tried| tried.is_none()) else {
+        let is_over = now.since(entry.since) >= OPENING_LIFE;
+        let place = entry.tried.iter_mut().find(|tried| tried.is_none());
+        let Some(place) = place.filter(|_| !is_over) else {
             self.refuse(&packet, ResetReason::Rejected, out);
             return;
         };
@@ -108,6 +121,7 @@
             Some(target) => {
                 self.fleet.member_mut(target).given += 1;
                 entry.target = target;
+                entry.waits_until = None;
                 self.flows.insert(now, packet.flow, entry);
                 self.forward(&entry, Offer::New, packet.bytes, out);
             }
--- a/crates/core/src/pass_through/conn.rs
+++ b/crates/core/src/pass_through/conn.rs
@@ -36,6 +36,8 @@
     caller_ack: Option<u32>,
     /// End of what the target sent last.
     target_end: Option<u32>,
+    /// What the target had received when it sent data last.
+    answered: Option<u32>,
     caller_ended: bool,
     target_ended: bool,
     pub(super) since: Millis,
@@ -52,6 +54,7 @@
             caller_end: None,
             caller_ack: None,
             target_end: None,
+            answered: None,
             caller_ended: false,
             target_ended: false,
             since: now,
@@ -76,6 +79,11 @@
         self.caller_ack.or(self.target_end)
     }
 
+    /// Whether the caller has sent nothing yet on a flow that was seen to open.
+    pub(super) const fn awaits_request(&self) -> bool {
+        self.caller_end.is_none()
+    }
+
     /// Both ends have closed.
     pub(super) const fn has_ended(&self) -> bool {
         self.caller_ended && self.target_ended
@@ -91,7 +99,12 @@
             self.stage = Stage::Open;
         }
         let end = segment.seq.wrapping_add(segment.payload);
-        let is_new = self.caller_end.is_none_or(|known| is_after(end, known));
+        // An agent that was started again knows a repeated request only by its answer.
+        let known = [self.caller_end, self.answered];
+        let is_new = known
+            .into_iter()
+            .flatten()
+            .all(|known| is_after(end, known));
         if segment.payload > 0 && is_new {
             self.caller_end = Some(end);
             self.is_busy = !self.target_ended;
@@ -110,6 +123,9 @@
             return;
         }
         self.stage = Stage::Open;
+        if segment.payload > 0 && segment.ack {
+            self.answered = Some(segment.ack_seq);
+        }
         self.is_busy = self.is_busy && segment.payload == 0 && !segment.fin;
         self.target_ended |= segment.fin;
     }
--- a/crates/core/src/pass_through/packet.rs
+++ b/crates/core/src/pass_through/packet.rs
@@ -3,8 +3,13 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
+use crate::clock::Millis;
 use crate::flow::{FlowId, Segment};
 
+/// Time for which an opening packet waits for room at an agent. Every target has reported its load
+/// since then, so that the balancer knows better where room is.
+pub(super) const ROOM_WAIT: Millis = Millis(600);
+
 /// A packet to decide about. `B` is the packet's bytes, opaque here.
 #[derive(Clone, Debug)]
 pub struct Packet<B> {
@@ -41,6 +46,9 @@
     /// The target does not hold it.
     #[display("no")]
     No,
+    /// Its opening packet waits until the target has room.
+    #[display("waiting")]
+    Waiting,
 }
 
 /// Why an agent gave a packet back.
@@ -59,6 +67,9 @@
     /// The target does not hold the flow.
     #[display("not held")]
     NotHeld,
+    /// The target had no room for as long as the packet may wait.
+    #[display("full")]
+    Full,
 }
 
 /// Why a caller is reset.
@@ -116,6 +127,9 @@
     /// No target takes new flows as far as is known, which is not far yet.
     #[display("fleet is not known yet")]
     NoTarget,
+    /// A copy of an opening packet that waits for room at an agent.
+    #[display("opening packet waits for room")]
+    Waiting,
     /// A reset or an end of a flow that is unknown here. Nobody waits for an answer.
     #[display("flow has ended")]
     Ended,
--- a/crates/core/tests/pass_through/agent.rs
+++ b/crates/core/tests/pass_through/agent.rs
@@ -9,8 +9,8 @@
 };
 
 use crate::fixture::{
-    Bytes, FLOW_LIFE, HEARTBEAT, TARGET_ISN, ack, agent, balancer_addr, beat, blank_agent, flow,
-    group, heartbeat, instance, packet, request, response, syn, syn_ack,
+    Bytes, CALLER_ISN, FLOW_LIFE, HEARTBEAT, TARGET_ISN, ack, agent, balancer_addr, beat,
+    blank_agent, flow, group, heartbeat, instance, packet, request, response, syn, syn_ack,
 };
 
 const START: Millis = Millis(1_000);
@@ -55,6 +55,14 @@
     from_caller(agent, now, Offer::Held, flow, ack(TARGET_ISN));
 }
 
+/// Three requests for each of the two slots.
+fn fill(agent: &mut Agent<Bytes>) {
+    for number in 1..=6 {
+        open(agent, START, flow(number));
+        from_caller(agent, START, Offer::Held, flow(number), request());
+    }
+}
+
 fn holding(agent: &mut Agent<Bytes>, now: Millis, flow: FlowId) -> Holding {
     let mut out = Vec::new();
     agent.on_question(now, balancer_addr(1), flow, &mut out);
@@ -373,6 +381,46 @@
         assert_eq!(agent.report(SOON).busy, 0);
     };
 
+    // Found on scale-1 of greenrink: after all agents were killed, copies of requests that had been
+    // answered were counted for as long as their flows lived, and targets seemed to be full.
+    repeated_request_is_not_busy_after_its_answer_passed_a_new_agent => {
+        let mut agent = blank_agent(START);
+        from_target(&mut agent, START, flow(1), Segment { ack_seq: CALLER_ISN + 101, ..response() });
+        from_caller(&mut agent, SOON, Offer::Held, flow(1), request());
+        assert_eq!(agent.report(SOON).busy, 0);
+        let next = Segment { seq: CALLER_ISN + 101, ..request() };
+        from_caller(&mut agent, SOON, Offer::Held, flow(1), next);
+        assert_eq!(agent.report(SOON).busy, 1);
+    };
+
+    new_flow_waits_while_the_target_has_three_requests_a_slot => {
+        let mut agent = agent(START);
+        fill(&mut agent);
+        let actions = from_caller(&mut agent, START, Offer::New, flow(7), syn());
+        assert_eq!(replies(&actions), [Holding::Waiting]);
+        assert_eq!(agent.report(START).busy, 7, "balancers see it");
+        let actions = from_target(&mut agent, SOON, flow(1), response());
+        assert!(matches!(actions[..], [AgentAction::ToCaller { .. }, AgentAction::Deliver { .. }]));
+    };
+
+    target_that_stalls_is_given_one_flow_more => {
+        let mut agent = agent(START);
+        fill(&mut agent);
+        let later = START.after(Millis(1_000));
+        beat(&mut agent, later, heartbeat(1, 2, TargetState::Ready));
+        assert!(is_delivered(&from_caller(&mut agent, later, Offer::New, flow(7), syn())));
+        let actions = from_caller(&mut agent, later, Offer::New, flow(8), syn());
+        assert_eq!(replies(&actions), [Holding::Waiting]);
+    };
+
+    waiting_flows_are_given_back_once_the_target_leaves => {
+        let mut agent = agent(START);
+        fill(&mut agent);
+        from_caller(&mut agent, START, Offer::New, flow(7), syn());
+        beat(&mut agent, SOON, heartbeat(1, 2, TargetState::Draining));
+        assert_eq!(rejected(&tick(&mut agent, SOON)), Some(RejectReason::NotReady));
+    };
+
     ended_flow_is_counted_no_more_and_its_last_packets_pass => {
         let mut agent = agent(START);
         open(&mut agent, START, flow(1));
--- a/crates/core/tests/pass_through/balancer.rs
+++ b/crates/core/tests/pass_through/balancer.rs
@@ -390,6 +390,27 @@
         }
     };
 
+    copy_of_an_opening_packet_that_waits_for_room_stays_where_it_is => {
+        let mut balancer = with_targets(START);
+        let to = offered_to(&send(&mut balancer, START, 1, syn()));
+        reply(&mut balancer, START, to, Holding::Waiting);
+        let copy = repeat(&mut balancer, START.after(Millis(200)), 1, syn(), 1);
+        assert_eq!(copy, [BalancerAction::Drop { flow: flow(1), reason: DropReason::Waiting }]);
+        let late = START.after(Millis(650));
+        balancer.on_report(late, report(1, 2));
+        balancer.on_report(late, report(2, 2));
+        assert_ne!(offered_to(&repeat(&mut balancer, late, 1, syn(), 2)), to, "it waited for long");
+    };
+
+    opening_that_its_caller_has_almost_given_up_is_refused => {
+        let mut balancer = with_targets(START);
+        let to = offered_to(&send(&mut balancer, START, 1, syn()));
+        let late = START.after(Millis(1_250));
+        balancer.on_report(late, report(1, 2));
+        balancer.on_report(late, report(2, 2));
+        assert_eq!(resets(&reject(&mut balancer, late, to, syn())).len(), 1);
+    };
+
     older_revision_is_ignored => {
         let mut balancer = balancer(START);
         assert!(balancer.set_revision(&revision(7)));
--- a/crates/core/tests/pass_through/main.rs
+++ b/crates/core/tests/pass_through/main.rs
@@ -12,4 +12,5 @@
 mod fixture;
 mod load;
 mod properties;
+mod rush;
 mod world;
--- a/crates/peer/src/message/traffic.rs
+++ b/crates/peer/src/message/traffic.rs
@@ -77,6 +77,8 @@
     At = 2,
     /// The target may hold the flow. Only in pass-through delivery.
     Maybe = 3,
+    /// The opening packet of the flow waits for room at the target. Only in pass-through delivery.
+    Waiting = 4,
 }
 
 /// Answer to a [`Question`].
--- a/crates/peer/src/pass_through.rs
+++ b/crates/peer/src/pass_through.rs
@@ -62,6 +62,7 @@
         Holding::Here => message::Holding::Here,
         Holding::Maybe => message::Holding::Maybe,
         Holding::No => message::Holding::No,
+        Holding::Waiting => message::Holding::Waiting,
     };
     Body::Reply(Reply {
         sender: target.0,
@@ -79,6 +80,7 @@
         Ok(message::Holding::Here) => Some(Holding::Here),
         Ok(message::Holding::Maybe) => Some(Holding::Maybe),
         Ok(message::Holding::No) => Some(Holding::No),
+        Ok(message::Holding::Waiting) => Some(Holding::Waiting),
         Ok(message::Holding::At) | Err(_) => None,
     }
 }
