Bound what waits at a target by time instead of by count

Cause: the wait at a target is its queue times its work.

Change: agents measure the work of a request, its time without the wait behind others, and give the target what it works off within 60 ms, half of the users' shortest objective, between two and four a slot. Unmeasured work counts as long, since that is when a rush comes.

--- a/crates/core/src/pass_through/agent.rs
+++ b/crates/core/src/pass_through/agent.rs
@@ -171,6 +171,9 @@
     is_stopping: bool,
     sequence: u64,
     busy: u32,
+    /// Mean time of a request at the target without its wait there, in microseconds, zero if none has
+    /// been measured.
+    work_micros: u64,
     mean_busy_milli: u64,
     measured: Millis,
 }
@@ -200,6 +203,7 @@
             is_stopping: false,
             sequence: 0,
             busy: 0,
+            work_micros: 0,
             mean_busy_milli: 0,
             measured: now,
         }
@@ -429,7 +433,16 @@
         let was_busy = conn.is_busy;
         apply(conn);
         let (is_busy, has_ended) = (conn.is_busy, conn.has_ended());
+        let mut answered = None;
+        if is_busy && !was_busy {
+            conn.request = Some((now, self.busy));
+        } else if was_busy && !is_busy {
+            answered = conn.request.take();
+        }
         self.busy = self.busy + u32::from(is_busy) - u32::from(was_busy);
+        if let Some((since, ahead)) = answered {
+            self.learn_work(now.since(since), ahead);
+        }
         if has_ended {
             self.forget(now, &flow);
             self.ended.insert(now, flow, ());
--- a/crates/core/src/pass_through/agent/admission.rs
+++ b/crates/core/src/pass_through/agent/admission.rs
@@ -17,10 +17,19 @@
 use super::super::packet::{Holding, Packet, ROOM_WAIT, RejectReason};
 use super::{Agent, AgentAction, reject};
 
-/// Requests for each slot of the target, at work or about to come, up to which it is given new
-/// flows: one at work, one that is next, and one whose caller is still in the handshake, so that no
-/// slot is idle for want of a request.
-const REQUESTS_PER_SLOT: u32 = 3;
+/// Time that a request may wait at the target: half of the shortest latency objective of the users'
+/// requests, 120 ms. Where work is short, this is also more than a handshake takes, so that no slot
+/// is idle while callers wait here.
+const QUEUE_TIME: Millis = Millis(60);
+
+/// Requests for each slot that a target is given in any case: one at work and one that is next.
+const REQUESTS_PER_SLOT_MIN: u64 = 2;
+
+/// Requests for each slot that a target is given at most. Targets queue few more and shed the rest.
+const REQUESTS_PER_SLOT_MAX: u64 = 4;
+
+/// Weight of the mean of the work so far against one more request.
+const WORK_WEIGHT: u64 = 15;
 
 /// Time in which the first request of a new flow comes: the handshake's round trip between failure
 /// domains, and a turn of a slow processor at each end.
@@ -108,9 +117,32 @@
         };
         self.offered.retain(is_awaited);
         let awaited = u32::try_from(self.offered.len()).unwrap_or(u32::MAX);
-        let room = u32::from(heartbeat.slots) * REQUESTS_PER_SLOT;
         let is_stalled = awaited == 0 && now.since(self.last_packet) >= STALLED;
-        self.busy.saturating_add(awaited) < room || is_stalled
+        self.busy.saturating_add(awaited) < self.room(heartbeat.slots) || is_stalled
+    }
+
+    /// Requests that the target may have at once.
+    fn room(&self, slots: u16) -> u32 {
+        let slots = u64::from(slots);
+        let queue = (slots * QUEUE_TIME.0 * 1_000).checked_div(self.work_micros);
+        let room = queue.map_or(slots, |queue| slots + queue);
+        let (least, most) = (slots * REQUESTS_PER_SLOT_MIN, slots * REQUESTS_PER_SLOT_MAX);
+        u32::try_from(room.clamp(least, most)).unwrap_or(u32::MAX)
+    }
+
+    /// Takes the time of one request into the mean, without the wait behind the `ahead` requests that
+    /// the target had when it came.
+    pub(super) fn learn_work(&mut self, took: Millis, ahead: u32) {
+        let Some((_, heartbeat)) = self.last_heartbeat else {
+            return;
+        };
+        let slots = u64::from(heartbeat.slots);
+        let work = took.0 * 1_000 * slots / slots.max(u64::from(ahead) + 1);
+        self.work_micros = if self.work_micros == 0 {
+            work
+        } else {
+            (self.work_micros * WORK_WEIGHT + work) / (WORK_WEIGHT + 1)
+        };
     }
 
     fn offer(&mut self, now: Millis, opening: Opening<B>, out: &mut Vec<AgentAction<B>>) {
--- a/crates/core/src/pass_through/conn.rs
+++ b/crates/core/src/pass_through/conn.rs
@@ -30,6 +30,8 @@
     pub(super) balancer: Option<SocketAddr>,
     /// The caller waits for an answer to a request.
     pub(super) is_busy: bool,
+    /// When that request came, and how many others the target had then.
+    pub(super) request: Option<(Millis, u32)>,
     /// End of what the caller sent so far.
     caller_end: Option<u32>,
     /// What the caller acknowledged last.
@@ -51,6 +53,7 @@
             target_isn: None,
             balancer,
             is_busy: false,
+            request: None,
             caller_end: None,
             caller_ack: None,
             target_end: None,
