Ask near agents first, and spend less on reports, lists and flow lists

Bytes: 65 agents report to 25 balancers four times a second, and each search asks every agent. Calls: a list of flows from each agent every 3 s is half of them, then looks at lists that find nothing new.

Ruled out: longer watches of the configuration (they bound how long a silent connection stays unnoticed), no check of the own entry (an outage may lose it).

Change: a search asks the balancer's own failure domain, and the others once those deny the flow or 15 ms are over. Load goes to balancers of other domains every 500 ms; state still goes to all at once. A list of flows is written when 15 % of the flows are missing in the kept one, or after 15 s. Lists of entries are read every 5 s (balancers) and 10 s (agents), and every 800 ms while the store fails or the own entry is missing.

Test: two searches, the near contacts, and what makes a list worth a write, in core.

--- a/crates/agent/src/pass_through/control.rs
+++ b/crates/agent/src/pass_through/control.rs
@@ -1,6 +1,6 @@
 //! The control thread of an agent: heartbeats of the target and the way to the balancers.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use citronhollow_adapter::heartbeat;
 use citronhollow_adapter::store::{self, Entries, Entry};
@@ -25,13 +25,20 @@
 /// Time in which the traffic thread applies a heartbeat. The target waits for a second.
 const APPLY_WITHIN: Duration = Duration::from_millis(800);
 
-/// Time between two looks at the list of balancers.
-const LIST_INTERVAL: Duration = Duration::from_secs(2);
+/// Time between two looks at the platform's lists. A balancer that starts greets all agents, so the
+/// list only finds what was missed.
+const LIST_INTERVAL: Duration = Duration::from_secs(10);
 
-/// Time between two lists of flows. A caller accepts a reset within 76,800 bytes of what it
-/// acknowledged, which a flow of 10 KB/s carries in 7 s.
+/// The same while the platform does not answer or the own entry is missing: two looks make the entry
+/// again, within 2 s of the platform's return.
+const LIST_INTERVAL_UNSURE: Duration = Duration::from_millis(800);
+
+/// Time between two looks at whether the list of flows that is kept is still good.
 const FLOW_LIST_INTERVAL: Duration = Duration::from_secs(3);
 
+/// Age at which a list of flows is replaced by one that differs at all.
+const FLOW_LIST_AGE: Duration = Duration::from_secs(15);
+
 /// Takes heartbeats until the process ends.
 pub(super) async fn serve_target(
     listener: TcpListener,
@@ -123,6 +130,7 @@
 pub(super) async fn keep_entry(client: Client, own: Entry, is_listed: watch::Sender<bool>) {
     let mut presence = Presence::default();
     let mut pause = Pause::default();
+    let mut interval = LIST_INTERVAL;
     loop {
         if presence.is_due() {
             match store::add(&client, Entries::Agents, &own).await {
@@ -138,9 +146,16 @@
                 }
             }
         }
-        sleep(LIST_INTERVAL).await;
+        sleep(interval).await;
+        interval = LIST_INTERVAL_UNSURE;
         match store::list(&client, Entries::Agents, true).await {
-            Ok(found) => presence.on_listed(found.contains(&own)),
+            Ok(found) => {
+                let is_listed = found.contains(&own);
+                presence.on_listed(is_listed);
+                if is_listed {
+                    interval = LIST_INTERVAL;
+                }
+            }
             Err(err) => log::warn!("platform: agents not listed: {err}"),
         }
     }
@@ -150,6 +165,7 @@
 pub(super) async fn keep_flows(client: Client, name: String, commands: UnboundedSender<Command>) {
     inherit_flows(&client, &name, &commands).await;
     let mut written = FlowList::default();
+    let mut written_at = Instant::now();
     loop {
         sleep(FLOW_LIST_INTERVAL).await;
         let (listed, list) = oneshot::channel();
@@ -159,11 +175,12 @@
         let Ok(Some(list)) = list.await else {
             continue;
         };
-        if list == written {
+        let is_old = written_at.elapsed() >= FLOW_LIST_AGE && list != written;
+        if !is_old && !list.replaces(&written) {
             continue;
         }
         match store::write_flows(&client, &name, &list).await {
-            Ok(()) => written = list,
+            Ok(()) => (written, written_at) = (list, Instant::now()),
             Err(err) => log::warn!("platform: list of flows not written: {err}"),
         }
     }
--- a/crates/agent/src/pass_through/traffic.rs
+++ b/crates/agent/src/pass_through/traffic.rs
@@ -26,9 +26,14 @@
 /// Time between two ticks of the decisions.
 const TICK: Duration = Duration::from_millis(25);
 
-/// Time between two reports to a balancer. Balancers take four missing ones for silence.
+/// Time between two reports to balancers of the own failure domain. Balancers take four missing ones
+/// for silence.
 const REPORT_INTERVAL: Millis = Millis(250);
 
+/// Reports to the own failure domain for each one to all balancers. Links between domains are
+/// costly, and few flows cross them. Two missing ones are silence there.
+const NEAR_REPORTS: u32 = 2;
+
 /// Longest time that a stop waits for requests in progress.
 const LEAVE_WITHIN: Millis = Millis(2_000);
 
@@ -51,6 +56,9 @@
     agent: Agent<Bytes>,
     contacts: Contacts,
     next_report: Millis,
+    /// Reports since the last one to all balancers.
+    near_reports: u32,
+    domain: DomainId,
     leaving: Option<(Millis, oneshot::Sender<TargetState>)>,
     actions: Vec<AgentAction<Bytes>>,
     decisions: DecisionLog,
@@ -104,6 +112,8 @@
             agent: Agent::new(Millis::ZERO, place, limits),
             contacts: Contacts::default(),
             next_report: Millis::ZERO,
+            near_reports: 0,
+            domain: place.domain,
             leaving: None,
             actions: Vec::new(),
             decisions,
@@ -199,7 +209,7 @@
             self.report_state(now);
         } else if now >= self.next_report {
             self.contacts.forget_silent(now);
-            self.report(now);
+            self.report_load(now);
         }
         let is_idle = self.agent.is_idle();
         if let Some((since, left)) = self.leaving.take() {
@@ -224,8 +234,23 @@
         self.report(now);
     }
 
+    /// Reports what changes all the time, to balancers of other domains less often.
+    fn report_load(&mut self, now: Millis) {
+        self.near_reports += 1;
+        if self.near_reports >= NEAR_REPORTS {
+            self.report(now);
+            return;
+        }
+        self.next_report = now.after(REPORT_INTERVAL);
+        let report = self.report_message(now);
+        for balancer in self.contacts.near(self.domain) {
+            self.peers.send(&report, balancer);
+        }
+    }
+
     fn report(&mut self, now: Millis) {
         self.next_report = now.after(REPORT_INTERVAL);
+        self.near_reports = 0;
         let report = self.report_message(now);
         for balancer in self.contacts.iter() {
             self.peers.send(&report, balancer);
@@ -276,7 +301,9 @@
             }
             Some(Body::Greeting(greeting)) => match addr_from_bytes(&greeting.balancer) {
                 Ok(balancer) => {
-                    self.on_heard(now, balancer);
+                    let domain = DomainId(greeting.domain);
+                    let is_new = self.contacts.on_greeting(now, balancer, domain);
+                    self.meet(now, balancer, is_new);
                     let others = greeting.others.iter();
                     for other in others.filter_map(|addr| addr_from_bytes(addr).ok()) {
                         let is_new = self.contacts.on_named(now, other);
--- a/crates/balancer/src/pass_through/control.rs
+++ b/crates/balancer/src/pass_through/control.rs
@@ -29,8 +29,13 @@
 /// Pause after an accept that failed, which it does when the process has no descriptor left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
-/// Time between two looks at the lists of balancers and agents.
-const LIST_INTERVAL: Duration = Duration::from_secs(2);
+/// Time between two looks at the lists of balancers and agents. A process that starts makes itself
+/// known to all others, so the lists only find what was missed.
+const LIST_INTERVAL: Duration = Duration::from_secs(5);
+
+/// The same while the platform does not answer or the own entry is missing: two looks make the entry
+/// again, within 2 s of the platform's return.
+const LIST_INTERVAL_UNSURE: Duration = Duration::from_millis(800);
 
 /// What the tasks of the control thread share.
 #[derive(Clone)]
@@ -117,16 +122,21 @@
                     Err(err) => log::warn!("platform: own entry not written: {err}"),
                 }
             }
+            let mut interval = LIST_INTERVAL_UNSURE;
             match store::list(&self.client, Entries::Balancers, may_be_stale).await {
                 Ok(found) => {
                     may_be_stale = true;
-                    presence.on_listed(found.contains(&own));
+                    let is_listed = found.contains(&own);
+                    presence.on_listed(is_listed);
+                    if is_listed {
+                        interval = LIST_INTERVAL;
+                    }
                     let addrs = found.into_iter().map(|entry| entry.address).collect();
                     let _ = self.commands.send(Command::Balancers(addrs));
                 }
                 Err(err) => log::warn!("platform: balancers not listed: {err}"),
             }
-            sleep(LIST_INTERVAL).await;
+            sleep(interval).await;
         }
     }
 
--- a/crates/balancer/src/pass_through/traffic.rs
+++ b/crates/balancer/src/pass_through/traffic.rs
@@ -56,6 +56,7 @@
 /// What the thread works with.
 pub(super) struct Traffic {
     own_addr: SocketAddr,
+    domain: DomainId,
     /// Port at which callers' machines take packets.
     caller_port: u16,
     fabric: Datagrams,
@@ -110,6 +111,7 @@
         let domain = DomainId::of(&settings.domain);
         Ok(Self {
             own_addr: settings.peer_listen,
+            domain,
             caller_port: settings.fabric_listen.port(),
             fabric: Datagrams::bind(settings.fabric_listen)?,
             peers: MessageSocket::bind(settings.peer_listen, keys)?,
@@ -242,6 +244,7 @@
             revision: self.balancer.revision(),
             wants_reports,
             others: others.into_iter().map(addr_to_bytes).collect(),
+            domain: self.domain.0,
         }))
     }
 
--- a/crates/core/src/pass_through/agent/list.rs
+++ b/crates/core/src/pass_through/agent/list.rs
@@ -1,5 +1,7 @@
 //! The list of a target's flows, which outlives the machine.
 
+use std::collections::HashMap;
+
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Millis;
@@ -15,6 +17,14 @@
 /// Flows that are listed, about 80 bytes each, so that a list fits one object of the platform.
 const LISTED_MAX: usize = 8_000;
 
+/// Part of the flows, in percent, that may be missing in the list that is kept. Each missing one may
+/// cost its caller a request if power is lost, and each list costs a write at the platform.
+const MISSING_PERCENT: usize = 15;
+
+/// Distance at which a kept sequence number is too old: half of the 76,800 around its last
+/// acknowledgement in which a caller accepts a reset.
+const SEQ_DRIFT: u32 = 38_400;
+
 /// A flow in a [`FlowList`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -39,6 +49,24 @@
     pub flows: Vec<ListedFlow>,
 }
 
+impl FlowList {
+    /// Whether this list should take the place of one that was kept before.
+    #[must_use]
+    pub fn replaces(&self, kept: &Self) -> bool {
+        let known: HashMap<_, _> = kept
+            .flows
+            .iter()
+            .map(|listed| (listed.flow, listed.seq))
+            .collect();
+        let is_missing = |listed: &&ListedFlow| {
+            let seq = known.get(&listed.flow);
+            seq.is_none_or(|seq| listed.seq.wrapping_sub(*seq) > SEQ_DRIFT)
+        };
+        let missing = self.flows.iter().filter(is_missing).count();
+        self.born != kept.born || missing * 100 > self.flows.len() * MISSING_PERCENT
+    }
+}
+
 impl<B: Clone> Agent<B> {
     /// The flows to be listed, none before the target's start is known.
     #[must_use]
--- a/crates/core/src/pass_through/balancer/ongoing.rs
+++ b/crates/core/src/pass_through/balancer/ongoing.rs
@@ -7,7 +7,7 @@
 use crate::members::TargetState;
 
 use super::super::fleet::TargetKey;
-use super::super::packet::{DropReason, Holding, Offer, Packet, Reset, ResetReason};
+use super::super::packet::{DropReason, Offer, Packet, Reset, ResetReason};
 use super::super::search::{Progress, Search};
 use super::{Balancer, BalancerAction, Entry, drop_for};
 
@@ -86,7 +86,7 @@
         }
     }
 
-    /// Asks all agents but the one that has just said no.
+    /// Asks the agents near by, but not the one that has just said no.
     pub(super) fn search(
         &mut self,
         now: Millis,
@@ -104,20 +104,19 @@
             return;
         }
         let flow = packet.flow;
-        let asked = self.askable(now);
-        let keys = asked.iter().map(|(key, _)| *key);
-        let mut search = Search::new(now, packet.segment, keys, packet.bytes);
-        for (key, to) in asked {
-            if Some(key) == not_at {
-                search.on_answer(key, Holding::No);
-            } else {
-                out.push(BalancerAction::Ask { to, flow });
-            }
-        }
+        let mut near = self.askable(now);
+        near.retain(|(key, _)| self.is_near(*key) && Some(*key) != not_at);
+        let keys = near.iter().map(|(key, _)| *key);
+        let search = Search::new(now, packet.segment, keys, packet.bytes);
+        ask(flow, near, out);
         self.searches.insert(flow, search);
         self.advance(now, flow, out);
     }
 
+    fn is_near(&self, key: TargetKey) -> bool {
+        self.fleet.get(key).report.domain == self.domain
+    }
+
     /// Targets that may hold a flow, with the addresses of their agents.
     pub(super) fn askable(&self, now: Millis) -> Vec<(TargetKey, SocketAddr)> {
         self.fleet
@@ -142,16 +141,21 @@
                     self.forward(&entry, Offer::Trial, packet.clone(), out);
                 }
             }
+            Progress::AskFar => {
+                let mut far = self.askable(now);
+                far.retain(|(key, _)| !self.is_near(*key));
+                if let Some(search) = self.searches.get_mut(&flow) {
+                    search.ask_far(now, far.iter().map(|(key, _)| *key));
+                }
+                ask(flow, far, out);
+                self.advance(now, flow, out);
+            }
             Progress::AskAgain => {
                 let asked = self.askable(now);
                 if let Some(search) = self.searches.get_mut(&flow) {
                     search.ask_again(now, asked.iter().map(|(key, _)| *key));
                 }
-                out.extend(
-                    asked
-                        .into_iter()
-                        .map(|(_, to)| BalancerAction::Ask { to, flow }),
-                );
+                ask(flow, asked, out);
             }
             Progress::Nobody => {
                 let segment = search.segment;
@@ -201,3 +205,8 @@
         }
     }
 }
+
+fn ask<B>(flow: FlowId, asked: Vec<(TargetKey, SocketAddr)>, out: &mut Vec<BalancerAction<B>>) {
+    let questions = asked.into_iter();
+    out.extend(questions.map(|(_, to)| BalancerAction::Ask { to, flow }));
+}
--- a/crates/core/src/pass_through/contacts.rs
+++ b/crates/core/src/pass_through/contacts.rs
@@ -12,6 +12,7 @@
 use rand::seq::IteratorRandom;
 
 use crate::clock::Millis;
+use crate::id::DomainId;
 
 /// A balancer that is neither named nor heard for this long is forgotten. The platform's list names
 /// it every 2 s, so this outlasts an outage of several lists.
@@ -25,6 +26,8 @@
     /// When it was named or heard last.
     seen: Millis,
     heard: Option<Millis>,
+    /// Its failure domain, none until it said so.
+    domain: Option<DomainId>,
 }
 
 /// The balancers that a process knows.
@@ -46,6 +49,13 @@
         is_new
     }
 
+    /// A greeting of a balancer came, with its failure domain. Returns whether it was unknown.
+    pub fn on_greeting(&mut self, now: Millis, balancer: SocketAddr, domain: DomainId) -> bool {
+        let (contact, is_new) = self.note(now, balancer);
+        (contact.heard, contact.domain) = (Some(now), Some(domain));
+        is_new
+    }
+
     /// Forgets those that nobody has named or heard for long.
     pub fn forget_silent(&mut self, now: Millis) {
         self.known
@@ -69,6 +79,16 @@
         self.known.keys().copied()
     }
 
+    /// Addresses of those that are not known to be in another failure domain.
+    pub fn near(&self, domain: DomainId) -> impl Iterator<Item = SocketAddr> {
+        let is_near = move |contact: &Contact| contact.domain.is_none_or(|other| other == domain);
+        let near = self
+            .known
+            .iter()
+            .filter(move |(_, contact)| is_near(contact));
+        near.map(|(addr, _)| *addr)
+    }
+
     /// At most `max` of them, by chance.
     pub fn sample(&self, max: usize, rng: &mut impl Rng) -> Vec<SocketAddr> {
         self.iter().choose_multiple(rng, max)
@@ -89,6 +109,7 @@
         let contact = self.known.entry(balancer).or_insert(Contact {
             seen: now,
             heard: None,
+            domain: None,
         });
         contact.seen = now;
         (contact, is_new)
--- a/crates/core/src/pass_through/search.rs
+++ b/crates/core/src/pass_through/search.rs
@@ -1,6 +1,7 @@
 //! Searches for the target that holds a flow.
 //!
-//! First every agent is asked, which costs a small message each. Where none holds the flow for
+//! First the agents of the balancer's own failure domain are asked, since most flows stay in their
+//! caller's, and then all others, which costs a small message each. Where none holds the flow for
 //! certain but some may, as after many agents were started again, those let their targets see one
 //! packet. What nobody claims in either way is left to the balancer to judge.
 
@@ -12,6 +13,10 @@
 use super::fleet::TargetKey;
 use super::packet::Holding;
 
+/// Time in which agents of the own failure domain answer a question: one turn of a processor at
+/// either end.
+const ASK_NEAR_WITHIN: Millis = Millis(15);
+
 /// Time in which agents answer a question: a round trip between failure domains and one turn of a
 /// slow processor at either end.
 const ASK_WITHIN: Millis = Millis(60);
@@ -28,6 +33,8 @@
 pub(super) enum Progress {
     /// Answers are missing.
     Waiting,
+    /// Nobody near holds the flow, and the others are to be asked.
+    AskFar,
     /// Some targets may hold the flow and are to be tried.
     Try,
     /// It is time to ask everybody once more.
@@ -40,6 +47,8 @@
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Phase {
+    /// The own failure domain.
+    AskingNear,
     Asking,
     Trying,
     /// Nobody claimed the flow when it was asked for the first time.
@@ -65,15 +74,15 @@
     pub(super) fn new(
         now: Millis,
         segment: Segment,
-        asked: impl Iterator<Item = TargetKey>,
+        near: impl Iterator<Item = TargetKey>,
         first: B,
     ) -> Self {
         Self {
             first,
             later: Vec::new(),
             segment,
-            answers: asked.map(|key| (key, None)).collect(),
-            phase: Phase::Asking,
+            answers: near.map(|key| (key, None)).collect(),
+            phase: Phase::AskingNear,
             since: now,
             was_unclaimed: false,
         }
@@ -92,12 +101,16 @@
         let is_waiting = match self.phase {
             Phase::Pausing if age >= ASK_AGAIN_AFTER => return Progress::AskAgain,
             Phase::Pausing => true,
-            Phase::Asking => age < ASK_WITHIN && self.answers.values().any(Option::is_none),
+            Phase::AskingNear => age < ASK_NEAR_WITHIN && self.is_unanswered(),
+            Phase::Asking => age < ASK_WITHIN && self.is_unanswered(),
             Phase::Trying => age < TRY_WITHIN && !self.answers.values().all(is_no),
         };
         if is_waiting {
             return Progress::Waiting;
         }
+        if self.phase == Phase::AskingNear {
+            return Progress::AskFar;
+        }
         if self.answers.values().all(is_no) {
             if self.was_unclaimed {
                 return Progress::Nobody;
@@ -113,6 +126,12 @@
         Progress::Unknown
     }
 
+    /// The others are asked besides.
+    pub(super) fn ask_far(&mut self, now: Millis, far: impl Iterator<Item = TargetKey>) {
+        self.answers.extend(far.map(|key| (key, None)));
+        self.enter(now, Phase::Asking);
+    }
+
     /// Everybody is asked once more.
     pub(super) fn ask_again(&mut self, now: Millis, asked: impl Iterator<Item = TargetKey>) {
         self.answers = asked.map(|key| (key, None)).collect();
@@ -128,6 +147,10 @@
             .map(|(key, _)| *key)
     }
 
+    fn is_unanswered(&self) -> bool {
+        self.answers.values().any(Option::is_none)
+    }
+
     const fn enter(&mut self, now: Millis, phase: Phase) {
         self.phase = phase;
         self.since = now;
--- a/crates/core/tests/pass_through/agent.rs
+++ b/crates/core/tests/pass_through/agent.rs
@@ -380,6 +380,26 @@
         });
     };
 
+    list_is_replaced_when_many_flows_are_missing => {
+        let list = |numbers: std::ops::Range<u16>| FlowList {
+            born: 1,
+            flows: numbers.map(|number| ListedFlow { flow: flow(number), seq: 9 }).collect(),
+        };
+        let kept = list(0..100);
+        assert!(!list(0..100).replaces(&kept));
+        assert!(!list(50..115).replaces(&list(0..110)), "flows that ended do no harm");
+        assert!(!list(10..115).replaces(&kept), "15 of 105");
+        assert!(list(10..120).replaces(&kept), "20 of 110");
+        assert!(FlowList { born: 2, ..list(0..100) }.replaces(&kept), "another start of the target");
+    };
+
+    list_is_replaced_when_its_sequence_numbers_are_old => {
+        let list = |seq: u32| FlowList { born: 1, flows: vec![ListedFlow { flow: flow(1), seq }] };
+        let kept = list(u32::MAX - 10);
+        assert!(!list(30_000).replaces(&kept));
+        assert!(list(50_000).replaces(&kept));
+    };
+
     request_is_busy_until_the_first_byte_of_its_answer => {
         let mut agent = agent(START);
         open(&mut agent, START, flow(1));
--- a/crates/core/tests/pass_through/balancer.rs
+++ b/crates/core/tests/pass_through/balancer.rs
@@ -267,6 +267,29 @@
         assert_eq!(forwarded(&actions), [(agent_addr(2), Offer::Held)], "and it is remembered");
     };
 
+    agents_near_by_are_asked_first => {
+        let mut balancer = with_targets(START);
+        let mut far = report(3, 1);
+        far.domain = crate::fixture::domain(1);
+        balancer.on_report(START, far);
+        assert_eq!(asked(&send(&mut balancer, START, 1, request())), 2);
+        assert_eq!(asked(&reply(&mut balancer, START, 1, Holding::No)), 0);
+        let actions = reply(&mut balancer, START, 2, Holding::Maybe);
+        assert_eq!(actions, [BalancerAction::Ask { to: agent_addr(3), flow: flow(1) }]);
+        let actions = reply(&mut balancer, START, 3, Holding::Here);
+        assert_eq!(forwarded(&actions), [(agent_addr(3), Offer::Held)]);
+    };
+
+    agent_near_by_that_is_silent_holds_up_a_search_for_a_moment_only => {
+        let mut balancer = with_targets(START);
+        let mut far = report(3, 1);
+        far.domain = crate::fixture::domain(1);
+        balancer.on_report(START, far);
+        send(&mut balancer, START, 1, request());
+        let actions = tick(&mut balancer, START.after(Millis(25)));
+        assert_eq!(actions, [BalancerAction::Ask { to: agent_addr(3), flow: flow(1) }]);
+    };
+
     targets_that_may_hold_a_flow_are_tried => {
         let mut balancer = with_targets(START);
         send(&mut balancer, START, 1, request());
--- a/crates/core/tests/pass_through/contacts.rs
+++ b/crates/core/tests/pass_through/contacts.rs
@@ -5,7 +5,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use crate::fixture::balancer_addr;
+use crate::fixture::{balancer_addr, domain};
 
 const START: Millis = Millis(1_000);
 
@@ -32,6 +32,17 @@
         assert!(contacts.sample_heard(later, 8, &mut rng()).is_empty());
     };
 
+    balancer_is_near_until_it_names_another_domain => {
+        let mut contacts = Contacts::default();
+        contacts.on_named(START, balancer_addr(1));
+        contacts.on_greeting(START, balancer_addr(2), domain(0));
+        contacts.on_greeting(START, balancer_addr(3), domain(1));
+        contacts.on_heard(START, balancer_addr(3));
+        let mut near: Vec<_> = contacts.near(domain(0)).collect();
+        near.sort_unstable();
+        assert_eq!(near, [balancer_addr(1), balancer_addr(2)]);
+    };
+
     sample_is_bounded => {
         let mut contacts = Contacts::default();
         for number in 0..100 {
--- a/crates/peer/src/message/pass_through.rs
+++ b/crates/peer/src/message/pass_through.rs
@@ -96,4 +96,7 @@
     /// Some of the balancers that the sender hears.
     #[prost(bytes = "vec", repeated, tag = "4")]
     pub others: Vec<Vec<u8>>,
+    /// Failure domain of the sender.
+    #[prost(fixed64, tag = "5")]
+    pub domain: u64,
 }
