Take spans of the platform's bounds that are no whole seconds

Cause, found by reading DEPLOY.md: bounds are whole numbers or fractions, and the templates wrote "{{bounds.graceS}}000". A grace of 4.5 s rendered as 4.5000 ms, which the settings refuse, and no process would have started.

Change: pass-through settings give flow_life_s and grace_s in seconds, whole or not. settings::Seconds holds them in the project's clock type.

--- a/crates/agent/src/pass_through/settings.rs
+++ b/crates/agent/src/pass_through/settings.rs
@@ -5,7 +5,7 @@
 
 use citronhollow_core::clock::Millis;
 use citronhollow_operator::problem::Problem;
-use citronhollow_operator::settings::{self, SettingsError, Shape};
+use citronhollow_operator::settings::{self, Seconds, SettingsError, Shape};
 use citronhollow_peer::Key;
 use serde::{Deserialize, Serialize};
 
@@ -42,7 +42,7 @@
     /// Time between two heartbeats of the target.
     pub heartbeat_ms: Millis,
     /// Time after which an idle flow is forgotten.
-    pub flow_life_ms: Millis,
+    pub flow_life_s: Seconds,
     /// Least severe level that is logged: error, warn, info, debug or trace.
     #[serde(default = "default_log_level")]
     pub log_level: String,
@@ -55,7 +55,7 @@
 /// Bounds of `heartbeat_ms`.
 const HEARTBEAT_MS: RangeInclusive<u64> = 10..=60_000;
 
-/// Bounds of `flow_life_ms`.
+/// Bounds of `flow_life_s`, in ms.
 const FLOW_LIFE_MS: RangeInclusive<u64> = 1_000..=86_400_000;
 
 /// The file's shape, with the example that ships with the program.
@@ -98,7 +98,7 @@
             settings::check_listen("peer_listen", self.peer_listen),
             settings::check_destination("platform", self.platform),
             settings::check_range("heartbeat_ms", self.heartbeat_ms.0, HEARTBEAT_MS),
-            settings::check_range("flow_life_ms", self.flow_life_ms.0, FLOW_LIFE_MS),
+            settings::check_span("flow_life_s", self.flow_life_s, FLOW_LIFE_MS),
         ];
         let problems = single.into_iter().flatten().collect();
         let keys = self.keys.clone();
--- a/crates/agent/src/pass_through/traffic.rs
+++ b/crates/agent/src/pass_through/traffic.rs
@@ -92,7 +92,7 @@
     ) -> io::Result<Self> {
         let limits = AgentLimits {
             flows: FLOWS,
-            flow_life: settings.flow_life_ms,
+            flow_life: settings.flow_life_s.millis(),
             heartbeat: settings.heartbeat_ms,
         };
         let place = Place {
--- a/crates/balancer/src/pass_through/run.rs
+++ b/crates/balancer/src/pass_through/run.rs
@@ -178,7 +178,7 @@
 
 /// Forwards until the fabric has turned to others.
 async fn leave(settings: &Settings, started: Instant, shared: &Shared, client: &Client) {
-    let grace = Duration::from(settings.grace_ms).saturating_sub(LAST_STEPS);
+    let grace = Duration::from(settings.grace_s.millis()).saturating_sub(LAST_STEPS);
     let quiet = async {
         sleep(PROBES_MISSED).await;
         while Millis::from(started.elapsed()).since(shared.last_packet()) < QUIET {
--- a/crates/balancer/src/pass_through/settings.rs
+++ b/crates/balancer/src/pass_through/settings.rs
@@ -3,9 +3,8 @@
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 
-use citronhollow_core::clock::Millis;
 use citronhollow_operator::problem::Problem;
-use citronhollow_operator::settings::{self, SettingsError, Shape};
+use citronhollow_operator::settings::{self, Seconds, SettingsError, Shape};
 use citronhollow_peer::Key;
 use serde::{Deserialize, Serialize};
 
@@ -32,9 +31,9 @@
     /// One or two keys; the first signs.
     pub keys: Vec<Key>,
     /// Time after which an idle flow is forgotten.
-    pub flow_life_ms: Millis,
+    pub flow_life_s: Seconds,
     /// Time between the signal to stop and the forced end of the process.
-    pub grace_ms: Millis,
+    pub grace_s: Seconds,
     /// Least severe level that is logged: error, warn, info, debug or trace.
     #[serde(default = "default_log_level")]
     pub log_level: String,
@@ -44,10 +43,10 @@
     String::from("info")
 }
 
-/// Bounds of `flow_life_ms`.
+/// Bounds of `flow_life_s`, in ms.
 const FLOW_LIFE_MS: RangeInclusive<u64> = 1_000..=86_400_000;
 
-/// Bounds of `grace_ms`.
+/// Bounds of `grace_s`, in ms.
 const GRACE_MS: RangeInclusive<u64> = 100..=3_600_000;
 
 /// The file's shape, with the example that ships with the program.
@@ -86,8 +85,8 @@
             settings::check_listen("ready_listen", self.ready_listen),
             settings::check_listen("peer_listen", self.peer_listen),
             settings::check_destination("platform", self.platform),
-            settings::check_range("flow_life_ms", self.flow_life_ms.0, FLOW_LIFE_MS),
-            settings::check_range("grace_ms", self.grace_ms.0, GRACE_MS),
+            settings::check_span("flow_life_s", self.flow_life_s, FLOW_LIFE_MS),
+            settings::check_span("grace_s", self.grace_s, GRACE_MS),
         ];
         let problems = single.into_iter().flatten().collect();
         let keys = self.keys.clone();
--- a/crates/balancer/src/pass_through/traffic.rs
+++ b/crates/balancer/src/pass_through/traffic.rs
@@ -104,7 +104,7 @@
     ) -> io::Result<Self> {
         let limits = BalancerLimits {
             flows: FLOWS,
-            flow_life: settings.flow_life_ms,
+            flow_life: settings.flow_life_s.millis(),
             searches: SEARCHES,
             search_packets: SEARCH_PACKETS,
         };
--- a/crates/operator/src/settings.rs
+++ b/crates/operator/src/settings.rs
@@ -19,12 +19,14 @@
 
 mod checked;
 mod range;
+mod seconds;
 
 pub use checked::Checked;
 pub use range::{
     check_destination, check_destinations, check_distinct, check_keys, check_level, check_listen,
-    check_loopback, check_name, check_optional_destination, check_range, check_token,
+    check_loopback, check_name, check_optional_destination, check_range, check_span, check_token,
 };
+pub use seconds::{Seconds, SecondsError};
 
 /// What is known of a settings file besides its type.
 #[derive(Clone, Copy, Debug)]
--- a/crates/operator/src/settings/range.rs
+++ b/crates/operator/src/settings/range.rs
@@ -2,10 +2,12 @@
 
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
+use std::time::Duration;
 
 use citronhollow_peer::{Key, KeyError, Keyring};
 use log::LevelFilter;
 
+use super::seconds::Seconds;
 use crate::problem::Problem;
 
 /// Longest name, in bytes.
@@ -52,6 +54,20 @@
     ))
 }
 
+/// A span within bounds in ms.
+#[must_use]
+pub fn check_span(field: &str, span: Seconds, bounds: RangeInclusive<u64>) -> Option<Problem> {
+    if bounds.contains(&span.millis().0) {
+        return None;
+    }
+    let limit = |ms: u64| Duration::from_millis(ms).as_secs_f64();
+    Some(Problem::new(
+        field,
+        format!("{} s is out of range", f64::from(span)),
+        format!("use {} to {}", limit(*bounds.start()), limit(*bounds.end())),
+    ))
+}
+
 /// An address to listen on that others are told of, so it must be one address and not all.
 #[must_use]
 pub fn check_listen(field: &str, addr: SocketAddr) -> Option<Problem> {
--- /dev/null
+++ b/crates/operator/src/settings/seconds.rs
@@ -0,0 +1,46 @@
+//! Spans that a settings file gives in seconds, whole or not.
+
+use citronhollow_core::clock::Millis;
+use derive_more::Into;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// Longest span that a file may give, in seconds: a year.
+const SECONDS_MAX: f64 = 366.0 * 86_400.0;
+
+/// A number that is no span.
+#[derive(Clone, Copy, Debug, Error, PartialEq)]
+#[error("{0} is no span in seconds, use 0 to {SECONDS_MAX}")]
+pub struct SecondsError(f64);
+
+/// A span of a settings file.
+#[derive(Clone, Copy, Debug, Eq, Into, PartialEq, Serialize, Deserialize)]
+#[serde(try_from = "f64", into = "f64")]
+pub struct Seconds(Millis);
+
+impl Seconds {
+    /// The span.
+    #[must_use]
+    pub const fn millis(self) -> Millis {
+        self.0
+    }
+}
+
+impl TryFrom<f64> for Seconds {
+    type Error = SecondsError;
+
+    fn try_from(seconds: f64) -> Result<Self, Self::Error> {
+        if (0.0..=SECONDS_MAX).contains(&seconds) {
+            let span = std::time::Duration::from_secs_f64(seconds);
+            Ok(Self(Millis::from(span)))
+        } else {
+            Err(SecondsError(seconds))
+        }
+    }
+}
+
+impl From<Seconds> for f64 {
+    fn from(span: Seconds) -> Self {
+        std::time::Duration::from(span.0).as_secs_f64()
+    }
+}
