--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -2,7 +2,7 @@
 //!
 //! It takes the target's announcements, keeps a few balancers informed by heartbeats, and learns
 //! from them who else serves the target's group and which services that concerns. Heartbeats go
-//! at an even pace and at once on a change; the three balancers are staggered, so that news of a
+//! at an even pace and at once on a change; the three balancers are staggered, so that updates of a
 //! revision waits for a third of the interval at most. The platform is never asked: what a
 //! balancer says is enough, and a lower revision is never taken over.
 
@@ -14,7 +14,7 @@
 use citronhollow_core::clock::Millis;
 use citronhollow_core::config::Revision;
 use citronhollow_core::id::{DomainId, TargetId};
-use citronhollow_core::members::{TargetNews, TargetState};
+use citronhollow_core::members::{TargetState, TargetUpdate};
 use citronhollow_operator::listener;
 use citronhollow_peer::message::{Heartbeat, HeartbeatReply, PoolReply};
 use citronhollow_peer::{
@@ -298,7 +298,7 @@
             return;
         };
         let body = Body::Heartbeat(Heartbeat {
-            target: Some(target_to_message(&TargetNews::heard(record))),
+            target: Some(target_to_message(&TargetUpdate::heard(record))),
             revision: self.known.revision.number,
             open: self.links.figures.open(),
             is_last,
--- a/crates/agent/src/control/peers.rs
+++ b/crates/agent/src/control/peers.rs
@@ -7,7 +7,7 @@
 use std::collections::HashMap;
 
 use citronhollow_core::id::TargetId;
-use citronhollow_core::members::{TargetNews, TargetRecord, TargetState, Verdict};
+use citronhollow_core::members::{TargetRecord, TargetState, TargetUpdate, Verdict};
 use citronhollow_peer::message::Target;
 use citronhollow_peer::target_from_message;
 
@@ -19,7 +19,7 @@
 
 #[derive(Debug)]
 struct Peer {
-    news: TargetNews,
+    update: TargetUpdate,
     /// Revision under which it was last told.
     revision: u64,
 }
@@ -30,7 +30,7 @@
         let mut changed = false;
         for target in told {
             match target_from_message(target) {
-                Ok(news) => changed |= self.merge_one(news, revision),
+                Ok(update) => changed |= self.merge_one(update, revision),
                 Err(error) => log::debug!("control: peer refused: {error}"),
             }
         }
@@ -42,36 +42,40 @@
     /// The records for the traffic thread, sorted by identity.
     #[must_use]
     pub fn records(&self) -> Vec<TargetRecord> {
-        let mut records: Vec<TargetRecord> =
-            self.by_id.values().map(|peer| served(&peer.news)).collect();
+        let mut records: Vec<TargetRecord> = self
+            .by_id
+            .values()
+            .map(|peer| served(&peer.update))
+            .collect();
         records.sort_unstable_by_key(|record| record.id);
         records
     }
 
-    fn merge_one(&mut self, news: TargetNews, revision: u64) -> bool {
-        let old = self.by_id.get_mut(&news.record.id);
+    fn merge_one(&mut self, update: TargetUpdate, revision: u64) -> bool {
+        let old = self.by_id.get_mut(&update.record.id);
         let Some(old) = old else {
-            self.by_id.insert(news.record.id, Peer { news, revision });
+            self.by_id
+                .insert(update.record.id, Peer { update, revision });
             return true;
         };
         old.revision = old.revision.max(revision);
-        let is_newer = news.is_newer_than(&old.news);
+        let is_newer = update.is_newer_than(&old.update);
         if is_newer {
-            old.news = news;
+            old.update = update;
         }
         is_newer
     }
 }
 
 /// A suspect gets no new flow from a peer, but may hold some.
-fn served(news: &TargetNews) -> TargetRecord {
-    let state = match news.verdict {
-        _ if news.is_gone() => TargetState::Dead,
-        Verdict::Suspect if news.record.state == TargetState::Ready => TargetState::Draining,
-        _ => news.record.state,
+fn served(update: &TargetUpdate) -> TargetRecord {
+    let state = match update.verdict {
+        _ if update.is_gone() => TargetState::Dead,
+        Verdict::Suspect if update.record.state == TargetState::Ready => TargetState::Draining,
+        _ => update.record.state,
     };
     TargetRecord {
         state,
-        ..news.record
+        ..update.record
     }
 }
--- a/crates/agent/src/control/reporting.rs
+++ b/crates/agent/src/control/reporting.rs
@@ -91,8 +91,8 @@
     /// Takes a balancer in.
     pub fn learn(&mut self, now: Millis, record: BalancerRecord) {
         let old = self.known.get(&record.control);
-        let is_news = old.is_none_or(|old| old.is_seed || is_newer(&record, &old.record));
-        if !is_news {
+        let is_update = old.is_none_or(|old| old.is_seed || is_newer(&record, &old.record));
+        if !is_update {
             return;
         }
         let failed_until = old.map_or(Millis::ZERO, |old| old.failed_until);
--- a/crates/agent/src/link.rs
+++ b/crates/agent/src/link.rs
@@ -49,7 +49,7 @@
     refused: AtomicU64,
     unsent: AtomicU64,
     opened: AtomicU64,
-    handed: AtomicU64,
+    redirected: AtomicU64,
     passed: AtomicU64,
     asked: AtomicU64,
 }
@@ -84,8 +84,8 @@
     unsent, count_unsent;
     /// Flows accepted.
     opened, count_opened;
-    /// New flows handed to a peer.
-    handed, count_handed;
+    /// New flows redirected to a peer.
+    redirected, count_redirected;
     /// Packets passed to the peer that may hold their flow.
     passed, count_passed;
     /// Questions to peers about an unknown flow.
--- a/crates/agent/src/metrics.rs
+++ b/crates/agent/src/metrics.rs
@@ -20,7 +20,7 @@
 
 fn report(metrics: &Metrics, totals: &mut Totals, figures: &TrafficFigures) {
     totals.report(Counter::FlowsOpened, figures.opened());
-    totals.report(Counter::FlowsHanded, figures.handed());
+    totals.report(Counter::FlowsRedirected, figures.redirected());
     totals.report(Counter::FlowsRefused, figures.refused());
     totals.report(Counter::PacketsPassed, figures.passed());
     totals.report(Counter::FlowsAsked, figures.asked());
--- a/crates/agent/src/traffic/datagrams.rs
+++ b/crates/agent/src/traffic/datagrams.rs
@@ -1,7 +1,7 @@
 //! The traffic thread's UDP socket, many datagrams to a system call.
 //!
 //! A system call for each datagram is most of the cost of a packet. Packets to the same address of
-//! the fabric are collected until the tasks that are ready have run, and handed to the kernel
+//! the fabric are collected until the tasks that are ready have run, and passed to the kernel
 //! together as long as they have the same size; what came in is taken in batches likewise.
 
 use std::cell::RefCell;
@@ -16,7 +16,7 @@
 /// Room for datagrams that the kernel coalesced, in bytes.
 const RECEIVE_LEN: usize = 64 * 1_024;
 
-/// Bytes handed to the kernel at once, below the largest that an IP packet can describe.
+/// Bytes passed to the kernel at once, below the largest that an IP packet can describe.
 const BATCH_LEN: usize = 60 * 1_024;
 
 /// Batches read before the flows' tasks run again.
--- a/crates/agent/src/traffic/dispatch.rs
+++ b/crates/agent/src/traffic/dispatch.rs
@@ -192,9 +192,9 @@
 
 fn count_relay(agent: &Agent, span: &HopSpan, relay: Relay) {
     match relay {
-        Relay::Hand => {
-            agent.figures.count_handed(1);
-            span.outcome("handed");
+        Relay::Redirect => {
+            agent.figures.count_redirected(1);
+            span.outcome("redirected");
         }
         Relay::Pass => {
             agent.figures.count_passed(1);
--- a/crates/agent/src/traffic/wire.rs
+++ b/crates/agent/src/traffic/wire.rs
@@ -32,7 +32,7 @@
     let sender = TargetId(forward.sender);
     let arrival = match message::Relay::try_from(forward.relay) {
         Ok(message::Relay::Balancer) => Arrival::Balancer,
-        Ok(message::Relay::Hand) => Arrival::Handed(sender),
+        Ok(message::Relay::Redirect) => Arrival::Redirected(sender),
         Ok(message::Relay::Pass) => Arrival::Passed(sender),
         Err(_) => return Err(WireError::Value(forward.relay)),
     };
@@ -51,7 +51,7 @@
 /// The message that carries a packet to a peer.
 pub(super) fn forward(me: TargetId, relay: Relay, packet: Packet<Bytes>) -> Forward {
     let relay = match relay {
-        Relay::Hand => message::Relay::Hand,
+        Relay::Redirect => message::Relay::Redirect,
         Relay::Pass => message::Relay::Pass,
     };
     let chain = packet.chain.into_iter().take(CHAIN_MAX);
--- a/crates/balancer/examples/control_cost.rs
+++ b/crates/balancer/examples/control_cost.rs
@@ -8,7 +8,7 @@
 use citronhollow_core::clock::Millis;
 use citronhollow_core::config::{Documents, Pool, Refusal, Revision, Service};
 use citronhollow_core::id::{BalancerId, DomainId, GroupId, TargetId};
-use citronhollow_core::members::{BalancerRecord, TargetNews, TargetRecord, TargetState};
+use citronhollow_core::members::{BalancerRecord, TargetRecord, TargetState, TargetUpdate};
 use citronhollow_core::routes::Routes;
 use citronhollow_peer::message::{Heartbeat, MembersReply};
 use citronhollow_peer::{
@@ -35,8 +35,8 @@
     }
 }
 
-fn target(number: u32, sequence: u64) -> TargetNews {
-    TargetNews::heard(TargetRecord {
+fn target(number: u32, sequence: u64) -> TargetUpdate {
+    TargetUpdate::heard(TargetRecord {
         id: TargetId::of(&format!("target-{number}")),
         group: GroupId::of(&format!("group-{}", number % SERVICES)),
         domain: DomainId(u64::from(number % 20)),
--- a/crates/balancer/examples/platform_calls.rs
+++ b/crates/balancer/examples/platform_calls.rs
@@ -114,8 +114,9 @@
     let start = Instant::now();
     let count = documents.services.len();
     for store in watching {
-        let mut news = store.subscribe();
-        news.wait_for(|latest| latest.documents.services.len() == count)
+        let mut update = store.subscribe();
+        update
+            .wait_for(|latest| latest.documents.services.len() == count)
             .await?;
     }
     Ok(start.elapsed())
--- a/crates/balancer/src/commands/drain.rs
+++ b/crates/balancer/src/commands/drain.rs
@@ -114,7 +114,7 @@
         loop {
             let outcome = client.drain(&self.target, self.on).await;
             let is_last = Instant::now() >= deadline;
-            let news = match outcome {
+            let update = match outcome {
                 Ok(status) if self.wait.is_none() || self.is_done(&status) => return Ok(status),
                 Ok(status) if is_last => return Err(timed_out(limit_s, &status)),
                 Ok(status) => status.to_string(),
@@ -123,9 +123,9 @@
                 }
                 Err(failure) => format!("{}: {failure}", self.target),
             };
-            if news != told {
-                eprintln!("{news}");
-                told = news;
+            if update != told {
+                eprintln!("{update}");
+                told = update;
             }
             tokio::time::sleep(POLL_INTERVAL).await;
         }
--- a/crates/balancer/src/control.rs
+++ b/crates/balancer/src/control.rs
@@ -188,9 +188,9 @@
         self.drains.on_tick(now, self.node.view(), effects);
         let place = self.node.fleet_view(now);
         self.seat.place.send_if_modified(|known| {
-            let is_news = *known != place;
+            let is_update = *known != place;
             *known = place;
-            is_news
+            is_update
         });
     }
 
--- a/crates/balancer/src/control/drain.rs
+++ b/crates/balancer/src/control/drain.rs
@@ -60,8 +60,8 @@
         done: oneshot::Sender<Result<(), ErrorKind>>,
     ) {
         let id = target_id(name);
-        let known = view.target(now, id).filter(|news| !news.is_gone());
-        let Some(news) = known else {
+        let known = view.target(now, id).filter(|update| !update.is_gone());
+        let Some(update) = known else {
             let _ = done.send(Err(ErrorKind::NotFound));
             return;
         };
@@ -74,7 +74,7 @@
             id,
             name: String::from(name),
             on,
-            agent: news.record.agent,
+            agent: update.record.agent,
             next_at: now,
             deadline: now.after(DRAIN_TIMEOUT),
             done: Some(done),
@@ -127,7 +127,9 @@
             .iter()
             .map(|request| DrainStatus {
                 target: request.name.clone(),
-                state: view.target(now, request.id).map(|news| news.record.state),
+                state: view
+                    .target(now, request.id)
+                    .map(|update| update.record.state),
                 open: request.open,
             })
             .collect()
@@ -153,7 +155,7 @@
     fn is_followed(&self, now: Millis, view: &View) -> bool {
         let is_there = view
             .target(now, self.id)
-            .is_some_and(|news| !news.is_gone());
+            .is_some_and(|update| !update.is_gone());
         self.done.is_some() || self.on && is_there
     }
 }
--- a/crates/balancer/src/control/fleet.rs
+++ b/crates/balancer/src/control/fleet.rs
@@ -1,7 +1,7 @@
 //! What the rest of the process is told about the fleet.
 
 use citronhollow_core::clock::Millis;
-use citronhollow_core::members::{BalancerRecord, TargetNews, TargetState, Verdict};
+use citronhollow_core::members::{BalancerRecord, TargetState, TargetUpdate, Verdict};
 use citronhollow_core::rumour::Spreader;
 use citronhollow_operator::status::{BalancerState, BalancerStatus, FleetStatus, TargetStatus};
 
@@ -28,7 +28,9 @@
     let me = spreader.me().id;
     let balancers = view.balancers().iter().filter(|other| other.id != me);
     let balancers = balancers.map(|record| balancer(now, spreader, record));
-    let targets = view.targets(now).map(|news| target(now, spreader, &news));
+    let targets = view
+        .targets(now)
+        .map(|update| target(now, spreader, &update));
     FleetStatus {
         revision: spreader.revision(),
         lowest_reported: spreader.lowest_of_answering(),
@@ -71,10 +73,10 @@
     }
 }
 
-fn target(now: Millis, spreader: &Spreader, news: &TargetNews) -> TargetStatus {
-    let record = &news.record;
+fn target(now: Millis, spreader: &Spreader, update: &TargetUpdate) -> TargetStatus {
+    let record = &update.record;
     let report = spreader.reports().agent(record.id);
-    let state = if news.is_gone() {
+    let state = if update.is_gone() {
         TargetState::Dead
     } else {
         record.state
@@ -86,7 +88,7 @@
         agent: record.agent,
         slots: record.slots,
         state,
-        is_suspect: news.verdict == Verdict::Suspect,
+        is_suspect: update.verdict == Verdict::Suspect,
         revision: report.map(|report| report.revision),
         open: report.map(|report| report.open),
         last_seen_ms: report.map(|report| now.since(report.at)),
--- a/crates/balancer/src/control/node.rs
+++ b/crates/balancer/src/control/node.rs
@@ -10,7 +10,7 @@
 use citronhollow_core::hash;
 use citronhollow_core::id::{BalancerId, TargetId};
 use citronhollow_core::members::{BalancerRecord, REPORTERS, View, reporters_for};
-use citronhollow_core::rumour::{Action, AgentReport, BalancerReport, News, Spreader, Summary};
+use citronhollow_core::rumour::{Action, AgentReport, BalancerReport, Spreader, Summary, Update};
 use citronhollow_operator::status::FleetStatus;
 use citronhollow_peer::message::{
     Balancer, Digest, Heartbeat, HeartbeatReply, LowestReply, LowestRequest, MembersRequest,
@@ -169,8 +169,12 @@
         // A revision that came before the loop began has woken nobody.
         self.on_revision();
         let mut actions = Vec::new();
-        for news in self.spreader.on_tick(now, &mut actions) {
-            log::info!("members: target {} is {:?}", news.record.id, news.verdict);
+        for update in self.spreader.on_tick(now, &mut actions) {
+            log::info!(
+                "members: target {} is {:?}",
+                update.record.id,
+                update.verdict
+            );
         }
         if is_watcher(self.fleet_view(now).rank) || now < self.lowest_wanted_until {
             self.spreader.poll_lowest(now, &mut actions);
@@ -256,7 +260,7 @@
         if !rumour.delta_json.is_empty() {
             self.offer_delta(&rumour.delta_json);
         }
-        let news = News {
+        let update = Update {
             targets: self.parse(&rumour.targets, target_from_message),
             verdicts: self.parse(&rumour.verdicts, verdict_from_message),
             balancers: self.parse(&rumour.balancers, balancer_from_message),
@@ -264,7 +268,7 @@
             carries_revision: false,
         };
         let mut actions = Vec::new();
-        self.spreader.on_news(now, from, &news, &mut actions);
+        self.spreader.on_update(now, from, &update, &mut actions);
         self.carry_over(actions, effects);
     }
 
@@ -292,9 +296,9 @@
                 to,
                 body: Body::LowestRequest(LowestRequest {}),
             },
-            Action::Push { to, news } => Effect::Send {
+            Action::Push { to, update } => Effect::Send {
                 to,
-                body: Body::Rumour(self.rumour(&news)),
+                body: Body::Rumour(self.rumour(&update)),
             },
             Action::Compare { to, summary } => Effect::Send {
                 to,
@@ -313,14 +317,14 @@
         }));
     }
 
-    fn rumour(&self, news: &News) -> Rumour {
-        let delta = self.log.newest().filter(|_| news.carries_revision);
+    fn rumour(&self, update: &Update) -> Rumour {
+        let delta = self.log.newest().filter(|_| update.carries_revision);
         Rumour {
-            targets: news.targets.iter().map(target_to_message).collect(),
-            verdicts: news.verdicts.iter().map(verdict_to_message).collect(),
-            balancers: news.balancers.iter().map(balancer_to_message).collect(),
+            targets: update.targets.iter().map(target_to_message).collect(),
+            verdicts: update.verdicts.iter().map(verdict_to_message).collect(),
+            balancers: update.balancers.iter().map(balancer_to_message).collect(),
             delta_json: delta.unwrap_or_default().to_vec(),
-            revision: news.revision,
+            revision: update.revision,
         }
     }
 
--- a/crates/balancer/src/control/node/answers.rs
+++ b/crates/balancer/src/control/node/answers.rs
@@ -98,13 +98,13 @@
         let view = self.view();
         let targets = view
             .targets(now)
-            .filter(|news| slices.contains(&slice_of(news.record.id.0)));
+            .filter(|update| slices.contains(&slice_of(update.record.id.0)));
         let balancers = view
             .balancers()
             .iter()
             .filter(|record| slices.contains(&slice_of(record.id.0)));
         MembersReply {
-            targets: targets.map(|news| target_to_message(&news)).collect(),
+            targets: targets.map(|update| target_to_message(&update)).collect(),
             balancers: balancers.map(balancer_to_message).collect(),
         }
     }
--- a/crates/balancer/src/control/pool.rs
+++ b/crates/balancer/src/control/pool.rs
@@ -12,7 +12,7 @@
 use citronhollow_core::config::{Documents, Pool, Revision};
 use citronhollow_core::hash;
 use citronhollow_core::id::GroupId;
-use citronhollow_core::members::{TargetNews, View, digest_of_targets};
+use citronhollow_core::members::{TargetUpdate, View, digest_of_targets};
 use citronhollow_peer::message::PoolReply;
 use citronhollow_peer::target_to_message;
 
@@ -151,18 +151,18 @@
 }
 
 /// The number is left out, so that a revision that changes nothing here changes no digest.
-fn digest_of(part: &Revision, peers: &[TargetNews]) -> u64 {
+fn digest_of(part: &Revision, peers: &[TargetUpdate]) -> u64 {
     let json = serde_json::to_vec(&part.documents).unwrap_or_default();
     let documents = hash::bytes(&json, PART_SEED);
     hash::pair(documents, digest_of_targets(peers.iter()))
 }
 
 /// The targets that the pools select, and those of the group itself even if no pool does.
-fn peers_of(now: Millis, view: &View, part: &Revision, group: GroupId) -> Vec<TargetNews> {
+fn peers_of(now: Millis, view: &View, part: &Revision, group: GroupId) -> Vec<TargetUpdate> {
     let pools = part.documents.pools.iter();
     let mut groups: BTreeSet<GroupId> = pools.flat_map(Pool::group_ids).collect();
     groups.insert(group);
     view.targets(now)
-        .filter(|news| groups.contains(&news.record.group))
+        .filter(|update| groups.contains(&update.record.group))
         .collect()
 }
--- a/crates/balancer/src/pass_through/traffic.rs
+++ b/crates/balancer/src/pass_through/traffic.rs
@@ -357,17 +357,22 @@
     ) {
         let mut actions = std::mem::take(&mut self.actions);
         decide(&mut self.balancer, &mut actions);
+        let mut last = None;
         for action in actions.drain(..) {
+            if let Some(decision) = decision_of(&action) {
+                // A search of many agents is one decision, and one line of the log's budget.
+                let subject = Some(decision.subject());
+                if std::mem::replace(&mut last, subject) != subject {
+                    let revision = self.balancer.revision();
+                    self.decisions.write(decision.revision(revision));
+                }
+            }
             self.act(action);
         }
         self.actions = actions;
     }
 
     fn act(&mut self, action: BalancerAction<Bytes>) {
-        if let Some(decision) = decision_of(&action) {
-            self.decisions
-                .write(decision.revision(self.balancer.revision()));
-        }
         match action {
             BalancerAction::Forward {
                 to,
@@ -417,9 +422,7 @@
             let caller = packet::from_caller(bytes.clone()).ok()?;
             Decision::new(event).flow(caller.packet.flow).peer(*to)
         }
-        BalancerAction::Ask { to, flow } => Decision::new(decisions::Event::FlowAsked)
-            .flow(*flow)
-            .peer(*to),
+        BalancerAction::Ask { flow, .. } => Decision::new(decisions::Event::FlowAsked).flow(*flow),
         BalancerAction::Reset(reset) => Decision::new(decisions::Event::FlowReset)
             .flow(reset.flow)
             .reason(&reset.reason),
--- a/crates/balancer/src/publish/candidate.rs
+++ b/crates/balancer/src/publish/candidate.rs
@@ -108,8 +108,8 @@
         let mut calls = FuturesUnordered::new();
         let mut ticks = tokio::time::interval(self.cfg.tick_every.into());
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut news = self.revisions.subscribe();
-        news.mark_changed();
+        let mut update = self.revisions.subscribe();
+        update.mark_changed();
         let mut stop_by = None;
         let mut is_stop = false;
         loop {
@@ -117,8 +117,8 @@
                 _ = ticks.tick() => Event::Tick,
                 Some(event) = calls.next() => event,
                 Some(()) = self.drafts_rx.recv() => Event::DraftsChanged,
-                Ok(()) = news.changed() => {
-                    let revision = news.borrow_and_update().clone();
+                Ok(()) = update.changed() => {
+                    let revision = update.borrow_and_update().clone();
                     Event::InForce(revision.as_ref().clone())
                 }
                 () = is_true(stop), if !is_stop => {
--- a/crates/balancer/src/revisions.rs
+++ b/crates/balancer/src/revisions.rs
@@ -21,7 +21,7 @@
 
 impl RevisionStore {
     /// Takes a revision over if it is newer than the one in force, and says whether it was.
-    #[must_use = "news is spread further"]
+    #[must_use = "update is spread further"]
     pub fn offer(&self, revision: Revision) -> bool {
         self.latest.send_if_modified(|latest| {
             let is_newer = revision.number > latest.number;
--- a/crates/balancer/tests/node.rs
+++ b/crates/balancer/tests/node.rs
@@ -7,7 +7,7 @@
 use citronhollow_core::clock::Millis;
 use citronhollow_core::config::{Documents, Pool, Refusal, Revision, Rule, Service};
 use citronhollow_core::id::{BalancerId, DomainId, GroupId, TargetId};
-use citronhollow_core::members::{BalancerRecord, TargetNews, TargetRecord, TargetState};
+use citronhollow_core::members::{BalancerRecord, TargetRecord, TargetState, TargetUpdate};
 use citronhollow_peer::message::{
     Heartbeat, HeartbeatReply, PoolReply, PoolRequest, RevisionRequest, Rumour,
 };
@@ -58,8 +58,8 @@
     }
 }
 
-fn target(name: &str, group: &str, sequence: u64) -> TargetNews {
-    TargetNews::heard(TargetRecord {
+fn target(name: &str, group: &str, sequence: u64) -> TargetUpdate {
+    TargetUpdate::heard(TargetRecord {
         id: TargetId::of(name),
         group: GroupId::of(group),
         domain: DomainId(1),
--- a/crates/balancer/tests/publish.rs
+++ b/crates/balancer/tests/publish.rs
@@ -117,8 +117,8 @@
 }
 
 async fn await_services(balancer: &Balancer, count: usize) {
-    let mut news = balancer.revisions.subscribe();
-    let has_them = news.wait_for(|latest| latest.documents.services.len() == count);
+    let mut update = balancer.revisions.subscribe();
+    let has_them = update.wait_for(|latest| latest.documents.services.len() == count);
     tokio::time::timeout(GUARD, has_them)
         .await
         .expect("no revision with the services in time")
--- a/crates/balancer/tests/reports.rs
+++ b/crates/balancer/tests/reports.rs
@@ -8,7 +8,7 @@
 use citronhollow_core::clock::Millis;
 use citronhollow_core::config::Revision;
 use citronhollow_core::id::{BalancerId, DomainId, GroupId, TargetId};
-use citronhollow_core::members::{BalancerRecord, TargetNews, TargetRecord, TargetState};
+use citronhollow_core::members::{BalancerRecord, TargetRecord, TargetState, TargetUpdate};
 use citronhollow_core::rumour::ALONE_AFTER;
 use citronhollow_operator::status::{BalancerState, FleetStatus};
 use citronhollow_peer::message::{Digest, Heartbeat};
@@ -78,7 +78,7 @@
         };
         let record = target(name, state, 1 + u64::from(is_last));
         self.take(Body::Heartbeat(Heartbeat {
-            target: Some(target_to_message(&TargetNews::heard(record))),
+            target: Some(target_to_message(&TargetUpdate::heard(record))),
             revision,
             open: 7,
             is_last,
--- a/crates/core/examples/spread.rs
+++ b/crates/core/examples/spread.rs
@@ -1,4 +1,4 @@
-//! Prints how fast news spreads among balancers and what it costs each of them.
+//! Prints how fast updates spread among balancers and what it costs each of them.
 
 use citronhollow_core::clock::Millis;
 use citronhollow_core::rumour::{INLINE_MAX, ROUND};
--- a/crates/core/src/flows.rs
+++ b/crates/core/src/flows.rs
@@ -1,11 +1,11 @@
 //! The agent's decisions about flows.
 //!
 //! The truth about a flow is beside the target that serves it, so the agent and not the balancer
-//! decides what becomes of a packet. It owns the flows it opened, remembers which flows it handed
+//! decides what becomes of a packet. It owns the flows it opened, remembers which flows it redirected
 //! to a peer, and searches for the holder of a flow it does not know before it resets it.
 //!
 //! Three rules carry the rest. Bytes reach a target only through the endpoint whose sequence
-//! number the caller acknowledged, so they reach one target. An opening packet that was handed to
+//! number the caller acknowledged, so they reach one target. An opening packet that was redirected to
 //! an agent is opened or refused there, so it does not wander. A flow is reset only when every
 //! peer that may hold it has said that it does not.
 
@@ -46,7 +46,7 @@
     LoadReport, REPORT_BYTES, REPORT_BYTES_PER_S, REPORT_INTERVALS, peers_per_report,
     report_interval,
 };
-pub use opening::{MAX_HANDS, MAX_HANDS_BY_REFUSERS};
+pub use opening::{MAX_EXTRA_REDIRECTS, MAX_REDIRECTS};
 pub use packet::{Action, Arrival, CloseReason, DropReason, Holding, Packet, Relay};
 
 use crate::recent::Recent;
--- a/crates/core/src/flows/admission.rs
+++ b/crates/core/src/flows/admission.rs
@@ -24,8 +24,8 @@
         service: ServiceKey,
         packet: &Packet<B>,
     ) -> Result<(), Millis> {
-        // The agent that handed the flow has counted it.
-        if let Arrival::Handed(_) = packet.arrival {
+        // The agent that redirected the flow has counted it.
+        if let Arrival::Redirected(_) = packet.arrival {
             return Ok(());
         }
         let limits = self.services.new_flow_limits(service);
--- a/crates/core/src/flows/counters.rs
+++ b/crates/core/src/flows/counters.rs
@@ -9,8 +9,8 @@
     pub opened: u64,
     /// Packets given to endpoints.
     pub delivered: u64,
-    /// Opening packets handed to peers.
-    pub handed: u64,
+    /// Opening packets redirected to peers.
+    pub redirected: u64,
     /// Packets passed to peers.
     pub passed: u64,
     /// Questions to peers.
@@ -47,8 +47,9 @@
             Action::Open { .. } => &mut self.opened,
             Action::Deliver { .. } => &mut self.delivered,
             Action::Send {
-                relay: Relay::Hand, ..
-            } => &mut self.handed,
+                relay: Relay::Redirect,
+                ..
+            } => &mut self.redirected,
             Action::Send {
                 relay: Relay::Pass, ..
             } => &mut self.passed,
--- a/crates/core/src/flows/held.rs
+++ b/crates/core/src/flows/held.rs
@@ -102,7 +102,7 @@
         }
     }
 
-    /// Notes whether a request of the flow is in progress, and says whether that is news.
+    /// Notes whether a request of the flow is in progress, and says whether that has changed.
     pub(super) fn set_busy(&mut self, flow: &FlowId, is_busy: bool) -> bool {
         let Some(connection) = self.established.get_mut(flow) else {
             return false;
--- a/crates/core/src/flows/limits.rs
+++ b/crates/core/src/flows/limits.rs
@@ -14,7 +14,7 @@
     pub half_open: usize,
     /// Time that a handshake may take.
     pub half_open_life: Millis,
-    /// Flows handed to peers that are remembered. The one idle for longest goes first.
+    /// Flows redirected to peers that are remembered. The one idle for longest goes first.
     pub redirects: usize,
     /// Ended flows that are remembered. The oldest goes first.
     pub ended: usize,
--- a/crates/core/src/flows/ongoing.rs
+++ b/crates/core/src/flows/ongoing.rs
@@ -53,7 +53,7 @@
 
     /// Decides about a packet for a service that this target does not serve, perhaps any more.
     ///
-    /// A flow that was handed to a peer before the pools changed still finds its way.
+    /// A flow that was redirected to a peer before the pools changed still finds its way.
     pub(super) fn on_unserved(
         &mut self,
         now: Millis,
@@ -82,7 +82,7 @@
         out.push(Action::Send { to, relay, packet });
     }
 
-    /// Tells the peer that passed or handed a packet where the flow is.
+    /// Notifies the peer that passed or redirected a packet of where the flow is.
     pub(super) fn notify_sender(
         &mut self,
         now: Millis,
--- a/crates/core/src/flows/opening.rs
+++ b/crates/core/src/flows/opening.rs
@@ -2,8 +2,8 @@
 //!
 //! The agent that gets an opening packet knows the load of its peers, and the balancer that sent
 //! it here does not. So it may hand the packet to a peer. What it knows of the peer is old, while
-//! the peer knows its own load exactly, so the peer compares once more and may hand the packet on.
-//! After [`MAX_HANDS`] the flow is opened or refused, and no opening packet wanders. Only an agent
+//! the peer knows its own load exactly, so the peer compares once more and may redirect the packet.
+//! After [`MAX_REDIRECTS`] the flow is opened or refused, and no packet goes round. Only an agent
 //! that takes no new flow may still hand it on, a bounded number of times: a target that was just
 //! drained looks idle to its peers until they hear of it. A repeated opening packet follows the
 //! redirects of the first.
@@ -24,11 +24,11 @@
 use super::services::{PoolKey, ServiceKey};
 use super::{Flows, drop_for};
 
-/// Agents that may hand one opening packet on, so that the last one opens or refuses the flow.
-pub const MAX_HANDS: u32 = 3;
+/// Agents that may redirect one opening packet, so that the last one opens or refuses the flow.
+pub const MAX_REDIRECTS: u32 = 3;
 
-/// Hands beyond [`MAX_HANDS`] for agents that take no new flow.
-pub const MAX_HANDS_BY_REFUSERS: u32 = 2;
+/// Redirects beyond [`MAX_REDIRECTS`] for agents that take no new flow.
+pub const MAX_EXTRA_REDIRECTS: u32 = 2;
 
 /// Where a new flow is to be opened.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -80,7 +80,7 @@
     ) -> Option<Packet<B>> {
         match self.place(now, service, &packet) {
             Place::Here => self.open(now, service, packet, out),
-            Place::Peer(to) => self.hand(now, service, to, packet, out),
+            Place::Peer(to) => self.redirect_opening(now, service, to, packet, out),
             Place::Full => return Some(packet),
             Place::Nobody => self.refuse(packet, ErrorKind::NoTarget, Millis::ZERO, out),
         }
@@ -98,7 +98,7 @@
         let sender = packet.arrival.sender();
         let mut peer = self.best_peer(now, pool, sender);
         // The sender asked for an old connection first. It may open the new one, if nobody else
-        // does: what is handed to it is not handed on.
+        // does: what is redirected to it is not redirected again.
         if here.is_none() && peer.is_none() {
             peer = self.best_peer(now, pool, None);
         }
@@ -208,7 +208,7 @@
         out.push(Action::Open { packet });
     }
 
-    fn hand(
+    fn redirect_opening(
         &mut self,
         now: Millis,
         service: ServiceKey,
@@ -224,8 +224,8 @@
         };
         self.redirects.insert(now, packet.flow, redirect);
         self.notify_sender(now, packet.arrival, packet.flow, to, out);
-        self.peers.on_handed(to);
-        self.send(to, Relay::Hand, packet, out);
+        self.peers.on_redirected(to);
+        self.send(to, Relay::Redirect, packet, out);
     }
 
     /// The redirect that an opening packet follows.
@@ -256,12 +256,12 @@
         packet: Packet<B>,
         out: &mut Vec<Action<B>>,
     ) {
-        // Only the packet that was handed before may be handed again. Another one may open a new
+        // Only the packet that was redirected before may be redirected again. Another one may open a new
         // connection between the same two ends: the peer knows whether it still has the old one.
         let is_repeated = redirect.caller_isn == Some(packet.segment.seq);
         let takes_new = self.peers.get(redirect.to).is_some_and(Peer::takes_new);
         let relay = if is_repeated && takes_new {
-            Relay::Hand
+            Relay::Redirect
         } else {
             Relay::Pass
         };
@@ -287,13 +287,13 @@
         is_usable.then_some(redirect)
     }
 
-    /// Whether the packet has been handed on as often as it may be.
+    /// Whether the packet has been redirected as often as it may be.
     const fn is_last(&self, packet: &Packet<B>) -> bool {
         let max = if self.own.takes_new() {
-            MAX_HANDS
+            MAX_REDIRECTS
         } else {
-            MAX_HANDS + MAX_HANDS_BY_REFUSERS
+            MAX_REDIRECTS + MAX_EXTRA_REDIRECTS
         };
-        matches!(packet.arrival, Arrival::Handed(_)) && packet.hops >= max
+        matches!(packet.arrival, Arrival::Redirected(_)) && packet.hops >= max
     }
 }
--- a/crates/core/src/flows/packet.rs
+++ b/crates/core/src/flows/packet.rs
@@ -14,7 +14,7 @@
     /// From a balancer.
     Balancer,
     /// From a peer that chose this agent for a new flow: accept or refuse it here.
-    Handed(TargetId),
+    Redirected(TargetId),
     /// From a peer that does not hold the flow.
     Passed(TargetId),
 }
@@ -25,7 +25,7 @@
     pub const fn sender(self) -> Option<TargetId> {
         match self {
             Self::Balancer => None,
-            Self::Handed(peer) | Self::Passed(peer) => Some(peer),
+            Self::Redirected(peer) | Self::Passed(peer) => Some(peer),
         }
     }
 }
@@ -56,7 +56,7 @@
 pub enum Holding {
     /// It holds the flow.
     Here,
-    /// It handed the flow to this target.
+    /// It redirected the flow to this target.
     At(TargetId),
     /// It knows nothing of the flow.
     No,
@@ -67,7 +67,7 @@
 #[serde(rename_all = "snake_case")]
 pub enum Relay {
     /// The peer must accept or refuse the new flow.
-    Hand,
+    Redirect,
     /// The peer may hold the flow.
     Pass,
 }
--- a/crates/core/src/flows/peers.rs
+++ b/crates/core/src/flows/peers.rs
@@ -1,6 +1,6 @@
 //! The other agents and what is known of their load.
 //!
-//! A peer's report is old when it comes, so the flows that were handed to the peer since then are
+//! A peer's report is old when it comes, so the flows that were redirected to the peer since then are
 //! added to it. A peer that has not reported for long counts as full.
 
 use std::collections::BTreeMap;
@@ -25,8 +25,8 @@
 pub(super) struct Peer {
     pub(super) record: TargetRecord,
     told: Option<Told>,
-    /// Flows handed to it since its last report.
-    handed: u32,
+    /// Flows redirected to it since its last report.
+    redirected: u32,
     /// Last sign of life while the balancers did not list it, none while they do.
     absent_since: Option<Millis>,
 }
@@ -36,7 +36,7 @@
         Self {
             record,
             told: None,
-            handed: 0,
+            redirected: 0,
             absent_since: None,
         }
     }
@@ -47,7 +47,7 @@
             return false;
         }
         let open = self.told.map_or(0, |told| told.report.open);
-        let expected = open.saturating_add(self.handed);
+        let expected = open.saturating_add(self.redirected);
         (expected as usize) < flows_per_target
     }
 
@@ -75,7 +75,7 @@
     pub(super) fn estimate(&self, now: Millis, outlook: &Outlook) -> Estimate {
         let Some(told) = &self.told else {
             let unreported = Estimate::unreported(self.record.slots);
-            return unreported.or_full().with_requests(self.handed);
+            return unreported.or_full().with_requests(self.redirected);
         };
         let age = now.since(told.at);
         let known = if age <= outlook.max_age {
@@ -83,7 +83,7 @@
         } else {
             Estimate::from(&told.report).or_full()
         };
-        known.with_requests(self.handed)
+        known.with_requests(self.redirected)
     }
 }
 
@@ -176,12 +176,12 @@
         }
         peer.told = Some(Told { report, at: now });
         peer.absent_since = peer.absent_since.map(|_| now);
-        peer.handed = 0;
+        peer.redirected = 0;
     }
 
-    pub(super) fn on_handed(&mut self, to: TargetId) {
+    pub(super) fn on_redirected(&mut self, to: TargetId) {
         if let Some(peer) = self.by_id.get_mut(&to) {
-            peer.handed = peer.handed.saturating_add(1);
+            peer.redirected = peer.redirected.saturating_add(1);
         }
     }
 
--- a/crates/core/src/flows/rates.rs
+++ b/crates/core/src/flows/rates.rs
@@ -5,7 +5,7 @@
 //! flows over all of them, so the shares are used alike. An agent allows one second's worth at
 //! once and at least one flow, so N agents together allow the limit, plus at most N flows where
 //! the limit is smaller than N. A flow is counted by the agent to which the balancer sent it, and
-//! not again by the one to which it is handed.
+//! not again by the one to which it is redirected.
 
 use std::collections::BTreeMap;
 use std::net::IpAddr;
--- a/crates/core/src/flows/redirects.rs
+++ b/crates/core/src/flows/redirects.rs
@@ -1,4 +1,4 @@
-//! Where flows that are not held here were handed or found.
+//! Where flows that are not held here were redirected or found.
 //!
 //! A redirect only saves a search: one that is lost is found again by asking. The table may
 //! therefore be bounded, and the redirect that was not used for longest goes first. Held flows
@@ -18,7 +18,7 @@
     pub(super) to: TargetId,
     /// The service that the flow was opened for.
     pub(super) service: ServiceId,
-    /// The caller's opening sequence number, if the flow was handed from here.
+    /// The caller's opening sequence number, if the flow was redirected from here.
     pub(super) caller_isn: Option<u32>,
     /// Last notice about it.
     pub(super) notice: LastNotice,
--- a/crates/core/src/flows/search.rs
+++ b/crates/core/src/flows/search.rs
@@ -21,7 +21,7 @@
     pub(super) service: ServiceId,
     /// Peers that do not hold the flow.
     pub(super) denied: Vec<TargetId>,
-    /// Where a peer handed the flow.
+    /// Where a peer redirected the flow.
     pub(super) handed_to: Option<TargetId>,
     /// Whether somebody named a holder that this agent does not know.
     pub(super) has_unknown_holder: bool,
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -10,10 +10,10 @@
 mod damping;
 mod detect;
 mod digest;
-mod news;
 mod record;
 mod reporters;
 mod serving;
+mod update;
 mod view;
 
 pub use balancers::Balancers;
@@ -23,8 +23,8 @@
     DEAD_AFTER, HEARTBEAT, HeartbeatOutcome, ISOLATED_AFTER, SUSPECT_AFTER, VERDICTS_PER_TICK,
 };
 pub use digest::{Digests, SLICES, digest_of_targets, slice_of};
-pub use news::{TargetNews, Verdict, VerdictNews};
 pub use record::{BalancerRecord, TargetRecord, TargetState};
 pub use reporters::{REPORTERS, reporters_for};
 pub use serving::{Counts, PANIC_MEMORY, PANIC_USABLE_PERCENT};
+pub use update::{TargetUpdate, Verdict, VerdictUpdate};
 pub use view::{DEAD_KEPT, SETTLED_AFTER, View};
--- a/crates/core/src/members/detect.rs
+++ b/crates/core/src/members/detect.rs
@@ -7,8 +7,8 @@
 //! concludes nothing. A target is suspected within [`SUSPECT_AFTER`] of its last heartbeat plus
 //! one tick, and that is the bound on detection.
 
-use super::news::{TargetNews, Verdict};
 use super::record::TargetRecord;
+use super::update::{TargetUpdate, Verdict};
 use super::view::{DEAD_KEPT, View};
 use crate::clock::Millis;
 use crate::id::TargetId;
@@ -34,8 +34,8 @@
 /// What a heartbeat brought.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct HeartbeatOutcome {
-    /// The record is news, to be spread.
-    pub is_news: bool,
+    /// The record is new here, to be spread.
+    pub is_update: bool,
     /// The version, incarnation and sequence, that the agent's record must exceed because it is
     /// under a verdict or behind what is known of the same agent.
     pub refute_above: Option<(u64, u64)>,
@@ -55,21 +55,21 @@
         is_last: bool,
     ) -> HeartbeatOutcome {
         self.on_contact(now);
-        let news = TargetNews::heard(record);
-        let is_news = self.merge_target(now, news);
+        let update = TargetUpdate::heard(record);
+        let is_update = self.merge_target(now, update);
         if is_last {
             self.heard.remove(&record.id);
         } else {
             self.heard.insert(record.id, self.clock.awake(now));
         }
         HeartbeatOutcome {
-            is_news,
+            is_update,
             refute_above: self.refute_above(&record),
         }
     }
 
     /// Reaches the verdicts that are due, and returns those to be spread.
-    pub fn on_tick(&mut self, now: Millis) -> Vec<TargetNews> {
+    pub fn on_tick(&mut self, now: Millis) -> Vec<TargetUpdate> {
         let pause = self.clock.tick(now);
         if pause.0 >= DEAD_KEPT.0 / 2 {
             self.forget_all();
@@ -98,37 +98,37 @@
     /// An agent whose clock went back between two starts is told so too. One at another address
     /// is not: there the later start replaced it, and it must not fight its replacement.
     fn refute_above(&self, record: &TargetRecord) -> Option<(u64, u64)> {
-        let known = &self.targets.get(&record.id)?.news;
+        let known = &self.targets.get(&record.id)?.update;
         let is_current = known.verdict == Verdict::Alive && known.record == *record;
         let is_replaced = known.record.agent != record.agent;
         (!is_current && !is_replaced).then_some(known.record.version())
     }
 
-    fn judge(&mut self, now: Millis) -> Vec<TargetNews> {
+    fn judge(&mut self, now: Millis) -> Vec<TargetUpdate> {
         let awake = self.clock.awake(now);
-        let due: Vec<TargetNews> = self
+        let due: Vec<TargetUpdate> = self
             .heard
             .iter()
             .filter(|(_, heard)| awake.since(**heard) >= SUSPECT_AFTER)
             .filter_map(|(id, _)| self.next_verdict(awake, *id))
             .take(VERDICTS_PER_TICK)
             .collect();
-        for news in &due {
-            self.replace(now, *news);
-            if news.verdict == Verdict::Dead {
-                self.heard.remove(&news.record.id);
+        for update in &due {
+            self.replace(now, *update);
+            if update.verdict == Verdict::Dead {
+                self.heard.remove(&update.record.id);
             }
         }
         due
     }
 
-    fn next_verdict(&self, awake: Millis, id: TargetId) -> Option<TargetNews> {
+    fn next_verdict(&self, awake: Millis, id: TargetId) -> Option<TargetUpdate> {
         let entry = self.targets.get(&id)?;
-        match entry.news.verdict {
-            _ if entry.news.is_gone() => None,
-            Verdict::Alive => Some(entry.news.judged(Verdict::Suspect)),
+        match entry.update.verdict {
+            _ if entry.update.is_gone() => None,
+            Verdict::Alive => Some(entry.update.judged(Verdict::Suspect)),
             Verdict::Suspect if awake.since(entry.judged_at) >= DEAD_AFTER => {
-                Some(entry.news.judged(Verdict::Dead))
+                Some(entry.update.judged(Verdict::Dead))
             }
             Verdict::Suspect | Verdict::Dead => None,
         }
@@ -151,15 +151,15 @@
         }
         let awake = self.clock.awake(now);
         let bound = DEAD_AFTER.after(SUSPECT_AFTER);
-        let due: Vec<TargetNews> = self
+        let due: Vec<TargetUpdate> = self
             .targets
             .values()
-            .filter(|entry| entry.news.verdict == Verdict::Suspect && !entry.news.is_gone())
+            .filter(|entry| entry.update.verdict == Verdict::Suspect && !entry.update.is_gone())
             .filter(|entry| awake.since(entry.judged_at) >= bound)
-            .map(|entry| entry.news.judged(Verdict::Dead))
+            .map(|entry| entry.update.judged(Verdict::Dead))
             .collect();
-        for news in due {
-            self.replace(now, news);
+        for update in due {
+            self.replace(now, update);
         }
     }
 
@@ -175,8 +175,8 @@
         let targets: Vec<TargetId> = self
             .targets
             .values()
-            .filter(|entry| entry.news.is_gone() && now >= entry.forget_at)
-            .map(|entry| entry.news.record.id)
+            .filter(|entry| entry.update.is_gone() && now >= entry.forget_at)
+            .map(|entry| entry.update.record.id)
             .collect();
         for id in targets {
             self.remove_target(id);
--- a/crates/core/src/members/digest.rs
+++ b/crates/core/src/members/digest.rs
@@ -4,8 +4,8 @@
 //! fetch. Each digest is the sum of the hashes of its records, so that it follows a change at
 //! the cost of one record.
 
-use super::news::{TargetNews, Verdict};
 use super::record::{BalancerRecord, TargetState};
+use super::update::{TargetUpdate, Verdict};
 use crate::hash;
 
 /// Slices of the identities.
@@ -36,12 +36,12 @@
     }
 
     /// Replaces one target in its slice.
-    pub fn replace_target(&mut self, old: Option<&TargetNews>, new: Option<&TargetNews>) {
-        if let Some(news) = old {
-            self.subtract(news.record.id.0, target_hash(news));
+    pub fn replace_target(&mut self, old: Option<&TargetUpdate>, new: Option<&TargetUpdate>) {
+        if let Some(update) = old {
+            self.subtract(update.record.id.0, target_hash(update));
         }
-        if let Some(news) = new {
-            self.add(news.record.id.0, target_hash(news));
+        if let Some(update) = new {
+            self.add(update.record.id.0, target_hash(update));
         }
     }
 
@@ -67,12 +67,12 @@
 }
 
 /// The dead count nothing, because every process forgets them at a time of its own.
-fn target_hash(news: &TargetNews) -> u64 {
-    if news.is_gone() {
+fn target_hash(update: &TargetUpdate) -> u64 {
+    if update.is_gone() {
         return 0;
     }
-    let record = &news.record;
-    let is_suspect = news.verdict == Verdict::Suspect;
+    let record = &update.record;
+    let is_suspect = update.verdict == Verdict::Suspect;
     let state = (record.state as u64) << 1 | u64::from(is_suspect);
     let version = hash::pair(record.incarnation, record.sequence);
     hash::pair(hash::pair(record.id.0, version), state)
@@ -88,13 +88,13 @@
 
 /// Digest of some targets, in any order.
 #[must_use]
-pub fn digest_of_targets<'a>(targets: impl Iterator<Item = &'a TargetNews>) -> u64 {
-    targets.fold(0, |digest, news| {
-        let gone = hash::pair(news.record.id.0, TargetState::Dead as u64);
-        let hash = if news.is_gone() {
+pub fn digest_of_targets<'a>(targets: impl Iterator<Item = &'a TargetUpdate>) -> u64 {
+    targets.fold(0, |digest, update| {
+        let gone = hash::pair(update.record.id.0, TargetState::Dead as u64);
+        let hash = if update.is_gone() {
             gone
         } else {
-            target_hash(news)
+            target_hash(update)
         };
         digest.wrapping_add(hash)
     })
--- a/crates/core/src/members/serving.rs
+++ b/crates/core/src/members/serving.rs
@@ -10,8 +10,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::news::Verdict;
 use super::record::{TargetRecord, TargetState};
+use super::update::Verdict;
 use super::view::{Entry, View};
 use crate::clock::Millis;
 use crate::id::GroupId;
@@ -78,11 +78,11 @@
             .targets
             .values()
             .map(|entry| {
-                let group = groups.get(&entry.news.record.group);
+                let group = groups.get(&entry.update.record.group);
                 let panic = group.map_or(Panic::No, Group::panic);
                 TargetRecord {
                     state: entry.served_state(now, panic),
-                    ..entry.news.record
+                    ..entry.update.record
                 }
             })
             .filter(|record| record.state.may_hold())
@@ -96,9 +96,9 @@
     pub fn counts(&self) -> Counts {
         let mut counts = Counts::default();
         for entry in self.targets.values() {
-            let count = match entry.news.record.state {
-                _ if entry.news.is_gone() => &mut counts.dead,
-                _ if entry.news.verdict == Verdict::Suspect => &mut counts.suspect,
+            let count = match entry.update.record.state {
+                _ if entry.update.is_gone() => &mut counts.dead,
+                _ if entry.update.verdict == Verdict::Suspect => &mut counts.suspect,
                 TargetState::Ready if entry.damping.is_held() => &mut counts.flapping,
                 TargetState::Ready => &mut counts.ready,
                 TargetState::Draining => &mut counts.draining,
@@ -113,7 +113,7 @@
     pub(super) fn notice_end_of_panic(&mut self, now: Millis) {
         let before = self.last_sweep;
         let ended = self.targets.values().any(|entry| {
-            entry.is_lately_dead(before) && !entry.is_lately_dead(now) && entry.news.is_gone()
+            entry.is_lately_dead(before) && !entry.is_lately_dead(now) && entry.update.is_gone()
         });
         self.changes += u64::from(ended);
     }
@@ -122,10 +122,10 @@
         let mut groups: HashMap<GroupId, Group> = HashMap::new();
         let ready = self.targets.values().filter(|entry| entry.claims_ready());
         for entry in ready {
-            if entry.news.is_gone() && !entry.is_lately_dead(now) {
+            if entry.update.is_gone() && !entry.is_lately_dead(now) {
                 continue;
             }
-            let group = groups.entry(entry.news.record.group).or_default();
+            let group = groups.entry(entry.update.record.group).or_default();
             group.ready += 1;
             group.usable += usize::from(entry.is_usable());
             group.doubtful += usize::from(entry.is_doubtful());
@@ -136,27 +136,27 @@
 
 impl Entry {
     fn is_usable(&self) -> bool {
-        self.news.verdict == Verdict::Alive && !self.damping.is_held()
+        self.update.verdict == Verdict::Alive && !self.damping.is_held()
     }
 
     fn is_doubtful(&self) -> bool {
-        !self.is_usable() && !self.news.is_gone()
+        !self.is_usable() && !self.update.is_gone()
     }
 
     fn is_lately_dead(&self, now: Millis) -> bool {
-        self.news.verdict == Verdict::Dead && self.gone_for(now) < PANIC_MEMORY
+        self.update.verdict == Verdict::Dead && self.gone_for(now) < PANIC_MEMORY
     }
 
     fn served_state(&self, now: Millis, panic: Panic) -> TargetState {
-        let announced = self.news.record.state;
-        if self.news.is_gone() {
+        let announced = self.update.record.state;
+        if self.update.is_gone() {
             let serves = panic == Panic::Everybody && self.is_lately_dead(now);
             return if serves { announced } else { TargetState::Dead };
         }
         if announced != TargetState::Ready || self.is_usable() || panic == Panic::Doubtful {
             return announced;
         }
-        if self.news.verdict == Verdict::Suspect {
+        if self.update.verdict == Verdict::Suspect {
             return TargetState::Draining;
         }
         TargetState::Starting
--- a/crates/core/src/members/news.rs
+++ b/crates/core/src/members/update.rs
@@ -1,7 +1,7 @@
 //! What is spread about one target, and the order of two such pieces.
 //!
 //! The order is total: incarnation, then sequence, then verdict, then the rest of the record. Two
-//! processes that merge the same news in any order, any number of times, therefore agree.
+//! processes that merge the same updates in any order, any number of times, therefore agree.
 
 use serde::{Deserialize, Serialize};
 
@@ -28,7 +28,7 @@
 /// A record with the verdict on it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct TargetNews {
+pub struct TargetUpdate {
     /// What the agent announced.
     pub record: TargetRecord,
     /// What balancers concluded since.
@@ -37,8 +37,8 @@
     pub gone_for: Millis,
 }
 
-impl TargetNews {
-    /// News of a target whose heartbeat was just received.
+impl TargetUpdate {
+    /// Update of a target whose heartbeat was just received.
     #[must_use]
     pub const fn heard(record: TargetRecord) -> Self {
         Self {
@@ -80,7 +80,7 @@
 /// A verdict without the record that it is about, for those who have the record.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct VerdictNews {
+pub struct VerdictUpdate {
     /// Who.
     pub id: TargetId,
     /// Incarnation and sequence of the record.
@@ -91,13 +91,13 @@
     pub gone_for: Millis,
 }
 
-impl From<TargetNews> for VerdictNews {
-    fn from(news: TargetNews) -> Self {
+impl From<TargetUpdate> for VerdictUpdate {
+    fn from(update: TargetUpdate) -> Self {
         Self {
-            id: news.record.id,
-            version: news.record.version(),
-            verdict: news.verdict,
-            gone_for: news.gone_for,
+            id: update.record.id,
+            version: update.record.version(),
+            verdict: update.verdict,
+            gone_for: update.gone_for,
         }
     }
 }
--- a/crates/core/src/members/view.rs
+++ b/crates/core/src/members/view.rs
@@ -1,6 +1,6 @@
 //! The view of all members that one process has.
 //!
-//! Whatever arrives is merged by the order of [`TargetNews`], so that a late record never undoes a
+//! Whatever arrives is merged by the order of [`TargetUpdate`], so that a late record never undoes a
 //! newer one. The dead are kept for [`DEAD_KEPT`] and age on the way: whoever learns of a death
 //! late keeps it only for the rest of that time. An old record can come back only from a process
 //! that was out of touch for longer, and such a process forgets its view first.
@@ -12,21 +12,21 @@
 use super::damping::Damping;
 use super::detect::SUSPECT_AFTER;
 use super::digest::{Digests, slice_of};
-use super::news::{TargetNews, Verdict, VerdictNews};
 use super::record::{BalancerRecord, TargetRecord, TargetState};
+use super::update::{TargetUpdate, Verdict, VerdictUpdate};
 use crate::clock::Millis;
 use crate::id::{BalancerId, TargetId};
 
 /// Time for which the dead are remembered, so that no older record brings them back.
 pub const DEAD_KEPT: Millis = Millis::from_secs(2 * 60 * 60);
 
-/// Time without a change after which a slice is worth comparing: news on its way has arrived.
+/// Time without a change after which a slice is worth comparing: updates on their way have arrived.
 pub const SETTLED_AFTER: Millis = Millis::from_secs(8);
 
 /// One target in the view.
 #[derive(Clone, Debug)]
 pub(super) struct Entry {
-    pub(super) news: TargetNews,
+    pub(super) update: TargetUpdate,
     /// When its verdict was reached here, in awake time.
     pub(super) judged_at: Millis,
     /// When it is forgotten, if it is gone.
@@ -57,35 +57,35 @@
     }
 
     /// Takes over what is newer, and says whether it was.
-    pub fn merge_target(&mut self, now: Millis, news: TargetNews) -> bool {
-        let id = news.record.id;
+    pub fn merge_target(&mut self, now: Millis, update: TargetUpdate) -> bool {
+        let id = update.record.id;
         let old = self.targets.get(&id);
         let is_newer = match old {
-            Some(entry) => news.is_newer_than(&entry.news),
-            None => news.gone_for < DEAD_KEPT,
+            Some(entry) => update.is_newer_than(&entry.update),
+            None => update.gone_for < DEAD_KEPT,
         };
         if is_newer {
-            self.replace(now, news);
-            self.stop_judging_if_heard_elsewhere(now, &news);
+            self.replace(now, update);
+            self.stop_judging_if_heard_elsewhere(now, &update);
         }
         is_newer
     }
 
-    /// Takes over a verdict on a record that is known here, and says whether it was news. One on
+    /// Takes over a verdict on a record that is known here, and says whether it was new. One on
     /// another version is left to the repair.
-    pub fn merge_verdict(&mut self, now: Millis, verdict: &VerdictNews) -> bool {
+    pub fn merge_verdict(&mut self, now: Millis, verdict: &VerdictUpdate) -> bool {
         let Some(entry) = self.targets.get(&verdict.id) else {
             return false;
         };
-        if entry.news.record.version() != verdict.version {
+        if entry.update.record.version() != verdict.version {
             return false;
         }
-        let news = TargetNews {
+        let update = TargetUpdate {
             verdict: verdict.verdict,
             gone_for: verdict.gone_for,
-            ..entry.news
+            ..entry.update
         };
-        self.merge_target(now, news)
+        self.merge_target(now, update)
     }
 
     /// Takes over what is newer about a balancer, and says whether it was.
@@ -109,14 +109,14 @@
 
     /// What is known of a target, the time since its death brought up to date.
     #[must_use]
-    pub fn target(&self, now: Millis, id: TargetId) -> Option<TargetNews> {
+    pub fn target(&self, now: Millis, id: TargetId) -> Option<TargetUpdate> {
         let entry = self.targets.get(&id)?;
-        Some(entry.news_at(now))
+        Some(entry.update_at(now))
     }
 
     /// Every target, the dead included.
-    pub fn targets(&self, now: Millis) -> impl Iterator<Item = TargetNews> {
-        self.targets.values().map(move |entry| entry.news_at(now))
+    pub fn targets(&self, now: Millis) -> impl Iterator<Item = TargetUpdate> {
+        self.targets.values().map(move |entry| entry.update_at(now))
     }
 
     /// The balancers.
@@ -157,37 +157,38 @@
         };
     }
 
-    /// Replaces the news of a target, whether newer or not.
-    pub(super) fn replace(&mut self, now: Millis, news: TargetNews) {
+    /// Replaces what is known of a target, whether newer or not.
+    pub(super) fn replace(&mut self, now: Millis, update: TargetUpdate) {
         let awake = self.clock.awake(now);
-        let id = news.record.id;
+        let id = update.record.id;
         let old = self.targets.get(&id);
-        let old_news = old.map(|entry| entry.news);
+        let old_update = old.map(|entry| entry.update);
         let mut damping = old.map(|entry| entry.damping).unwrap_or_default();
-        if old_news.is_some_and(|old| is_fall(&old, &news)) {
+        if old_update.is_some_and(|old| is_fall(&old, &update)) {
             damping.fall(now);
         }
         let entry = Entry {
-            news,
+            update,
             judged_at: awake,
-            forget_at: now.after(DEAD_KEPT.since(news.gone_for)),
+            forget_at: now.after(DEAD_KEPT.since(update.gone_for)),
             damping,
         };
-        self.digests.replace_target(old_news.as_ref(), Some(&news));
+        self.digests
+            .replace_target(old_update.as_ref(), Some(&update));
         self.targets.insert(id, entry);
         self.touch_slice(now, id.0);
         self.changes += 1;
     }
 
     /// An agent that others hear from and this process does not reports to others by now.
-    fn stop_judging_if_heard_elsewhere(&mut self, now: Millis, news: &TargetNews) {
+    fn stop_judging_if_heard_elsewhere(&mut self, now: Millis, update: &TargetUpdate) {
         let awake = self.clock.awake(now);
         let is_silent = self
             .heard
-            .get(&news.record.id)
+            .get(&update.record.id)
             .is_some_and(|heard| awake.since(*heard) >= SUSPECT_AFTER);
-        if is_silent && news.verdict == Verdict::Alive {
-            self.heard.remove(&news.record.id);
+        if is_silent && update.verdict == Verdict::Alive {
+            self.heard.remove(&update.record.id);
         }
     }
 
@@ -195,7 +196,7 @@
     pub(super) fn remove_target(&mut self, id: TargetId) {
         self.heard.remove(&id);
         if let Some(old) = self.targets.remove(&id) {
-            self.digests.replace_target(Some(&old.news), None);
+            self.digests.replace_target(Some(&old.update), None);
         }
     }
 
@@ -205,30 +206,30 @@
 }
 
 impl Entry {
-    fn news_at(&self, now: Millis) -> TargetNews {
-        if !self.news.is_gone() {
-            return self.news;
+    fn update_at(&self, now: Millis) -> TargetUpdate {
+        if !self.update.is_gone() {
+            return self.update;
         }
         let gone_for = DEAD_KEPT.since(self.forget_at.since(now));
-        TargetNews {
+        TargetUpdate {
             gone_for,
-            ..self.news
+            ..self.update
         }
     }
 
     /// Whether the record claims to be ready.
     pub(super) fn claims_ready(&self) -> bool {
-        self.news.record.state == TargetState::Ready
+        self.update.record.state == TargetState::Ready
     }
 
     /// How long the target has been gone.
     pub(super) fn gone_for(&self, now: Millis) -> Millis {
-        self.news_at(now).gone_for
+        self.update_at(now).gone_for
     }
 }
 
 /// Whether a target that was usable stopped being so, other than by draining as asked.
-fn is_fall(old: &TargetNews, new: &TargetNews) -> bool {
+fn is_fall(old: &TargetUpdate, new: &TargetUpdate) -> bool {
     if !is_usable(old) {
         return false;
     }
@@ -237,7 +238,7 @@
     !planned && (restarted || !is_usable(new))
 }
 
-fn is_usable(news: &TargetNews) -> bool {
-    let TargetRecord { state, .. } = news.record;
-    state == TargetState::Ready && news.verdict == Verdict::Alive
+fn is_usable(update: &TargetUpdate) -> bool {
+    let TargetRecord { state, .. } = update.record;
+    state == TargetState::Ready && update.verdict == Verdict::Alive
 }
--- a/crates/core/src/rumour.rs
+++ b/crates/core/src/rumour.rs
@@ -1,9 +1,9 @@
-//! Spreading of news among balancers.
+//! Spreading of updates among balancers.
 //!
-//! News is pushed to a few random peers a round, for a number of rounds that grows with the
+//! Updates are pushed to a few random peers a round, for a number of rounds that grows with the
 //! logarithm of the fleet, so that every balancer gets it within seconds at a cost that does not
 //! depend on who is slow or gone. What is lost on the way is repaired by comparing digests with a
-//! random peer. A token bucket bounds the bytes: under a flood of news a revision goes first, then
+//! random peer. A token bucket bounds the bytes: under a flood of updates a revision goes first, then
 //! what was pushed least, then the newest, and the rest waits for its turn or for the repair.
 
 mod action;
@@ -17,7 +17,7 @@
 mod reports;
 mod spreader;
 
-pub use action::{Action, News, Summary};
+pub use action::{Action, Summary, Update};
 pub use budget::TokenBucket;
 pub use delta::RevisionDelta;
 pub use liveness::{GONE_AFTER, Liveness, PROBE_RETRY, PROBE_SILENT_EVERY, PROBES_MAX};
--- a/crates/core/src/rumour/action.rs
+++ b/crates/core/src/rumour/action.rs
@@ -2,15 +2,15 @@
 
 use std::net::SocketAddr;
 
-use crate::members::{BalancerRecord, TargetNews, VerdictNews};
+use crate::members::{BalancerRecord, TargetUpdate, VerdictUpdate};
 
-/// News, pushed from one balancer to another.
+/// Updates, pushed from one balancer to another.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct News {
+pub struct Update {
     /// Targets that changed.
-    pub targets: Vec<TargetNews>,
+    pub targets: Vec<TargetUpdate>,
     /// Verdicts on targets that did not change otherwise.
-    pub verdicts: Vec<VerdictNews>,
+    pub verdicts: Vec<VerdictUpdate>,
     /// Balancers that changed.
     pub balancers: Vec<BalancerRecord>,
     /// Highest revision that the sender has.
@@ -42,12 +42,12 @@
         /// The balancer.
         to: SocketAddr,
     },
-    /// Push news.
+    /// Push updates.
     Push {
         /// To whom.
         to: SocketAddr,
         /// What.
-        news: News,
+        update: Update,
     },
     /// Send a summary.
     Compare {
--- a/crates/core/src/rumour/queue.rs
+++ b/crates/core/src/rumour/queue.rs
@@ -1,4 +1,4 @@
-//! The queue of news that is still to be pushed.
+//! The queue of updates that is still to be pushed.
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -21,7 +21,7 @@
 /// Bytes that pushes may take at once after a calm time.
 pub const BUDGET_BURST: u32 = 24_576;
 
-/// Bytes of a datagram that carry news, the rest being headers and tag.
+/// Bytes of a datagram that carry updates, the rest being headers and tag.
 const PUSH_BYTES_MAX: usize = 1_300;
 
 /// Headers of IP, UDP and frame, tag and fixed fields of a push, in bytes.
@@ -42,7 +42,7 @@
 /// Largest encoded balancer, in bytes.
 const BALANCER_BYTES: usize = 64;
 
-/// What a piece of news is about. Its content is looked up when it is pushed.
+/// What an update is about. Its content is looked up when it is pushed.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Topic {
     /// A target.
@@ -55,7 +55,7 @@
     Revision(usize),
 }
 
-/// News for some peers.
+/// Updates for some peers.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Push {
     /// Who gets it.
@@ -80,7 +80,7 @@
     }
 }
 
-/// News that this process still pushes.
+/// Updates that this process still pushes.
 #[derive(Clone, Debug)]
 pub struct Rumours {
     hot: Vec<Hot>,
@@ -99,7 +99,7 @@
         }
     }
 
-    /// Takes news in. News on the same subject replaces the older.
+    /// Takes updates in. An update on the same subject replaces the older.
     pub fn add(&mut self, topic: Topic) {
         let old = self.hot.iter().position(|hot| is_same(hot.topic, topic));
         let old = old.map(|place| self.hot.remove(place).topic);
@@ -111,7 +111,7 @@
         self.hot.push(Hot { topic, rounds: 0 });
     }
 
-    /// News still to be pushed.
+    /// Updates still to be pushed.
     #[must_use]
     pub fn len(&self) -> usize {
         self.hot.len()
@@ -123,7 +123,7 @@
         self.hot.is_empty()
     }
 
-    /// The pushes of one round, none if there is no news, no peer or no budget.
+    /// The pushes of one round, none if there is no update, no peer or no budget.
     pub fn round(
         &mut self,
         now: Millis,
@@ -165,15 +165,15 @@
     }
 }
 
-/// Copies of one piece of news that each balancer sends: the logarithm of the fleet, which reaches
-/// all but about one balancer, and a margin, which leaves none out of a rack's worth of news.
+/// Copies of one update that each balancer sends: the logarithm of the fleet, which reaches
+/// all but about one balancer, and a margin, which leaves none out of a rack's worth of updates.
 #[must_use]
 pub fn copies_for(fleet: usize) -> u32 {
     const MARGIN: u32 = 7;
     fleet.max(1).ilog2() * 7 / 10 + MARGIN
 }
 
-/// Rounds in which one piece of news is pushed.
+/// Rounds in which one update is pushed.
 #[must_use]
 pub fn rounds_for(fleet: usize) -> u32 {
     copies_for(fleet).div_ceil(u32::try_from(FAN_OUT).unwrap_or(1))
--- a/crates/core/src/rumour/repair.rs
+++ b/crates/core/src/rumour/repair.rs
@@ -2,7 +2,7 @@
 //!
 //! A slice is compared only where neither side had a change in it lately, because a difference
 //! that is still being pushed needs no repair. A zero stands for a slice that is not compared.
-//! Few slices are fetched at a time: what is fetched is news here and is pushed on.
+//! Few slices are fetched at a time: what is fetched is new here and is pushed on.
 
 use rand::Rng;
 use rand::seq::IteratorRandom;
--- a/crates/core/src/rumour/reports.rs
+++ b/crates/core/src/rumour/reports.rs
@@ -71,8 +71,10 @@
 
     /// Forgets the processes that are gone.
     pub fn forget_gone(&mut self, now: Millis, view: &View) {
-        self.agents
-            .retain(|id, _| view.target(now, *id).is_some_and(|news| !news.is_gone()));
+        self.agents.retain(|id, _| {
+            view.target(now, *id)
+                .is_some_and(|update| !update.is_gone())
+        });
         self.balancers.retain(|id, _| {
             let record = view.balancers().get(*id);
             record.is_some_and(|record| !record.leaving)
--- a/crates/core/src/rumour/spreader.rs
+++ b/crates/core/src/rumour/spreader.rs
@@ -1,4 +1,4 @@
-//! One balancer's part in spreading: its view, its queue of news and its timers.
+//! One balancer's part in spreading: its view, its queue of updates and its timers.
 //!
 //! Messages of other balancers go in with the time at which they came, and actions come out. The
 //! content of a revision is not looked at here: its number and length are enough to decide how it
@@ -10,7 +10,7 @@
 use rand::seq::IteratorRandom;
 use rand::{Rng, SeedableRng};
 
-use super::action::{Action, News, Summary};
+use super::action::{Action, Summary, Update};
 use super::liveness::Liveness;
 use super::polls::Polls;
 use super::queue::{NUMBER_BYTES, ROUND, Rumours, Topic};
@@ -22,7 +22,7 @@
 use crate::hash;
 use crate::id::{BalancerId, TargetId};
 use crate::members::{
-    BalancerRecord, HEARTBEAT, HeartbeatOutcome, SLICES, TargetNews, TargetRecord, VerdictNews,
+    BalancerRecord, HEARTBEAT, HeartbeatOutcome, SLICES, TargetRecord, TargetUpdate, VerdictUpdate,
     View,
 };
 
@@ -226,7 +226,7 @@
         if is_last {
             self.reports.on_agent_left(record.id);
         }
-        if outcome.is_news {
+        if outcome.is_update {
             self.rumours.add(Topic::Target(record.id));
         }
         outcome
@@ -238,20 +238,26 @@
     }
 
     /// Takes what is new from a push and pushes it on.
-    pub fn on_news(&mut self, now: Millis, from: SocketAddr, news: &News, out: &mut Vec<Action>) {
+    pub fn on_update(
+        &mut self,
+        now: Millis,
+        from: SocketAddr,
+        update: &Update,
+        out: &mut Vec<Action>,
+    ) {
         self.view.on_contact(now);
-        for target in &news.targets {
+        for target in &update.targets {
             self.merge_target(now, *target);
         }
-        for verdict in &news.verdicts {
+        for verdict in &update.verdicts {
             if self.view.merge_verdict(now, verdict) {
                 self.rumours.add(Topic::Verdict(verdict.id));
             }
         }
-        for balancer in &news.balancers {
+        for balancer in &update.balancers {
             self.merge_balancer(now, *balancer);
         }
-        self.fetch_revision(now, news.revision, from, out);
+        self.fetch_revision(now, update.revision, from, out);
     }
 
     /// Compares, and answers if the sender wants that.
@@ -273,12 +279,12 @@
         self.fetch_members(now, &summary.members, from, out);
     }
 
-    /// Members that were fetched. They are news here and are pushed on, except by a process that
-    /// joins: there they are news to nobody else.
+    /// Members that were fetched. They are new here and are pushed on, except by a process that
+    /// joins: there they are new to nobody else.
     pub fn on_members(
         &mut self,
         now: Millis,
-        targets: &[TargetNews],
+        targets: &[TargetUpdate],
         balancers: &[BalancerRecord],
     ) {
         self.timers.fetch_members = now;
@@ -307,15 +313,15 @@
     }
 
     /// Does what is due, and returns the verdicts that were reached.
-    pub fn on_tick(&mut self, now: Millis, out: &mut Vec<Action>) -> Vec<TargetNews> {
+    pub fn on_tick(&mut self, now: Millis, out: &mut Vec<Action>) -> Vec<TargetUpdate> {
         self.timers.first_tick.get_or_insert(now);
         let verdicts = self.view.on_tick(now);
         self.reports.forget_gone(now, &self.view);
         let balancers = self.view.balancers();
         self.polls
             .retain(|id| balancers.get(id).is_some_and(|record| !record.leaving));
-        for news in &verdicts {
-            self.rumours.add(Topic::Verdict(news.record.id));
+        for update in &verdicts {
+            self.rumours.add(Topic::Verdict(update.record.id));
         }
         if now >= self.timers.round {
             self.timers.round = now.after(ROUND);
@@ -349,30 +355,30 @@
         let Some(push) = self.rumours.round(now, &self.me, &peers) else {
             return;
         };
-        let news = self.news(now, &push.topics);
+        let update = self.update(now, &push.topics);
         out.extend(push.to.iter().map(|peer| Action::Push {
             to: peer.control,
-            news: news.clone(),
+            update: update.clone(),
         }));
     }
 
-    fn news(&self, now: Millis, topics: &[Topic]) -> News {
-        let mut news = News {
+    fn update(&self, now: Millis, topics: &[Topic]) -> Update {
+        let mut update = Update {
             revision: self.revision,
-            ..News::default()
+            ..Update::default()
         };
         for topic in topics {
             match topic {
-                Topic::Target(id) => news.targets.extend(self.view.target(now, *id)),
+                Topic::Target(id) => update.targets.extend(self.view.target(now, *id)),
                 Topic::Verdict(id) => {
                     let target = self.view.target(now, *id);
-                    news.verdicts.extend(target.map(VerdictNews::from));
+                    update.verdicts.extend(target.map(VerdictUpdate::from));
                 }
-                Topic::Balancer(id) => news.balancers.extend(self.view.balancers().get(*id)),
-                Topic::Revision(bytes) => news.carries_revision = *bytes > NUMBER_BYTES,
+                Topic::Balancer(id) => update.balancers.extend(self.view.balancers().get(*id)),
+                Topic::Revision(bytes) => update.carries_revision = *bytes > NUMBER_BYTES,
             }
         }
-        news
+        update
     }
 
     /// Asks a peer what it has: every other time a silent one that is due, or else any.
@@ -421,9 +427,9 @@
             .collect()
     }
 
-    fn merge_target(&mut self, now: Millis, news: TargetNews) {
-        if self.view.merge_target(now, news) {
-            self.rumours.add(Topic::Target(news.record.id));
+    fn merge_target(&mut self, now: Millis, update: TargetUpdate) {
+        if self.view.merge_target(now, update) {
+            self.rumours.add(Topic::Target(update.record.id));
         }
     }
 
--- a/crates/core/tests/fleet/mod.rs
+++ b/crates/core/tests/fleet/mod.rs
@@ -9,8 +9,10 @@
 use citronhollow_core::clock::Millis;
 use citronhollow_core::hash;
 use citronhollow_core::id::{BalancerId, DomainId, GroupId, TargetId};
-use citronhollow_core::members::{BalancerRecord, TargetNews, TargetRecord, TargetState, slice_of};
-use citronhollow_core::rumour::{Action, INLINE_MAX, News, Spreader, Summary};
+use citronhollow_core::members::{
+    BalancerRecord, TargetRecord, TargetState, TargetUpdate, slice_of,
+};
+use citronhollow_core::rumour::{Action, INLINE_MAX, Spreader, Summary, Update};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -40,9 +42,9 @@
 
 enum Event {
     Tick,
-    News(SocketAddr, News, u64),
+    Update(SocketAddr, Update, u64),
     Summary(Summary),
-    Members(Vec<TargetNews>, Vec<BalancerRecord>),
+    Members(Vec<TargetUpdate>, Vec<BalancerRecord>),
     Revision(u64),
 }
 
@@ -159,7 +161,7 @@
                 ..balancer(node)
             })
             .collect();
-        let targets: Vec<TargetNews> = targets.iter().copied().map(TargetNews::heard).collect();
+        let targets: Vec<TargetUpdate> = targets.iter().copied().map(TargetUpdate::heard).collect();
         for node in &mut fleet.nodes {
             node.on_members(Millis::ZERO, &targets, &joined);
         }
@@ -253,9 +255,9 @@
                 node.on_tick(now, &mut out);
                 self.schedule(now.after(TICK), due.to, Event::Tick);
             }
-            Event::News(from, news, content) => {
+            Event::Update(from, update, content) => {
                 node.on_revision(content, self.revision_bytes);
-                node.on_news(now, from, &news, &mut out);
+                node.on_update(now, from, &update, &mut out);
             }
             Event::Summary(summary) => node.on_summary(now, &summary, &mut out),
             Event::Members(targets, balancers) => node.on_members(now, &targets, &balancers),
@@ -273,18 +275,18 @@
         match action {
             // Only publishers and operators' balancers poll, and this fleet has neither.
             Action::AskLowest { .. } => {}
-            Action::Push { to, news } => {
-                let content = if news.carries_revision {
-                    news.revision
+            Action::Push { to, update } => {
+                let content = if update.carries_revision {
+                    update.revision
                 } else {
                     0
                 };
-                let size = self.size_of_push(&news);
+                let size = self.size_of_push(&update);
                 self.send(
                     from,
                     node_of(to),
                     size,
-                    Event::News(addr_of(from), news, content),
+                    Event::Update(addr_of(from), update, content),
                 );
             }
             Action::Compare { to, summary } => {
@@ -310,21 +312,21 @@
         }
     }
 
-    fn size_of_push(&self, news: &News) -> u64 {
-        let content = if news.carries_revision {
+    fn size_of_push(&self, update: &Update) -> u64 {
+        let content = if update.carries_revision {
             self.revision_bytes as u64
         } else {
             0
         };
         bytes::DATAGRAM
             + bytes::NUMBER
-            + news.targets.len() as u64 * bytes::TARGET
-            + news.verdicts.len() as u64 * bytes::VERDICT
-            + news.balancers.len() as u64 * bytes::BALANCER
+            + update.targets.len() as u64 * bytes::TARGET
+            + update.verdicts.len() as u64 * bytes::VERDICT
+            + update.balancers.len() as u64 * bytes::BALANCER
             + content
     }
 
-    fn members(&self, node: usize, slices: &[usize]) -> (Vec<TargetNews>, Vec<BalancerRecord>) {
+    fn members(&self, node: usize, slices: &[usize]) -> (Vec<TargetUpdate>, Vec<BalancerRecord>) {
         let node = &self.nodes[node];
         let is_in = |id: u64| slices.contains(&slice_of(id));
         let targets = node.view().targets(self.now);
--- a/crates/core/tests/flows/admission.rs
+++ b/crates/core/tests/flows/admission.rs
@@ -11,8 +11,8 @@
 use proptest::test_runner::TestCaseResult;
 
 use crate::fixture::{
-    Actions, Bytes, START, agent, agent_with, establish, flow, handed, handed_last, id, idle,
-    on_packet, ready, revision, sent, service, syn,
+    Actions, Bytes, START, agent, agent_with, establish, flow, id, idle, on_packet, ready,
+    redirected, redirected_last, revision, sent, service, syn,
 };
 
 const LIMIT: usize = 2;
@@ -101,12 +101,12 @@
         let mut flows = full_agent(2);
         on_packet(&mut flows, START, syn(1, 5));
         flows.on_load(at(50), idle(2, 2));
-        assert_eq!(sent(&on_tick(&mut flows, at(50))), Some((id(2), Relay::Hand)));
+        assert_eq!(sent(&on_tick(&mut flows, at(50))), Some((id(2), Relay::Redirect)));
     };
 
     waiting_flow_that_was_handed_here_is_not_handed_on => {
         let mut flows = full_agent(2);
-        on_packet(&mut flows, START, handed_last(2, syn(1, 5)));
+        on_packet(&mut flows, START, redirected_last(2, syn(1, 5)));
         flows.on_load(at(50), idle(2, 2));
         assert!(on_tick(&mut flows, at(50)).is_empty());
         assert_eq!(refused_as(&on_tick(&mut flows, at(200))), Some(ErrorKind::Overloaded));
@@ -213,7 +213,7 @@
     handed_flow_is_not_counted_again => {
         let mut flows = limited_agent(1, Some(1), None);
         for number in 0..9 {
-            assert!(is_opened(&on_packet(&mut flows, START, handed_last(2, syn(number, 5)))));
+            assert!(is_opened(&on_packet(&mut flows, START, redirected_last(2, syn(number, 5)))));
         }
     };
 
@@ -398,7 +398,7 @@
                     self.waiting[at].retain(|(flow, _)| *flow != packet.flow);
                     let peer = (1..=3).position(|n| id(n) == to).expect("a peer");
                     let number = u16::try_from(at + 1).expect("a small number");
-                    self.give(peer, handed(number, packet));
+                    self.give(peer, redirected(number, packet));
                 }
                 _ => {}
             }
--- a/crates/core/tests/flows/agent.rs
+++ b/crates/core/tests/flows/agent.rs
@@ -9,8 +9,8 @@
 use citronhollow_core::routes::Routes;
 
 use crate::fixture::{
-    Actions, Bytes, SERVICE, START, ack, agent, agent_with, busy, establish, flow, handed, id,
-    idle, is_delivered, on_packet, passed, ready, record, revision, sent, service, syn,
+    Actions, Bytes, SERVICE, START, ack, agent, agent_with, busy, establish, flow, id, idle,
+    is_delivered, on_packet, passed, ready, record, redirected, revision, sent, service, syn,
 };
 
 const SETTLED: Millis = START.after(Millis::from_secs(4));
@@ -100,7 +100,7 @@
         let mut counts = [0_u32; 4];
         for number in 0..8 {
             let actions = on_packet(&mut flows, START, syn(number, 5));
-            let (to, _) = sent(&actions).expect("a handed flow");
+            let (to, _) = sent(&actions).expect("a redirected flow");
             let at = (2..=3).find(|peer| id(*peer) == to).expect("a peer");
             counts[usize::from(at)] += 1;
         }
@@ -250,7 +250,7 @@
     reassigned_address_closes_its_flows_before_anything_else => {
         let mut flows = agent(1, 3);
         establish(&mut flows, START, 1, CALLER_ISN, ISN);
-        on_packet(&mut flows, START, handed(2, syn(2, CALLER_ISN)));
+        on_packet(&mut flows, START, redirected(2, syn(2, CALLER_ISN)));
         let mut next = revision();
         next.number = 2;
         next.documents.services = vec![service("draw-office", SERVICE, "desk")];
--- a/crates/core/tests/flows/fixture.rs
+++ b/crates/core/tests/flows/fixture.rs
@@ -6,7 +6,7 @@
 use citronhollow_core::config::{Documents, Pool, Refusal, Revision, Service};
 use citronhollow_core::flow::{FlowId, Segment};
 use citronhollow_core::flows::{
-    Action, Arrival, FlowLimits, Flows, LoadReport, MAX_HANDS, Packet, Relay,
+    Action, Arrival, FlowLimits, Flows, LoadReport, MAX_REDIRECTS, Packet, Relay,
 };
 use citronhollow_core::id::{DomainId, GroupId, TargetId};
 use citronhollow_core::members::{TargetRecord, TargetState};
@@ -163,20 +163,20 @@
     }
 }
 
-/// The packet as it comes from a peer that handed it.
-pub fn handed(from: u16, packet: Packet<Bytes>) -> Packet<Bytes> {
+/// The packet as it comes from a peer that redirected it.
+pub fn redirected(from: u16, packet: Packet<Bytes>) -> Packet<Bytes> {
     Packet {
-        arrival: Arrival::Handed(id(from)),
+        arrival: Arrival::Redirected(id(from)),
         hops: packet.hops + 1,
         ..packet
     }
 }
 
 /// The packet as a peer hands it over that nobody may hand on any more.
-pub fn handed_last(from: u16, packet: Packet<Bytes>) -> Packet<Bytes> {
+pub fn redirected_last(from: u16, packet: Packet<Bytes>) -> Packet<Bytes> {
     Packet {
-        hops: MAX_HANDS,
-        ..handed(from, packet)
+        hops: MAX_REDIRECTS,
+        ..redirected(from, packet)
     }
 }
 
@@ -207,9 +207,9 @@
     first.filter(|_| others.next().is_none())
 }
 
-/// Opens a flow at an agent as a peer's handed one, and finishes its handshake.
+/// Opens a flow at an agent as one that a peer redirected, and finishes its handshake.
 pub fn establish(flows: &mut Flows<Bytes>, now: Millis, number: u16, seq: u32, isn: u32) {
-    let actions = on_packet(flows, now, handed_last(99, syn(number, seq)));
+    let actions = on_packet(flows, now, redirected_last(99, syn(number, seq)));
     assert!(matches!(actions[..], [Action::Open { .. }]), "{actions:?}");
     flows.on_isn(&flow(number), isn);
     let packet = ack(number, seq.wrapping_add(1), isn.wrapping_add(1));
--- a/crates/core/tests/flows/load.rs
+++ b/crates/core/tests/flows/load.rs
@@ -157,7 +157,7 @@
         assert_eq!(failures_at(&mut flows, 0), 1_000);
         flows.on_load(START, busy(2, 1, 20));
         let actions = on_packet(&mut flows, START, syn(100, 5));
-        assert_eq!(sent(&actions), Some((id(2), Relay::Hand)), "although it is idle itself");
+        assert_eq!(sent(&actions), Some((id(2), Relay::Redirect)), "although it is idle itself");
         assert_eq!(failures_at(&mut flows, 6_000), 1_000);
         assert_eq!(failures_at(&mut flows, 12_000), 0);
         let again = START.after(Millis(12_000));
@@ -189,7 +189,7 @@
         flows.on_load(START, LoadReport { open: 10, ..idle(2, 1) });
         flows.on_load(START, LoadReport { open: 12, ..idle(3, 1) });
         let counts = spread(&mut flows, START, 3, 5);
-        assert_eq!(counts[..2], [3, 2], "what was handed counts, and the last one waits");
+        assert_eq!(counts[..2], [3, 2], "what was redirected counts, and the last one waits");
         assert_eq!(flows.queue_len(), 1);
     };
 
--- a/crates/core/tests/flows/network.rs
+++ b/crates/core/tests/flows/network.rs
@@ -690,7 +690,7 @@
     fn relay(&mut self, at: usize, to: TargetId, relay: Relay, packet: Packet<u32>) {
         let from = agent_id(at);
         let arrival = match relay {
-            Relay::Hand => Arrival::Handed(from),
+            Relay::Redirect => Arrival::Redirected(from),
             Relay::Pass => Arrival::Passed(from),
         };
         let packet = Packet {
--- a/crates/core/tests/flows/traces.rs
+++ b/crates/core/tests/flows/traces.rs
@@ -159,7 +159,9 @@
 
 impl From<PacketEvent> for Packet<Bytes> {
     fn from(event: PacketEvent) -> Self {
-        let handed = event.handed_by.map(|number| Arrival::Handed(id(number)));
+        let handed = event
+            .handed_by
+            .map(|number| Arrival::Redirected(id(number)));
         let passed = event.passed_by.map(|number| Arrival::Passed(id(number)));
         let mut flow = flow(event.caller);
         flow.service = event.service.unwrap_or(flow.service);
--- a/crates/core/tests/members.rs
+++ b/crates/core/tests/members.rs
@@ -5,8 +5,8 @@
 use citronhollow_core::clock::Millis;
 use citronhollow_core::id::{DomainId, GroupId, TargetId};
 use citronhollow_core::members::{
-    DEAD_AFTER, DEAD_KEPT, HEARTBEAT, ISOLATED_AFTER, PANIC_MEMORY, SUSPECT_AFTER, TargetNews,
-    TargetRecord, TargetState, VERDICTS_PER_TICK, Verdict, View,
+    DEAD_AFTER, DEAD_KEPT, HEARTBEAT, ISOLATED_AFTER, PANIC_MEMORY, SUSPECT_AFTER, TargetRecord,
+    TargetState, TargetUpdate, VERDICTS_PER_TICK, Verdict, View,
 };
 
 /// Time between two ticks of the process.
@@ -39,7 +39,7 @@
 struct Process {
     view: View,
     now: Millis,
-    spread: Vec<TargetNews>,
+    spread: Vec<TargetUpdate>,
 }
 
 impl Process {
@@ -83,8 +83,8 @@
     }
 
     fn verdict(&self, number: u16) -> Option<Verdict> {
-        let news = self.view.target(self.now, record(number, 1).id)?;
-        Some(news.verdict)
+        let update = self.view.target(self.now, record(number, 1).id)?;
+        Some(update.verdict)
     }
 
     fn served(&self, number: u16) -> Option<TargetState> {
@@ -115,10 +115,10 @@
         process.hear(in_state(TargetState::Draining, 1, 5));
         process.hear(in_state(TargetState::Ready, 1, 4));
         assert_eq!(process.served(1), Some(TargetState::Draining));
-        let old = TargetNews::heard(record(1, 4));
+        let old = TargetUpdate::heard(record(1, 4));
         assert!(!process.view.merge_target(process.now, old));
         let restarted = TargetRecord { incarnation: 2, ..record(1, 1) };
-        assert!(process.view.merge_target(process.now, TargetNews::heard(restarted)));
+        assert!(process.view.merge_target(process.now, TargetUpdate::heard(restarted)));
     };
 
     silent_target_is_suspect_and_then_dead_within_the_bounds => {
@@ -151,7 +151,7 @@
         assert_eq!(same.refute_above, Some((1, 1)), "the agent is told to refute");
         assert_eq!(process.verdict(0), Some(Verdict::Suspect));
         let higher = process.view.on_heartbeat(process.now, record(0, 2), false);
-        assert_eq!((higher.is_news, higher.refute_above), (true, None));
+        assert_eq!((higher.is_update, higher.refute_above), (true, None));
         assert_eq!(process.served(0), Some(TargetState::Ready));
     };
 
@@ -268,7 +268,7 @@
 
     suspect_whose_reporters_died_with_it_dies_all_the_same => {
         let mut process = Process::new();
-        let suspect = TargetNews::heard(record(0, 1)).judged(Verdict::Suspect);
+        let suspect = TargetUpdate::heard(record(0, 1)).judged(Verdict::Suspect);
         process.view.merge_target(process.now, suspect);
         process.pass(SUSPECT_AFTER.after(DEAD_AFTER).after(HEARTBEAT), 0..0);
         assert_eq!(process.verdict(0), Some(Verdict::Dead));
@@ -281,7 +281,7 @@
         process.pass(SUSPECT_AFTER.after(TICK), 2..5);
         assert_eq!(process.verdict(0), Some(Verdict::Alive), "it said so");
         assert_eq!(process.verdict(1), Some(Verdict::Suspect));
-        let elsewhere = TargetNews::heard(record(1, 2));
+        let elsewhere = TargetUpdate::heard(record(1, 2));
         assert!(process.view.merge_target(process.now, elsewhere));
         process.pass(SUSPECT_AFTER.after(TICK), 2..5);
         assert_eq!(process.verdict(1), Some(Verdict::Alive), "others hear from it");
@@ -295,7 +295,7 @@
             now = now.after(Millis(900));
             process.view.on_contact(now);
             process.view.on_tick(now);
-            assert!(!process.view.merge_target(now, TargetNews::heard(record(0, 1))));
+            assert!(!process.view.merge_target(now, TargetUpdate::heard(record(0, 1))));
         }
         while now < DEAD_KEPT {
             now = now.after(Millis(900));
@@ -314,7 +314,7 @@
         assert!(late.view.merge_target(late.now, told));
         late.pass(Millis(7_000), 0..0);
         assert_eq!(late.view.targets(late.now).count(), 0);
-        let too_late = TargetNews { gone_for: DEAD_KEPT, ..told };
+        let too_late = TargetUpdate { gone_for: DEAD_KEPT, ..told };
         assert!(!late.view.merge_target(late.now, too_late));
     };
 
--- a/crates/core/tests/members_merge.rs
+++ b/crates/core/tests/members_merge.rs
@@ -5,7 +5,7 @@
 use citronhollow_core::clock::Millis;
 use citronhollow_core::id::{BalancerId, DomainId, GroupId, TargetId};
 use citronhollow_core::members::{
-    BalancerRecord, TargetNews, TargetRecord, TargetState, Verdict, View,
+    BalancerRecord, TargetRecord, TargetState, TargetUpdate, Verdict, View,
 };
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
@@ -21,8 +21,8 @@
     }
 }
 
-/// News about few targets in few versions, so that most of them collide.
-fn news() -> impl Strategy<Value = TargetNews> {
+/// Updates about few targets in few versions, so that most of them collide.
+fn update() -> impl Strategy<Value = TargetUpdate> {
     let state = prop_oneof![
         Just(TargetState::Starting),
         Just(TargetState::Ready),
@@ -35,7 +35,7 @@
         Just(Verdict::Dead),
     ];
     (0_u64..4, 1_u64..3, 1_u64..4, state, verdict, 1_u16..3).prop_map(
-        |(id, incarnation, sequence, state, verdict, slots)| TargetNews {
+        |(id, incarnation, sequence, state, verdict, slots)| TargetUpdate {
             record: TargetRecord {
                 id: TargetId(id << 60),
                 group: GroupId(1),
@@ -67,13 +67,13 @@
 
 #[derive(Clone, Copy, Debug)]
 enum Item {
-    Target(TargetNews),
+    Target(TargetUpdate),
     Balancer(BalancerRecord),
 }
 
 fn items() -> impl Strategy<Value = Vec<Item>> {
     let item = prop_oneof![
-        3 => news().prop_map(Item::Target),
+        3 => update().prop_map(Item::Target),
         1 => balancer().prop_map(Item::Balancer),
     ];
     prop::collection::vec(item, 0..24)
@@ -82,7 +82,7 @@
 fn merge(view: &mut View, items: &[Item]) {
     for item in items {
         match item {
-            Item::Target(news) => view.merge_target(Millis::ZERO, *news),
+            Item::Target(update) => view.merge_target(Millis::ZERO, *update),
             Item::Balancer(record) => view.merge_balancer(Millis::ZERO, *record),
         };
     }
@@ -95,9 +95,9 @@
 }
 
 /// Everything that a view knows, in a fixed order.
-fn content(view: &View) -> (Vec<TargetNews>, Vec<BalancerRecord>) {
-    let mut targets: Vec<TargetNews> = view.targets(Millis::ZERO).collect();
-    targets.sort_unstable_by_key(|news| news.record.id);
+fn content(view: &View) -> (Vec<TargetUpdate>, Vec<BalancerRecord>) {
+    let mut targets: Vec<TargetUpdate> = view.targets(Millis::ZERO).collect();
+    targets.sort_unstable_by_key(|update| update.record.id);
     (targets, view.balancers().iter().copied().collect())
 }
 
@@ -130,7 +130,7 @@
         merge(&mut twice, &items);
         merge(&mut twice, &items_of(&once));
         prop_assert_eq!(content(&once), content(&twice));
-        prop_assert_eq!(once.changes(), twice.changes(), "nothing was news");
+        prop_assert_eq!(once.changes(), twice.changes(), "nothing was update");
     }
 
     #[test]
@@ -149,7 +149,7 @@
     fn no_record_goes_back(items in items()) {
         let mut view = View::new();
         for item in items {
-            let before: Vec<TargetNews> = view.targets(Millis::ZERO).collect();
+            let before: Vec<TargetUpdate> = view.targets(Millis::ZERO).collect();
             merge(&mut view, &[item]);
             for old in before {
                 let new = view.target(Millis::ZERO, old.record.id);
--- a/crates/core/tests/rumour.rs
+++ b/crates/core/tests/rumour.rs
@@ -5,10 +5,12 @@
 use citronhollow_core::clock::Millis;
 use citronhollow_core::config::{Documents, Pool, Refusal, Revision, Rule, Service};
 use citronhollow_core::id::{BalancerId, DomainId, GroupId, TargetId};
-use citronhollow_core::members::{BalancerRecord, TargetNews, TargetRecord, TargetState, Verdict};
+use citronhollow_core::members::{
+    BalancerRecord, TargetRecord, TargetState, TargetUpdate, Verdict,
+};
 use citronhollow_core::rumour::{
-    Action, BUDGET_BURST, BUDGET_PER_S, DIGEST_EVERY, FAN_OUT, INLINE_MAX, News, PROBES_MAX, ROUND,
-    RevisionDelta, Rumours, Spreader, Summary, Topic, choose_peers, rounds_for,
+    Action, BUDGET_BURST, BUDGET_PER_S, DIGEST_EVERY, FAN_OUT, INLINE_MAX, PROBES_MAX, ROUND,
+    RevisionDelta, Rumours, Spreader, Summary, Topic, Update, choose_peers, rounds_for,
 };
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
@@ -59,12 +61,12 @@
     actions
 }
 
-fn pushes(actions: &[Action]) -> Vec<&News> {
-    let news = actions.iter().filter_map(|action| match action {
-        Action::Push { news, .. } => Some(news),
+fn pushes(actions: &[Action]) -> Vec<&Update> {
+    let update = actions.iter().filter_map(|action| match action {
+        Action::Push { update, .. } => Some(update),
         _ => None,
     });
-    news.collect()
+    update.collect()
 }
 
 fn summary(sender: BalancerRecord, revision: u64) -> Summary {
@@ -94,7 +96,7 @@
 }
 
 cases! {
-    news_is_pushed_for_a_bounded_number_of_rounds => {
+    update_is_pushed_for_a_bounded_number_of_rounds => {
         let mut spreader = joined(100);
         run(&mut spreader, Millis::ZERO, Millis::from_secs(5));
         spreader.on_heartbeat(Millis::from_secs(5), target(1), true);
@@ -105,14 +107,14 @@
 
     what_is_known_is_not_pushed_on => {
         let mut spreader = joined(100);
-        let news = News {
-            targets: vec![TargetNews::heard(target(1))],
-            ..News::default()
+        let update = Update {
+            targets: vec![TargetUpdate::heard(target(1))],
+            ..Update::default()
         };
         let mut out = Vec::new();
-        spreader.on_news(Millis::ZERO, balancer(1).control, &news, &mut out);
+        spreader.on_update(Millis::ZERO, balancer(1).control, &update, &mut out);
         run(&mut spreader, Millis::ZERO, Millis::from_secs(5));
-        spreader.on_news(Millis::from_secs(5), balancer(2).control, &news, &mut out);
+        spreader.on_update(Millis::from_secs(5), balancer(2).control, &update, &mut out);
         let actions = run(&mut spreader, Millis::from_secs(5), Millis::from_secs(5));
         assert!(pushes(&actions).is_empty());
     };
@@ -179,14 +181,14 @@
     verdict_is_taken_for_the_known_version_only => {
         let mut spreader = joined(10);
         spreader.on_heartbeat(Millis::ZERO, target(1), true);
-        let suspect = TargetNews::heard(target(1)).judged(Verdict::Suspect);
-        let mut verdict = citronhollow_core::members::VerdictNews::from(suspect);
+        let suspect = TargetUpdate::heard(target(1)).judged(Verdict::Suspect);
+        let mut verdict = citronhollow_core::members::VerdictUpdate::from(suspect);
         verdict.version = (1, 0);
         let mut out = Vec::new();
         for (version, expected) in [((1, 0), Verdict::Alive), ((1, 1), Verdict::Suspect)] {
             verdict.version = version;
-            let news = News { verdicts: vec![verdict], ..News::default() };
-            spreader.on_news(Millis::ZERO, balancer(1).control, &news, &mut out);
+            let update = Update { verdicts: vec![verdict], ..Update::default() };
+            spreader.on_update(Millis::ZERO, balancer(1).control, &update, &mut out);
             let known = spreader.view().target(Millis::ZERO, target(1).id).expect("known");
             assert_eq!(known.verdict, expected);
         }
@@ -195,14 +197,14 @@
     higher_revision_is_fetched_from_who_has_it_and_once_at_a_time => {
         let mut spreader = joined(10);
         let mut out = Vec::new();
-        let news = News { revision: 7, ..News::default() };
-        spreader.on_news(Millis(10), balancer(3).control, &news, &mut out);
-        spreader.on_news(Millis(20), balancer(4).control, &news, &mut out);
+        let update = Update { revision: 7, ..Update::default() };
+        spreader.on_update(Millis(10), balancer(3).control, &update, &mut out);
+        spreader.on_update(Millis(20), balancer(4).control, &update, &mut out);
         let from = balancer(3).control;
         assert_eq!(out, [Action::FetchRevision { from }]);
-        let lower = News { revision: 6, ..News::default() };
+        let lower = Update { revision: 6, ..Update::default() };
         spreader.on_revision(7, 100);
-        spreader.on_news(Millis::from_secs(60), from, &lower, &mut out);
+        spreader.on_update(Millis::from_secs(60), from, &lower, &mut out);
         assert_eq!(out.len(), 1);
         spreader.on_revision(6, 100);
         assert_eq!(spreader.revision(), 7);
@@ -229,9 +231,9 @@
         let others: Vec<_> = std::iter::once(me).chain((2..10).map(balancer)).collect();
         b.on_members(Millis::ZERO, &[], &others);
         let known = BalancerRecord { sequence: 2, ..balancer(1) };
-        let news = News { balancers: vec![known], ..News::default() };
+        let update = Update { balancers: vec![known], ..Update::default() };
         let mut out = Vec::new();
-        a.on_news(Millis::ZERO, known.control, &news, &mut out);
+        a.on_update(Millis::ZERO, known.control, &update, &mut out);
         let later = Millis::from_secs(60);
         let actions = run(&mut a, later, DIGEST_EVERY.after(DIGEST_EVERY));
         let compared = actions.iter().find_map(|action| match action {
@@ -263,14 +265,14 @@
         let mut spreader = joined(10);
         run(&mut spreader, Millis::ZERO, Millis::from_secs(5));
         let said = BalancerRecord { leaving: true, ..*spreader.me() };
-        let news = News { balancers: vec![said], ..News::default() };
+        let update = Update { balancers: vec![said], ..Update::default() };
         let mut out = Vec::new();
         let now = Millis::from_secs(5);
-        spreader.on_news(now, balancer(1).control, &news, &mut out);
+        spreader.on_update(now, balancer(1).control, &update, &mut out);
         let me = *spreader.me();
         assert!(!me.leaving && me.sequence > said.sequence);
         let actions = run(&mut spreader, now, Millis::from_secs(1));
-        assert!(pushes(&actions).iter().any(|news| news.balancers.contains(&me)));
+        assert!(pushes(&actions).iter().any(|update| update.balancers.contains(&me)));
     };
 }
 
--- a/crates/operator/src/decisions.rs
+++ b/crates/operator/src/decisions.rs
@@ -58,13 +58,13 @@
     /// An agent gave a packet back to a balancer.
     #[display("flow_given_back")]
     FlowGivenBack,
-    /// A balancer asked an agent for a flow.
+    /// A balancer asked agents for a flow.
     #[display("flow_asked")]
     FlowAsked,
     /// An agent said what it knows of a flow.
     #[display("flow_answered")]
     FlowAnswered,
-    /// A target is shown a packet of a flow that nobody knows.
+    /// Targets are shown a packet of a flow that nobody knows.
     #[display("flow_tried")]
     FlowTried,
     /// The caller was reset.
@@ -149,6 +149,12 @@
         self
     }
 
+    /// What it is about. A question to many agents is one decision with one subject.
+    #[must_use]
+    pub const fn subject(&self) -> (Event, Option<FlowId>) {
+        (self.event, self.flow)
+    }
+
     /// By this revision of the configuration.
     #[must_use]
     pub const fn revision(mut self, revision: u64) -> Self {
--- a/crates/operator/src/metrics.rs
+++ b/crates/operator/src/metrics.rs
@@ -71,7 +71,7 @@
     PlatformCalls = "platform.calls" in "calls": "Balancer: calls on the platform, watches included.";
     PlatformRetries = "platform.retries" in "calls": "Balancer: calls on the platform that were repeated.";
     FlowsOpened = "flows.opened" in "flows": "Agent: flows accepted.";
-    FlowsHanded = "flows.handed" in "flows": "Agent: new flows handed to a peer.";
+    FlowsRedirected = "flows.redirected" in "flows": "Agent: new flows redirected to a peer.";
     FlowsRefused = "flows.refused" in "flows": "Agent: flows refused before anything ran.";
     PacketsPassed = "packets.passed" in "packets": "Agent: packets passed to the peer that may hold their flow.";
     FlowsAsked = "flows.asked" in "questions": "Agent: questions to peers about an unknown flow.";
--- a/crates/operator/src/trace.rs
+++ b/crates/operator/src/trace.rs
@@ -37,7 +37,7 @@
     /// An agent accepted or refused the flow.
     #[display("agent")]
     Agent,
-    /// An agent handed or passed the flow to a peer.
+    /// An agent redirected or passed the flow to a peer.
     #[display("redirect")]
     Redirect,
     /// The agent connected to its target.
--- a/crates/peer/src/members.rs
+++ b/crates/peer/src/members.rs
@@ -3,7 +3,7 @@
 use citronhollow_core::clock::Millis;
 use citronhollow_core::id::{BalancerId, DomainId, GroupId, TargetId};
 use citronhollow_core::members::{
-    BalancerRecord, TargetNews, TargetRecord, TargetState, Verdict, VerdictNews,
+    BalancerRecord, TargetRecord, TargetState, TargetUpdate, Verdict, VerdictUpdate,
 };
 use thiserror::Error;
 
@@ -32,8 +32,8 @@
 
 /// Encodes what is known of a target.
 #[must_use]
-pub fn target_to_message(news: &TargetNews) -> Target {
-    let record = &news.record;
+pub fn target_to_message(update: &TargetUpdate) -> Target {
+    let record = &update.record;
     Target {
         id: record.id.0,
         group: record.group.0,
@@ -43,8 +43,8 @@
         state: state_to_number(record.state),
         incarnation: record.incarnation,
         sequence: record.sequence,
-        verdict: verdict_to_number(news.verdict),
-        gone_for_s: whole_secs(news.gone_for),
+        verdict: verdict_to_number(update.verdict),
+        gone_for_s: whole_secs(update.gone_for),
     }
 }
 
@@ -53,8 +53,8 @@
 /// # Errors
 ///
 /// [`RecordError`] names the field that is invalid.
-pub fn target_from_message(target: &Target) -> Result<TargetNews, RecordError> {
-    Ok(TargetNews {
+pub fn target_from_message(target: &Target) -> Result<TargetUpdate, RecordError> {
+    Ok(TargetUpdate {
         record: record_from_message(target)?,
         verdict: verdict_from_number(target.verdict)?,
         gone_for: Millis::from_secs(u64::from(target.gone_for_s)),
@@ -63,14 +63,14 @@
 
 /// Encodes a verdict.
 #[must_use]
-pub fn verdict_to_message(news: &VerdictNews) -> TargetVerdict {
-    let (incarnation, sequence) = news.version;
+pub fn verdict_to_message(update: &VerdictUpdate) -> TargetVerdict {
+    let (incarnation, sequence) = update.version;
     TargetVerdict {
-        id: news.id.0,
+        id: update.id.0,
         incarnation,
         sequence,
-        verdict: verdict_to_number(news.verdict),
-        gone_for_s: whole_secs(news.gone_for),
+        verdict: verdict_to_number(update.verdict),
+        gone_for_s: whole_secs(update.gone_for),
     }
 }
 
@@ -79,8 +79,8 @@
 /// # Errors
 ///
 /// [`RecordError`] names the field that is invalid.
-pub fn verdict_from_message(message: &TargetVerdict) -> Result<VerdictNews, RecordError> {
-    Ok(VerdictNews {
+pub fn verdict_from_message(message: &TargetVerdict) -> Result<VerdictUpdate, RecordError> {
+    Ok(VerdictUpdate {
         id: TargetId(message.id),
         version: (message.incarnation, message.sequence),
         verdict: verdict_from_number(message.verdict)?,
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -56,7 +56,7 @@
     /// Balancer to agent: what the agent may have missed.
     #[prost(message, tag = "11")]
     HeartbeatReply(HeartbeatReply),
-    /// Balancer to balancer: news of members and revisions.
+    /// Balancer to balancer: updates of members and revisions.
     #[prost(message, tag = "12")]
     Rumour(Rumour),
     /// Balancer to balancer: a summary to compare.
--- a/crates/peer/src/message/control.rs
+++ b/crates/peer/src/message/control.rs
@@ -128,7 +128,7 @@
     pub gone_for_s: u32,
 }
 
-/// News, pushed to a few balancers, which push what is new to them.
+/// Updates, pushed to a few balancers, which push what is new to them.
 #[derive(Clone, PartialEq, Message)]
 pub struct Rumour {
     /// Verdicts on targets that did not change otherwise.
--- a/crates/peer/src/message/pass_through.rs
+++ b/crates/peer/src/message/pass_through.rs
@@ -29,7 +29,7 @@
     pub packet: Bytes,
 }
 
-/// What an agent tells of its target.
+/// What an agent reports of its target.
 #[derive(Clone, PartialEq, Message)]
 pub struct TargetReport {
     /// The target.
--- a/crates/peer/src/message/traffic.rs
+++ b/crates/peer/src/message/traffic.rs
@@ -13,7 +13,7 @@
     /// By a balancer.
     Balancer = 0,
     /// By an agent that wants the receiver to accept or refuse the new flow.
-    Hand = 1,
+    Redirect = 1,
     /// By an agent that does not hold the flow.
     Pass = 2,
 }
@@ -73,7 +73,7 @@
     No = 0,
     /// It holds the flow.
     Here = 1,
-    /// It handed the flow to the target in `at`.
+    /// It redirected the flow to the target in `at`.
     At = 2,
     /// The target may hold the flow. Only in pass-through delivery.
     Maybe = 3,
@@ -96,12 +96,12 @@
     /// What is known.
     #[prost(enumeration = "Holding", tag = "4")]
     pub holding: i32,
-    /// Where the flow was handed, zero unless `holding` says so.
+    /// Where the flow was redirected, zero unless `holding` says so.
     #[prost(fixed64, tag = "5")]
     pub at: u64,
 }
 
-/// True load of the sender, told to the peers of its pool a few times a second.
+/// True load of the sender, reported to the peers of its pool a few times a second.
 #[derive(Clone, PartialEq, Message)]
 pub struct Load {
     /// Target of the sender.
--- a/crates/peer/tests/members.rs
+++ b/crates/peer/tests/members.rs
@@ -5,7 +5,7 @@
 use citronhollow_core::clock::Millis;
 use citronhollow_core::id::{BalancerId, DomainId, GroupId, TargetId};
 use citronhollow_core::members::{
-    BalancerRecord, TargetNews, TargetRecord, TargetState, Verdict, VerdictNews,
+    BalancerRecord, TargetRecord, TargetState, TargetUpdate, Verdict, VerdictUpdate,
 };
 use citronhollow_peer::message::{Rumour, Target};
 use citronhollow_peer::{
@@ -17,8 +17,8 @@
 /// Wall-clock milliseconds, from which incarnations are taken.
 const INCARNATION: u64 = 1_800_000_000_000;
 
-fn news(agent: &str, sequence: u64) -> TargetNews {
-    TargetNews {
+fn update(agent: &str, sequence: u64) -> TargetUpdate {
+    TargetUpdate {
         record: TargetRecord {
             id: TargetId(u64::MAX),
             group: GroupId(u64::MAX - 1),
@@ -59,9 +59,9 @@
 cases! {
     records_survive_the_way => {
         for agent in ["10.0.0.1:9000", "[fd00::1]:9000"] {
-            let target = news(agent, 3);
+            let target = update(agent, 3);
             assert_eq!(target_from_message(&target_to_message(&target)), Ok(target));
-            let verdict = VerdictNews::from(target);
+            let verdict = VerdictUpdate::from(target);
             assert_eq!(verdict_from_message(&verdict_to_message(&verdict)), Ok(verdict));
             let record = balancer(agent);
             assert_eq!(balancer_from_message(&balancer_to_message(&record)), Ok(record));
@@ -69,7 +69,7 @@
     };
 
     invalid_fields_are_named => {
-        let valid = target_to_message(&news("10.0.0.1:9000", 3));
+        let valid = target_to_message(&update("10.0.0.1:9000", 3));
         let state = Target { state: 9, ..valid.clone() };
         assert_eq!(target_from_message(&state), Err(RecordError::State(9)));
         let verdict = Target { verdict: 3, ..valid.clone() };
@@ -81,18 +81,18 @@
     };
 
     entries_are_no_longer_than_the_budget_counts => {
-        let target = target_to_message(&news("[fd00::1]:9000", 1_000_000));
+        let target = target_to_message(&update("[fd00::1]:9000", 1_000_000));
         let targets = Rumour { targets: vec![target], ..Rumour::default() };
         assert!(size(&targets) <= 80, "{}", size(&targets));
-        let target = target_to_message(&TargetNews::heard(news("10.0.0.1:9000", 100).record));
+        let target = target_to_message(&TargetUpdate::heard(update("10.0.0.1:9000", 100).record));
         let targets = Rumour { targets: vec![target], ..Rumour::default() };
         assert!(size(&targets) <= 56, "{}", size(&targets));
-        let verdict = verdict_to_message(&VerdictNews::from(news("10.0.0.1:9000", 1_000_000)));
+        let verdict = verdict_to_message(&VerdictUpdate::from(update("10.0.0.1:9000", 1_000_000)));
         let verdicts = Rumour { verdicts: vec![verdict], ..Rumour::default() };
         assert!(size(&verdicts) <= 32, "{}", size(&verdicts));
-        let suspect = news("10.0.0.1:9000", 100).judged(Verdict::Suspect);
-        let suspect = TargetNews { gone_for: Millis::ZERO, ..suspect };
-        let verdict = verdict_to_message(&VerdictNews::from(suspect));
+        let suspect = update("10.0.0.1:9000", 100).judged(Verdict::Suspect);
+        let suspect = TargetUpdate { gone_for: Millis::ZERO, ..suspect };
+        let verdict = verdict_to_message(&VerdictUpdate::from(suspect));
         let verdicts = Rumour { verdicts: vec![verdict], ..Rumour::default() };
         assert!(size(&verdicts) <= 26, "{}", size(&verdicts));
         let record = balancer_to_message(&balancer("[fd00::1]:9000"));
--- a/crates/testkit/examples/measure/agents.rs
+++ b/crates/testkit/examples/measure/agents.rs
@@ -21,15 +21,15 @@
 /// Something that reaches an agent after a delay.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Step {
-    /// An opening packet that a peer handed over.
-    Hand {
+    /// An opening packet that a peer redirected.
+    Redirect {
         /// The flow's number.
         flow: usize,
-        /// The agent that handed it over.
+        /// The agent that redirected it.
         from: usize,
         /// The agent that gets it.
         to: usize,
-        /// Agents that have handed it on.
+        /// Agents that have redirected it.
         hops: u32,
     },
     /// A report, by its number.
@@ -53,7 +53,7 @@
     steps: Vec<(u64, Step)>,
     opened: Vec<(usize, usize)>,
     refused: u32,
-    handed: u32,
+    redirected: u32,
     sent: u32,
 }
 
@@ -86,7 +86,7 @@
             steps: Vec::new(),
             opened: Vec::new(),
             refused: 0,
-            handed: 0,
+            redirected: 0,
             sent: 0,
         }
     }
@@ -108,13 +108,13 @@
     /// A message arrives.
     pub fn on_step(&mut self, now: u64, step: Step) {
         match step {
-            Step::Hand {
+            Step::Redirect {
                 flow,
                 from,
                 to,
                 hops,
             } => {
-                let arrival = Arrival::Handed(self.ids[from]);
+                let arrival = Arrival::Redirected(self.ids[from]);
                 self.feed(now, to, flow, arrival, hops);
             }
             Step::Report { report, to } => {
@@ -167,8 +167,8 @@
     }
 
     /// Flows that went over a second agent.
-    pub const fn handed(&self) -> u32 {
-        self.handed
+    pub const fn redirected(&self) -> u32 {
+        self.redirected
     }
 
     /// Control traffic that one agent sends, in bytes a second.
@@ -203,9 +203,9 @@
                 Action::Open { packet } => self.open(now, at, &packet),
                 Action::Send {
                     to,
-                    relay: Relay::Hand,
+                    relay: Relay::Redirect,
                     packet,
-                } => self.hand(now, at, to, &packet),
+                } => self.redirect(now, at, to, &packet),
                 Action::Refuse { .. } => self.refused += 1,
                 _ => {}
             }
@@ -218,13 +218,13 @@
         self.opened.push((packet.bytes, at));
     }
 
-    fn hand(&mut self, now: u64, from: usize, to: TargetId, packet: &Packet<usize>) {
+    fn redirect(&mut self, now: u64, from: usize, to: TargetId, packet: &Packet<usize>) {
         let Some(to) = self.position(to) else {
             return;
         };
-        self.handed += 1;
+        self.redirected += 1;
         let arrives = now + self.fleet.delay_us(from, to);
-        let step = Step::Hand {
+        let step = Step::Redirect {
             flow: packet.bytes,
             from,
             to,
--- a/crates/testkit/examples/measure/main.rs
+++ b/crates/testkit/examples/measure/main.rs
@@ -51,7 +51,7 @@
         "p99/mean",
         "of ideal",
         "refused",
-        "handed",
+        "redirected",
         "ctrl B/s"
     );
     for fleet in Fleet::all() {
@@ -88,7 +88,7 @@
             mean.p99_over_mean,
             mean.max_over_mean / ideal * 100.0,
             mean.refused,
-            mean.handed * 100.0,
+            mean.redirected * 100.0,
             mean.control_bytes_per_s,
         );
     }
--- a/crates/testkit/examples/measure/model.rs
+++ b/crates/testkit/examples/measure/model.rs
@@ -82,7 +82,7 @@
     /// Flows refused.
     pub refused: f64,
     /// Share of the flows that went over a second agent.
-    pub handed: f64,
+    pub redirected: f64,
     /// Control traffic that one agent sends, in bytes a second.
     pub control_bytes_per_s: f64,
     /// Time in milliseconds and requests in progress at each target.
@@ -96,7 +96,7 @@
         self.max_over_mean += other.max_over_mean * share;
         self.p99_over_mean += other.p99_over_mean * share;
         self.refused += other.refused * share;
-        self.handed += other.handed * share;
+        self.redirected += other.redirected * share;
         self.control_bytes_per_s += other.control_bytes_per_s * share;
     }
 }
@@ -339,7 +339,7 @@
             max_over_mean: mean,
             p99_over_mean: p99,
             refused: f64::from(self.agents.refused()),
-            handed: f64::from(self.agents.handed()) / f64::from(opened),
+            redirected: f64::from(self.agents.redirected()) / f64::from(opened),
             control_bytes_per_s: self.agents.control_bytes_per_s(LENGTH_US),
             series: self.series,
         }
--- a/crates/testkit/src/platform/server.rs
+++ b/crates/testkit/src/platform/server.rs
@@ -235,10 +235,10 @@
     async fn watch(self, kind: String, query: WatchQuery) -> Result<Response, Response> {
         self.admit("watch", &kind).await?;
         let wait = Duration::from_millis(query.wait_ms.min(MAX_WAIT_MS));
-        let mut news = self.changed.subscribe();
+        let mut update = self.changed.subscribe();
         let has_change = async {
             while !self.has_change(&kind, query.after) {
-                if news.changed().await.is_err() {
+                if update.changed().await.is_err() {
                     return;
                 }
             }
--- a/crates/testkit/tests/observed.rs
+++ b/crates/testkit/tests/observed.rs
@@ -168,7 +168,7 @@
         ".entry-1.members.targets:2|g",
         ".desk-1.flows.opened:",
         ".desk-2.flows.opened:",
-        ".flows.handed:",
+        ".flows.redirected:",
         ".target.connect:",
     ];
     let lines = observer.take_until(|lines| {
