Let silent targets hold nothing, and remember what a target returned

Agents beside targets that did not come back answer that they may hold every flow, at first for as long as they run; when they stop they answer nothing, and balancers wait for them for 8 s. One after the other they keep all searches from an end.

Ruled out: unsettled balancers (3 s) and lost reports; a trace of the unanswered questions named only agents that had said they were stopping.

Change: a target from which neither a heartbeat nor a packet came for three heartbeats is gone, also if it was never heard since its agent's start; its state is reported and its agent denies flows. A flow that a target returned is denied for 30 s instead of 3. Only a new opening packet, which passes the agent, could bring it back.

Not changed: balancers wait 8 s for an agent that stops, since its target may go on, and a reset of a flow it holds would break a session.

Test: three cases in core.

--- a/crates/core/src/pass_through/agent.rs
+++ b/crates/core/src/pass_through/agent.rs
@@ -67,7 +67,7 @@
         /// The packet.
         bytes: B,
     },
-    /// Tell a balancer what is known of a flow.
+    /// Report to a balancer what is known of a flow.
     Reply {
         /// The balancer.
         to: SocketAddr,
@@ -160,6 +160,8 @@
     last_heartbeat: Option<(Millis, Heartbeat)>,
     /// The list that an earlier agent of the target left, until the target's start is known.
     inherited: Option<FlowList>,
+    /// Since when the target's heartbeats could have been heard: the start, or the end of a pause.
+    listening_since: Millis,
     /// When the target sent a packet last.
     last_packet: Millis,
     /// When the target said goodbye, until its flows are reset.
@@ -195,6 +197,7 @@
             absent: Recent::new(limits.flows),
             last_heartbeat: None,
             inherited: None,
+            listening_since: now,
             last_packet: now,
             goodbye: None,
             ticked: now,
--- a/crates/core/src/pass_through/agent/target.rs
+++ b/crates/core/src/pass_through/agent/target.rs
@@ -106,6 +106,9 @@
     /// What the target can take.
     #[must_use]
     pub fn state(&self, now: Millis) -> TargetState {
+        if self.has_fallen_silent(now) {
+            return TargetState::Dead;
+        }
         let Some((at, heartbeat)) = self.last_heartbeat else {
             return TargetState::Starting;
         };
@@ -119,10 +122,11 @@
 
     /// The process was paused, so that silence until now says nothing about the target.
     pub(super) fn forgive_silence(&mut self, now: Millis) {
-        if now.since(self.ticked) > PAUSE
-            && let Some((at, _)) = &mut self.last_heartbeat
-        {
-            *at = now;
+        if now.since(self.ticked) > PAUSE {
+            self.listening_since = now;
+            if let Some((at, _)) = &mut self.last_heartbeat {
+                *at = now;
+            }
         }
         self.ticked = now;
     }
@@ -132,11 +136,15 @@
         if let Some(goodbye) = self.goodbye {
             return now.since(goodbye) >= END_WITHIN;
         }
-        let Some((at, _)) = self.last_heartbeat else {
-            return false;
-        };
+        self.has_fallen_silent(now)
+    }
+
+    /// Whether nothing came from the target for so long that it must be gone, or was never there.
+    fn has_fallen_silent(&self, now: Millis) -> bool {
+        let heartbeat = self.last_heartbeat.map(|(at, _)| at);
+        let heard = heartbeat.unwrap_or(self.listening_since);
         let patience = Millis(self.limits.heartbeat.0 * GONE_HEARTBEATS);
-        now.since(at) > patience && now.since(self.last_packet) > patience
+        now.since(heard) > patience && now.since(self.last_packet) > patience
     }
 
     /// Resets the callers of all flows that began before `end`.
--- a/crates/core/src/pass_through/agent/unknown.rs
+++ b/crates/core/src/pass_through/agent/unknown.rs
@@ -16,8 +16,10 @@
 /// this covers one turn of a slow processor.
 const RETURN_WITHIN: Millis = Millis(60);
 
-/// Time for which a flow that the target returned is answered for without asking it again.
-pub(super) const ABSENT_LIFE: Millis = Millis::from_secs(3);
+/// Time for which a flow that the target returned is answered for without showing it another packet.
+/// The target takes such a flow only with a new opening packet, which passes here, so this bounds
+/// memory and nothing else. A caller repeats a packet for less long.
+pub(super) const ABSENT_LIFE: Millis = Millis::from_secs(30);
 
 impl<B: Clone> Agent<B> {
     pub(super) fn on_unknown(
@@ -78,7 +80,7 @@
             .absent
             .get(flow)
             .is_some_and(|at| now.since(*at) <= ABSENT_LIFE);
-        knows_all || was_returned
+        knows_all || was_returned || self.is_gone(now)
     }
 
     pub(super) fn end_trials(&mut self, now: Millis, out: &mut Vec<AgentAction<B>>) {
--- a/crates/core/tests/pass_through/agent.rs
+++ b/crates/core/tests/pass_through/agent.rs
@@ -280,6 +280,19 @@
         assert_eq!(holding(&mut agent, SOON, flow(1)), Holding::No, "and it is not asked again");
     };
 
+    // Found on trouble-1 of greenrink-grown: callers of lost flows repeat packets for 16 s, and each
+    // was shown to 57 targets.
+    flow_that_the_target_returned_is_not_shown_again => {
+        let mut agent = blank_agent(START);
+        from_caller(&mut agent, START, Offer::Trial, flow(1), request());
+        returned(&mut agent, SOON, flow(1), request());
+        let later = START.after(Millis::from_secs(16));
+        assert_eq!(holding(&mut agent, later, flow(1)), Holding::No);
+        from_caller(&mut agent, later, Offer::New, flow(1), syn());
+        from_target(&mut agent, later, flow(1), syn_ack(TARGET_ISN));
+        assert_eq!(holding(&mut agent, later, flow(1)), Holding::Here, "it was opened anew");
+    };
+
     flow_seen_open_and_returned_is_reset => {
         let mut agent = agent(START);
         open(&mut agent, START, flow(1));
@@ -340,6 +353,30 @@
         assert_eq!(reset.len(), 1);
     };
 
+    // Found on trouble-1 of greenrink-grown: a target that did not come back after a loss of power. Its
+    // agent "may hold" every flow, so that no search came to an end, and each showed a packet to all.
+    target_that_never_spoke_holds_nothing => {
+        let mut agent = Agent::new(START, crate::fixture::place(1, 1), crate::fixture::agent_limits());
+        assert_eq!(holding(&mut agent, START, flow(1)), Holding::Maybe);
+        for at in (0..=3_050).step_by(50) {
+            tick(&mut agent, START.after(Millis(at)));
+        }
+        let later = START.after(Millis(3_050));
+        assert_eq!(agent.state(later), TargetState::Dead);
+        assert_eq!(holding(&mut agent, later, flow(1)), Holding::No);
+        beat(&mut agent, later, heartbeat(1, 40, TargetState::Ready));
+        assert_eq!(agent.state(later), TargetState::Ready);
+        assert_eq!(holding(&mut agent, later, flow(1)), Holding::Maybe, "it was there after all");
+    };
+
+    pause_of_a_new_agent_is_no_silence_of_the_target => {
+        let mut agent = Agent::new(START, crate::fixture::place(1, 1), crate::fixture::agent_limits());
+        let later = START.after(Millis::from_secs(9));
+        tick(&mut agent, later);
+        assert_eq!(agent.state(later), TargetState::Starting);
+        assert_eq!(holding(&mut agent, later, flow(1)), Holding::Maybe);
+    };
+
     target_that_sends_packets_but_no_heartbeats_keeps_its_flows => {
         let mut agent = agent(START);
         open(&mut agent, START, flow(1));
