Keep the ports of absent peers, so that no other case is given them

Three further cases gave a port back in the same way and expected nobody there.

Ruled out: a count of zero that is sent (the code returns before the socket); other programs (the only text sent to a port that was given back in the workspace is this one).

Change: the absent peers keep their ports: a connected UDP socket refuses everybody else's packets, a bound TCP socket that does not listen refuses connections. The ports of a started balancer come from the test kit, below the system's range. The cases compare whole lines, so that a stray one is shown.

--- a/crates/balancer/tests/command_line.rs
+++ b/crates/balancer/tests/command_line.rs
@@ -13,7 +13,7 @@
     DrainStatus, FleetStatus, PublishStatus, Status, TrafficStatus,
 };
 use citronhollow_operator::token::Token;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::process::Command;
 use tokio::sync::mpsc;
 
@@ -182,9 +182,10 @@
 
     silent_balancer_is_told_by_its_exit_code => {
         let mut balancer = FakeBalancer::start(1).await;
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        balancer.addr = listener.local_addr().expect("an address");
-        drop(listener);
+        // The socket keeps the port from other cases, but does not listen.
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
+        balancer.addr = socket.local_addr().expect("an address");
         let output = balancer.run(&["status"], TOKEN).await;
         assert_eq!(code(&output), 8, "{}", stderr(&output));
     };
--- a/crates/balancer/tests/process.rs
+++ b/crates/balancer/tests/process.rs
@@ -1,12 +1,13 @@
 //! The balancer as a process.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::process::Stdio;
 use std::time::Duration;
 
 use citronhollow_operator::client::Client;
 use citronhollow_operator::status::Status;
 use citronhollow_testkit::platform::StandIn;
+use citronhollow_testkit::ports::free_addr;
 use serde_json::{Value, json};
 use tokio::io::AsyncWriteExt;
 use tokio::process::{Child, Command};
@@ -26,7 +27,7 @@
     async fn start() -> Self {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let platform = StandIn::start(any).await.expect("a stand-in");
-        let operator = free_port();
+        let operator = free_addr().expect("a port");
         let example = include_str!("../../../examples/settings/balancer.json");
         let mut settings: Value = serde_json::from_str(example).expect("the example parses");
         settings["fabric_listen"] = json!(any);
@@ -80,12 +81,6 @@
     }
 }
 
-/// A port that was free a moment ago.
-fn free_port() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    listener.local_addr().expect("an address")
-}
-
 macro_rules! cases {
     ($($name:ident => $body:expr;)*) => {
         $(#[tokio::test] async fn $name() { $body })*
--- a/crates/operator/tests/http.rs
+++ b/crates/operator/tests/http.rs
@@ -18,7 +18,7 @@
 };
 use citronhollow_operator::token::Token;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc;
 
 const TOKEN: &str = "token-of-the-test";
@@ -280,9 +280,10 @@
     };
 
     silent_balancer_is_named => {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let addr = listener.local_addr().expect("an address");
-        drop(listener);
+        // The socket keeps the port from other cases, but does not listen.
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
+        let addr = socket.local_addr().expect("an address");
         let failure = client(addr).status().await.expect_err("nobody there");
         assert_eq!(failure.kind, ErrorKind::Timeout);
         assert!(failure.message.contains(&addr.to_string()), "{failure}");
--- a/crates/operator/tests/metrics.rs
+++ b/crates/operator/tests/metrics.rs
@@ -58,7 +58,7 @@
         let (collector, metrics) = Collector::start();
         metrics.count(Counter::PacketsTaken, 0);
         metrics.count(Counter::PacketsForwarded, 1);
-        assert!(collector.next().contains("packets.forwarded:1"));
+        assert_eq!(collector.next(), "citronhollow.entry-a1_gujarat.packets.forwarded:1|c");
     };
 
     nothing_is_sent_without_an_address => {
@@ -70,7 +70,9 @@
 
     absent_collector_does_no_harm => {
         let (collector, metrics) = Collector::start();
-        drop(collector);
+        // A port that is given up would be given to another case, which would read these packets. A
+        // connected socket keeps the port, and the system refuses packets of any other peer.
+        collector.socket.connect("127.0.0.1:9").expect("connected");
         for _ in 0..100 {
             metrics.count(Counter::PacketsTaken, 1);
         }
@@ -80,10 +82,10 @@
         let (collector, metrics) = Collector::start();
         let mut totals = Totals::new(metrics);
         totals.report(Counter::FlowsOpened, 5);
-        assert!(collector.next().ends_with("flows.opened:5|c"));
+        assert_eq!(collector.next(), "citronhollow.entry-a1_gujarat.flows.opened:5|c");
         totals.report(Counter::FlowsOpened, 5);
         totals.report(Counter::FlowsOpened, 7);
-        assert!(collector.next().ends_with("flows.opened:2|c"));
+        assert_eq!(collector.next(), "citronhollow.entry-a1_gujarat.flows.opened:2|c");
     };
 
     names_differ => {
