Judge no target by a pause, and ask no agent that has just said no

Since a silent target counts as holding nothing, it could deny a flow there, give a new one back, or report its target dead, from a silence that was its own pause. - Room that came free between a target's announcement that it leaves and the next tick (25 ms) was given to a flow that waited. - Since near agents are asked first, a search forgot the denial of a far agent that had just given the packet back, and asked it once more.

Ruled out: a wrong reset by the first alone (two denials 100 ms apart by every target are needed).

Change: every entry to the agent's table notices a pause first, not the tick only. Waiting flows are offered only while the target takes new ones. A search keeps the denial that started it; who is far is whoever is not yet part of the search.

--- a/crates/core/src/pass_through/agent.rs
+++ b/crates/core/src/pass_through/agent.rs
@@ -166,7 +166,8 @@
     last_packet: Millis,
     /// When the target said goodbye, until its flows are reset.
     goodbye: Option<Millis>,
-    ticked: Millis,
+    /// When the table was entered last, by a packet, a message or a tick.
+    entered: Millis,
     /// The target was started while this agent watched, so that no flow of it is unknown here.
     saw_start: bool,
     life: Life,
@@ -200,7 +201,7 @@
             listening_since: now,
             last_packet: now,
             goodbye: None,
-            ticked: now,
+            entered: now,
             saw_start: false,
             life: Life::Unseen,
             is_stopping: false,
@@ -222,6 +223,7 @@
         packet: Packet<B>,
         out: &mut Vec<AgentAction<B>>,
     ) {
+        self.notice_pause(now);
         let known = self.conns.get(&packet.flow).copied();
         if packet.segment.opens() {
             let is_repeated = known.is_some_and(|conn| conn.caller_isn == Some(packet.segment.seq));
@@ -253,6 +255,7 @@
         packet: Packet<B>,
         out: &mut Vec<AgentAction<B>>,
     ) {
+        self.notice_pause(now);
         let Packet {
             flow,
             segment,
@@ -282,6 +285,7 @@
 
     /// Decides about a caller's packet that the target returned.
     pub fn on_returned(&mut self, now: Millis, packet: Packet<B>, out: &mut Vec<AgentAction<B>>) {
+        self.notice_pause(now);
         self.life = Life::Seen;
         if packet.segment.opens() {
             self.on_returned_opening(now, packet, out);
@@ -298,6 +302,7 @@
         flow: FlowId,
         out: &mut Vec<AgentAction<B>>,
     ) {
+        self.notice_pause(now);
         let holding = if self.conns.contains(&flow) || self.ended.contains(&flow) {
             Holding::Here
         } else if self.is_absent(now, &flow) {
@@ -322,7 +327,7 @@
     pub fn on_tick(&mut self, now: Millis, out: &mut Vec<AgentAction<B>>) -> bool {
         let before = self.state(now);
         self.measure(now);
-        self.forgive_silence(now);
+        self.notice_pause(now);
         if self.is_gone(now) {
             self.goodbye = None;
             self.reset_flows(now, now, out);
--- a/crates/core/src/pass_through/agent/admission.rs
+++ b/crates/core/src/pass_through/agent/admission.rs
@@ -72,8 +72,12 @@
         self.waiting.push(opening);
     }
 
-    /// Offers flows that wait while there is room, the newest first.
+    /// Offers flows that wait while there is room, the newest first. A target that has announced that
+    /// it leaves is offered none: the next tick gives them back.
     pub(super) fn admit_waiting(&mut self, now: Millis, out: &mut Vec<AgentAction<B>>) {
+        if !self.takes_new_flows(now) {
+            return;
+        }
         while !self.waiting.is_empty() && self.has_room(now) {
             if let Some(newest) = self.waiting.pop() {
                 self.offer(now, newest, out);
--- a/crates/core/src/pass_through/agent/target.rs
+++ b/crates/core/src/pass_through/agent/target.rs
@@ -21,7 +21,7 @@
 /// Time after its goodbye in which the target ends.
 const END_WITHIN: Millis = Millis(100);
 
-/// A gap between two ticks that shows that the process itself was paused.
+/// A gap between two entries to the table that shows that the process itself was paused.
 const PAUSE: Millis = Millis(600);
 
 impl<B: Clone> Agent<B> {
@@ -36,6 +36,7 @@
         heartbeat: Heartbeat,
         out: &mut Vec<AgentAction<B>>,
     ) -> Option<bool> {
+        self.notice_pause(now);
         let before = self.state(now);
         match self.last_heartbeat {
             Some((_, last)) if heartbeat.born < last.born => return None,
@@ -64,6 +65,7 @@
     /// An instance of the target says that it is gone. That is of no interest if another one has been
     /// heard since. Returns whether it was the one that is known.
     pub fn on_goodbye(&mut self, now: Millis, instance: InstanceId) -> bool {
+        self.notice_pause(now);
         let Some((_, heartbeat)) = &mut self.last_heartbeat else {
             return false;
         };
@@ -84,6 +86,7 @@
 
     /// What balancers are to know.
     pub fn report(&mut self, now: Millis) -> Report {
+        self.notice_pause(now);
         self.sequence += 1;
         let heartbeat = self.last_heartbeat.map(|(_, heartbeat)| heartbeat);
         Report {
@@ -120,15 +123,16 @@
         }
     }
 
-    /// The process was paused, so that silence until now says nothing about the target.
-    pub(super) fn forgive_silence(&mut self, now: Millis) {
-        if now.since(self.ticked) > PAUSE {
+    /// Notices that the process was paused, so that silence until now says nothing about the target.
+    /// Every entry to the table begins with this: which of them comes first after a pause is chance.
+    pub(super) fn notice_pause(&mut self, now: Millis) {
+        if now.since(self.entered) > PAUSE {
             self.listening_since = now;
             if let Some((at, _)) = &mut self.last_heartbeat {
                 *at = now;
             }
         }
-        self.ticked = now;
+        self.entered = now;
     }
 
     /// Whether the target has ended, by its own word or by a long silence.
--- a/crates/core/src/pass_through/balancer/ongoing.rs
+++ b/crates/core/src/pass_through/balancer/ongoing.rs
@@ -86,12 +86,12 @@
         }
     }
 
-    /// Asks the agents near by, but not the one that has just said no.
+    /// Asks the agents near by. `denied` has just given the packet back and is not asked for it.
     pub(super) fn search(
         &mut self,
         now: Millis,
         packet: Packet<B>,
-        not_at: Option<TargetKey>,
+        denied: Option<TargetKey>,
         out: &mut Vec<BalancerAction<B>>,
     ) {
         // Nobody waits for an answer to a reset.
@@ -105,9 +105,9 @@
         }
         let flow = packet.flow;
         let mut near = self.askable(now);
-        near.retain(|(key, _)| self.is_near(*key) && Some(*key) != not_at);
+        near.retain(|(key, _)| self.is_near(*key) && Some(*key) != denied);
         let keys = near.iter().map(|(key, _)| *key);
-        let search = Search::new(now, packet.segment, keys, packet.bytes);
+        let search = Search::new(now, packet.segment, keys, denied, packet.bytes);
         ask(flow, near, out);
         self.searches.insert(flow, search);
         self.advance(now, flow, out);
@@ -143,8 +143,8 @@
             }
             Progress::AskFar => {
                 let mut far = self.askable(now);
-                far.retain(|(key, _)| !self.is_near(*key));
                 if let Some(search) = self.searches.get_mut(&flow) {
+                    far.retain(|(key, _)| !search.includes(*key));
                     search.ask_far(now, far.iter().map(|(key, _)| *key));
                 }
                 ask(flow, far, out);
--- a/crates/core/src/pass_through/search.rs
+++ b/crates/core/src/pass_through/search.rs
@@ -71,17 +71,20 @@
 }
 
 impl<B> Search<B> {
+    /// A search that begins with the targets near by. `denied` has just given the packet back.
     pub(super) fn new(
         now: Millis,
         segment: Segment,
         near: impl Iterator<Item = TargetKey>,
+        denied: Option<TargetKey>,
         first: B,
     ) -> Self {
+        let denials = denied.map(|key| (key, Some(Holding::No)));
         Self {
             first,
             later: Vec::new(),
             segment,
-            answers: near.map(|key| (key, None)).collect(),
+            answers: near.map(|key| (key, None)).chain(denials).collect(),
             phase: Phase::AskingNear,
             since: now,
             was_unclaimed: false,
@@ -126,6 +129,11 @@
         Progress::Unknown
     }
 
+    /// Whether the target was asked, or has denied the flow unasked.
+    pub(super) fn includes(&self, target: TargetKey) -> bool {
+        self.answers.contains_key(&target)
+    }
+
     /// The others are asked besides.
     pub(super) fn ask_far(&mut self, now: Millis, far: impl Iterator<Item = TargetKey>) {
         self.answers.extend(far.map(|key| (key, None)));
--- a/crates/core/tests/pass_through/agent.rs
+++ b/crates/core/tests/pass_through/agent.rs
@@ -377,6 +377,29 @@
         assert_eq!(holding(&mut agent, later, flow(1)), Holding::Maybe);
     };
 
+    // Found by reading: the traffic thread may be paused in the middle of a batch of messages, and
+    // takes the rest of the batch before the next tick.
+    question_after_a_pause_is_not_answered_from_the_silence => {
+        let mut agent = blank_agent(START);
+        let later = START.after(Millis::from_secs(9));
+        assert_eq!(holding(&mut agent, later, flow(1)), Holding::Maybe);
+        assert_eq!(agent.report(later).state, TargetState::Ready);
+    };
+
+    packet_after_a_pause_is_not_judged_by_the_silence => {
+        let mut agent = blank_agent(START);
+        let later = START.after(Millis::from_secs(9));
+        let actions = from_caller(&mut agent, later, Offer::Held, flow(1), request());
+        assert!(is_delivered(&actions), "a trial");
+        let actions = from_caller(&mut agent, later, Offer::New, flow(2), syn());
+        assert!(is_delivered(&actions), "a new flow");
+    };
+
+    report_after_a_pause_does_not_call_the_target_dead => {
+        let mut agent = agent(START);
+        assert_eq!(agent.report(START.after(Millis::from_secs(9))).state, TargetState::Ready);
+    };
+
     target_that_sends_packets_but_no_heartbeats_keeps_its_flows => {
         let mut agent = agent(START);
         open(&mut agent, START, flow(1));
@@ -509,6 +532,16 @@
         assert_eq!(rejected(&tick(&mut agent, SOON)), Some(RejectReason::NotReady));
     };
 
+    // Found by reading: room that came free between the announcement and the next tick was used.
+    waiting_flow_is_not_offered_once_the_target_leaves => {
+        let mut agent = agent(START);
+        fill(&mut agent);
+        from_caller(&mut agent, START, Offer::New, flow(7), syn());
+        beat(&mut agent, SOON, heartbeat(1, 2, TargetState::Draining));
+        let actions = from_target(&mut agent, SOON, flow(1), response());
+        assert!(matches!(actions[..], [AgentAction::ToCaller { .. }]), "{actions:?}");
+    };
+
     ended_flow_is_counted_no_more_and_its_last_packets_pass => {
         let mut agent = agent(START);
         open(&mut agent, START, flow(1));
--- a/crates/core/tests/pass_through/balancer.rs
+++ b/crates/core/tests/pass_through/balancer.rs
@@ -290,6 +290,25 @@
         assert_eq!(actions, [BalancerAction::Ask { to: agent_addr(3), flow: flow(1) }]);
     };
 
+    // Found by reading: its denial was forgotten, and it was asked for the flow that it had just
+    // given back.
+    far_agent_that_gave_a_packet_back_is_not_asked_for_it => {
+        let mut balancer = balancer(START);
+        for number in [1, 2] {
+            let mut far = report(number, 1);
+            far.domain = crate::fixture::domain(1);
+            balancer.on_report(START, far);
+        }
+        let to = offered_to(&send(&mut balancer, START, 1, syn()));
+        let other = 3 - to;
+        let actions = reject(&mut balancer, START, to, request());
+        assert_eq!(actions, [BalancerAction::Ask { to: agent_addr(other), flow: flow(1) }]);
+        let actions = reply(&mut balancer, START, other, Holding::No);
+        assert_eq!(actions, [], "everybody has answered");
+        let again = START.after(Millis(120));
+        assert_eq!(asked(&tick(&mut balancer, again)), 2, "a denial counts when it is repeated");
+    };
+
     targets_that_may_hold_a_flow_are_tried => {
         let mut balancer = with_targets(START);
         send(&mut balancer, START, 1, request());
