--- /dev/null
+++ b/crates/soak/src/fleet.rs
@@ -0,0 +1,342 @@
+//! The real programs as processes, with their settings.
+//!
+//! Every process has an address of loopback of its own and the same ports, as machines of the platform
+//! have.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+
+use citronhollow_core::clock::Millis;
+use citronhollow_testkit::ports::free_addr;
+use citronhollow_testkit::process::{Process, Signal};
+use serde_json::{Value, json};
+
+use crate::bounds::{GRACE, HEARTBEAT};
+use crate::plan::{Node, Shape};
+
+/// Services of the targets, by their numbers.
+pub const SERVICES: [&str; 2] = ["match-desk", "draw-office"];
+
+/// Failure domains, by their numbers.
+const DOMAINS: [&str; 2] = ["ahmedabad", "surat"];
+
+/// Third parts of the loopback addresses of balancers, agents and callers.
+const BALANCER_NET: u8 = 1;
+const AGENT_NET: u8 = 2;
+const CALLER_NET: u8 = 3;
+
+/// Time between the end of a process and its next start.
+const RESTART_AFTER: Millis = Millis(300);
+
+/// Ports that all processes share.
+#[derive(Clone, Copy, Debug)]
+pub struct Ports {
+    /// Packets of callers, at balancers and at callers.
+    pub fabric: u16,
+    /// Messages between processes.
+    peer: u16,
+    /// Probes.
+    ready: u16,
+    /// Heartbeats of the target beside an agent.
+    heartbeat: u16,
+    /// Packets of the target to the agent beside it.
+    from_target: u16,
+    /// Packets of an agent to the target beside it.
+    target: u16,
+}
+
+impl Ports {
+    fn find() -> io::Result<Self> {
+        let port = || Ok::<_, io::Error>(free_addr()?.port());
+        Ok(Self {
+            fabric: port()?,
+            peer: port()?,
+            ready: port()?,
+            heartbeat: port()?,
+            from_target: port()?,
+            target: port()?,
+        })
+    }
+}
+
+#[derive(Debug)]
+struct Member {
+    settings: PathBuf,
+    process: Option<Process>,
+    /// Starts so far.
+    starts: u32,
+    is_paused: bool,
+    leaving_since: Option<Millis>,
+    /// When the process is started again after a planned stop.
+    start_at: Option<Millis>,
+}
+
+/// What the fleet found when it was looked at.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Finding {
+    /// A process has ended by itself.
+    Ended(Node),
+    /// A process did not end within its grace, and was ended.
+    Overdue(Node),
+    /// A process was started again after a planned stop.
+    Restarted(Node),
+}
+
+/// All processes of a run.
+#[derive(Debug)]
+pub struct Fleet {
+    dir: PathBuf,
+    /// Ports that all processes share.
+    pub ports: Ports,
+    members: BTreeMap<Node, Member>,
+}
+
+impl Fleet {
+    /// Writes the settings of all processes into `dir`. `link` gives each the address of the store.
+    ///
+    /// # Errors
+    ///
+    /// If a file cannot be written, or no port is free.
+    pub fn new(dir: &Path, shape: Shape, link: impl Fn(Node) -> SocketAddr) -> io::Result<Self> {
+        let ports = Ports::find()?;
+        let mut members = BTreeMap::new();
+        for node in shape.nodes() {
+            let settings = match node {
+                Node::Balancer(number) => balancer_settings(number, ports, link(node)),
+                Node::Agent(number) => agent_settings(number, ports, link(node)),
+            };
+            let path = dir.join(format!("{node}.json"));
+            std::fs::write(&path, settings.to_string())?;
+            let member = Member {
+                settings: path,
+                process: None,
+                starts: 0,
+                is_paused: false,
+                leaving_since: None,
+                start_at: None,
+            };
+            members.insert(node, member);
+        }
+        Ok(Self {
+            dir: dir.to_path_buf(),
+            ports,
+            members,
+        })
+    }
+
+    /// How often a process was started.
+    #[must_use]
+    pub fn starts(&self, node: Node) -> u32 {
+        self.members.get(&node).map_or(0, |member| member.starts)
+    }
+
+    /// Starts a process, unless it runs.
+    ///
+    /// # Errors
+    ///
+    /// The error of the start.
+    pub fn start(&mut self, node: Node) -> io::Result<()> {
+        let Some(member) = self.members.get_mut(&node) else {
+            return Ok(());
+        };
+        if member.process.is_some() {
+            return Ok(());
+        }
+        member.starts += 1;
+        member.start_at = None;
+        let log = self.dir.join(format!("{node}-{}.log", member.starts));
+        let settings = member.settings.display().to_string();
+        let (binary, args) = match node {
+            Node::Balancer(_) => ("citronhollow", ["balancer", "--pass-through"].as_slice()),
+            Node::Agent(_) => ("citronhollow-agent", ["--pass-through"].as_slice()),
+        };
+        let args = args.iter().copied().chain(["--settings", &settings]);
+        let name = node.to_string();
+        member.process = Some(Process::start(binary, &name, args, &log)?);
+        Ok(())
+    }
+
+    /// Ends a process at once.
+    ///
+    /// # Errors
+    ///
+    /// The error of the signal.
+    pub fn kill(&mut self, node: Node) -> io::Result<()> {
+        let Some(member) = self.members.get_mut(&node) else {
+            return Ok(());
+        };
+        (member.is_paused, member.leaving_since, member.start_at) = (false, None, None);
+        match member.process.take() {
+            Some(mut process) => process.kill(),
+            None => Ok(()),
+        }
+    }
+
+    /// Asks a process to end. It is started again afterwards.
+    ///
+    /// # Errors
+    ///
+    /// The error of the signal.
+    pub fn terminate(&mut self, now: Millis, node: Node) -> io::Result<bool> {
+        let Some(member) = self.members.get_mut(&node) else {
+            return Ok(false);
+        };
+        match &member.process {
+            Some(process) if member.leaving_since.is_none() => {
+                process.signal(Signal::Terminate)?;
+                member.leaving_since = Some(now);
+                Ok(true)
+            }
+            _ => Ok(false),
+        }
+    }
+
+    /// Sends a signal that does not end the process, if it runs.
+    ///
+    /// # Errors
+    ///
+    /// The error of the signal.
+    pub fn signal(&mut self, node: Node, signal: Signal) -> io::Result<()> {
+        let Some(member) = self.members.get_mut(&node) else {
+            return Ok(());
+        };
+        let Some(process) = &mut member.process else {
+            return Ok(());
+        };
+        if process.has_ended()? {
+            // Noticed and judged at the next look.
+            return Ok(());
+        }
+        match signal {
+            Signal::Stop => member.is_paused = true,
+            Signal::Continue => member.is_paused = false,
+            Signal::Terminate | Signal::Reload => {}
+        }
+        process.signal(signal)
+    }
+
+    /// Looks after all processes.
+    ///
+    /// # Errors
+    ///
+    /// The error of a start or a signal.
+    pub fn look(&mut self, now: Millis) -> io::Result<Vec<Finding>> {
+        let mut found = Vec::new();
+        let mut due = Vec::new();
+        for (node, member) in &mut self.members {
+            if member.start_at.is_some_and(|at| now >= at) {
+                due.push(*node);
+            }
+            let Some(process) = &mut member.process else {
+                continue;
+            };
+            let has_ended = process.has_ended()?;
+            match member.leaving_since {
+                None if has_ended => {
+                    found.push(Finding::Ended(*node));
+                    member.process = None;
+                    member.start_at = Some(now.after(RESTART_AFTER));
+                }
+                Some(since) if has_ended || (now >= since.after(GRACE) && !member.is_paused) => {
+                    if !has_ended {
+                        found.push(Finding::Overdue(*node));
+                        process.kill()?;
+                    }
+                    member.process = None;
+                    member.leaving_since = None;
+                    member.start_at = Some(now.after(RESTART_AFTER));
+                }
+                _ => {}
+            }
+        }
+        for node in due {
+            self.start(node)?;
+            found.push(Finding::Restarted(node));
+        }
+        Ok(found)
+    }
+
+    /// Where a balancer takes callers' packets.
+    #[must_use]
+    pub fn fabric(&self, balancer: usize) -> SocketAddr {
+        address(BALANCER_NET, balancer, self.ports.fabric)
+    }
+
+    /// Where a balancer is probed.
+    #[must_use]
+    pub fn probe(&self, balancer: usize) -> SocketAddr {
+        address(BALANCER_NET, balancer, self.ports.ready)
+    }
+
+    /// Where a target takes packets.
+    #[must_use]
+    pub fn target(&self, target: usize) -> SocketAddr {
+        address(AGENT_NET, target, self.ports.target)
+    }
+
+    /// Where the agent beside a target takes its packets.
+    #[must_use]
+    pub fn from_target(&self, target: usize) -> SocketAddr {
+        address(AGENT_NET, target, self.ports.from_target)
+    }
+
+    /// Where the agent beside a target takes its heartbeats.
+    #[must_use]
+    pub fn heartbeats(&self, target: usize) -> SocketAddr {
+        address(AGENT_NET, target, self.ports.heartbeat)
+    }
+
+    /// Where a caller takes packets.
+    #[must_use]
+    pub fn caller(&self, caller: usize) -> SocketAddr {
+        address(CALLER_NET, caller, self.ports.fabric)
+    }
+}
+
+/// Service of a target: more of them belong to the first.
+#[must_use]
+pub const fn service_of(target: usize) -> usize {
+    if target % 5 < 3 { 0 } else { 1 }
+}
+
+fn address(net: u8, number: usize, port: u16) -> SocketAddr {
+    let host = u8::try_from(number + 1).unwrap_or(u8::MAX);
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, 0, net, host)), port)
+}
+
+fn domain_of(number: usize) -> &'static str {
+    DOMAINS[number % DOMAINS.len()]
+}
+
+fn keys() -> Value {
+    json!([{"id": 1, "secret": "ab".repeat(32)}])
+}
+
+/// The first two balancers are named to every process, as the platform names some machines.
+fn seeds(ports: Ports) -> [SocketAddr; 2] {
+    [0, 1].map(|number| address(BALANCER_NET, number, ports.peer))
+}
+
+fn balancer_settings(number: usize, ports: Ports, store: SocketAddr) -> Value {
+    let listen = |port| address(BALANCER_NET, number, port);
+    json!({
+        "name": Node::Balancer(number).to_string(), "domain": domain_of(number),
+        "fabric_listen": listen(ports.fabric), "ready_listen": listen(ports.ready),
+        "peer_listen": listen(ports.peer), "seeds": seeds(ports), "platform": store,
+        "keys": keys(), "flow_life_s": 60, "grace_s": GRACE.0 / 1_000,
+    })
+}
+
+fn agent_settings(number: usize, ports: Ports, store: SocketAddr) -> Value {
+    let listen = |port| address(AGENT_NET, number, port);
+    json!({
+        "name": Node::Agent(number).to_string(), "domain": domain_of(number),
+        "group": SERVICES[service_of(number)], "target": listen(ports.target),
+        "target_listen": listen(ports.from_target), "heartbeat_listen": listen(ports.heartbeat),
+        "ready_listen": listen(ports.ready), "peer_listen": listen(ports.peer),
+        "fabric_listen": listen(ports.fabric), "seeds": seeds(ports), "platform": store,
+        "keys": keys(), "heartbeat_ms": HEARTBEAT.0, "flow_life_s": 60,
+    })
+}
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,111 @@
+//! `soak`: plays seeds against the real programs and prints what is broken.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Mutex;
+
+use citronhollow_core::clock::Millis;
+use citronhollow_soak::plan::Plan;
+use citronhollow_soak::run::{self, Report, SHAPE};
+use gumdrop::Options;
+
+/// Plays faults that are drawn from seeds against the real programs.
+#[derive(Debug, Options)]
+struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(no_short, help = "first seed", meta = "N", default = "1")]
+    seed: u64,
+    #[options(no_short, help = "number of seeds", meta = "N", default = "1")]
+    count: u64,
+    #[options(
+        no_short,
+        help = "length of the faults of one seed, in seconds",
+        default = "20"
+    )]
+    seconds: u64,
+    #[options(no_short, help = "seeds that are played at once", default = "1")]
+    jobs: usize,
+    #[options(no_short, help = "print the plan of the first seed and play nothing")]
+    plan: bool,
+    #[options(
+        no_short,
+        help = "folder that keeps the logs of seeds that failed",
+        meta = "DIR"
+    )]
+    keep: Option<PathBuf>,
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse_args_default_or_exit();
+    let length = Millis::from_secs(arguments.seconds);
+    if arguments.plan {
+        for (at, action) in Plan::draw(arguments.seed, SHAPE, length).steps {
+            println!("{:>6} ms  {action:?}", at.0);
+        }
+        return ExitCode::SUCCESS;
+    }
+    let last = arguments.seed.saturating_add(arguments.count);
+    let seeds = Mutex::new(arguments.seed..last);
+    let has_failed = Mutex::new(false);
+    std::thread::scope(|scope| {
+        for _ in 0..arguments.jobs.max(1) {
+            scope.spawn(|| {
+                let next = || seeds.lock().ok()?.next();
+                while let Some(seed) = next() {
+                    let is_kept = play(seed, length, arguments.keep.as_ref());
+                    if !is_kept && let Ok(mut has_failed) = has_failed.lock() {
+                        *has_failed = true;
+                    }
+                }
+            });
+        }
+    });
+    match has_failed.into_inner() {
+        Ok(false) => ExitCode::SUCCESS,
+        _ => ExitCode::FAILURE,
+    }
+}
+
+/// Plays one seed. Returns whether every promise was kept.
+fn play(seed: u64, length: Millis, keep: Option<&PathBuf>) -> bool {
+    let name = format!("citronhollow-soak-{}-{seed}", std::process::id());
+    let dir = keep
+        .map_or_else(std::env::temp_dir, Clone::clone)
+        .join(name);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let report = runtime.and_then(|runtime| runtime.block_on(run::play(seed, length, &dir)));
+    let is_kept = match &report {
+        Ok(report) => {
+            print(report);
+            report.broken.is_empty()
+        }
+        Err(err) => {
+            println!("seed {seed}: not played: {err}");
+            false
+        }
+    };
+    if is_kept || keep.is_none() {
+        // What is left in the temporary folder is of no use to anybody.
+        let _ = std::fs::remove_dir_all(&dir);
+    }
+    is_kept
+}
+
+fn print(report: &Report) {
+    println!(
+        "seed {}: {} steps, {} flows, {} answered, {} given up, {} reset, {} broken",
+        report.seed,
+        report.steps,
+        report.opened,
+        report.answered,
+        report.given_up,
+        report.resets,
+        report.broken.len()
+    );
+    for broken in &report.broken {
+        println!("seed {}: {broken}", report.seed);
+    }
+}
--- /dev/null
+++ b/crates/soak/src/target.rs
@@ -0,0 +1,247 @@
+//! A target: a server of the platform that answers requests, without its sockets.
+//!
+//! It takes flows, runs each request once when its first byte arrives, and answers after a while. A
+//! packet of a flow that it does not hold goes back with the mark for it.
+
+use std::collections::HashMap;
+
+use bytes::{Bytes, BytesMut};
+use citronhollow_adapter::packet::from_caller;
+use citronhollow_core::clock::Millis;
+use citronhollow_core::flow::{FlowId, Segment};
+use citronhollow_core::members::TargetState;
+use citronhollow_standin::packet::{Writer, data, encode, is_genuine, returned};
+
+/// Length of an answer, in bytes.
+pub const ANSWER_LEN: usize = 600;
+
+/// Time of one request.
+const WORK: Millis = Millis(15);
+
+/// Requests that are worked on at once.
+pub const SLOTS: u16 = 2;
+
+/// A request, as a caller writes it into one packet.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Request {
+    /// Its own number.
+    pub id: u64,
+    /// Whether it may be run more than once.
+    pub may_repeat: bool,
+}
+
+impl Request {
+    /// Length of a request, in bytes.
+    pub const LEN: usize = 9;
+
+    /// As it stands in a packet.
+    #[must_use]
+    pub fn to_bytes(self) -> [u8; Self::LEN] {
+        let mut bytes = [u8::from(self.may_repeat); Self::LEN];
+        bytes[..8].copy_from_slice(&self.id.to_be_bytes());
+        bytes
+    }
+
+    /// Read from a packet, none if it is no request.
+    #[must_use]
+    pub fn from_bytes(bytes: &[u8]) -> Option<Self> {
+        let (id, rest) = bytes.split_first_chunk::<8>()?;
+        let id = u64::from_be_bytes(*id);
+        let may_repeat = *rest.first()? != 0;
+        Some(Self { id, may_repeat })
+    }
+}
+
+/// The answer to a request. It differs in every byte from that to the next one.
+#[must_use]
+pub fn answer(request: u64) -> Bytes {
+    let mut buf = BytesMut::with_capacity(ANSWER_LEN);
+    let mut word = request;
+    while buf.len() < ANSWER_LEN {
+        word = word.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        buf.extend_from_slice(&word.to_be_bytes());
+    }
+    buf.truncate(ANSWER_LEN);
+    buf.freeze()
+}
+
+/// What a target does.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum TargetEvent {
+    /// Sends a packet to the agent beside it.
+    Send(Bytes),
+    /// A caller has opened a flow.
+    Opened(FlowId),
+    /// A request begins to run.
+    Runs(Request),
+    /// A packet is not as its caller wrote it.
+    Changed(FlowId),
+}
+
+#[derive(Debug)]
+struct Held {
+    caller_isn: u32,
+    /// Sequence number of the next byte to the caller.
+    next_seq: u32,
+    /// Sequence number of the next byte from the caller.
+    expected: u32,
+    is_open: bool,
+    last_answer: Option<Bytes>,
+}
+
+/// One start of a target.
+#[derive(Debug)]
+pub struct Target {
+    /// What it tells the agent beside it.
+    pub state: TargetState,
+    flows: HashMap<FlowId, Held>,
+    /// Answers that are due, with their flows.
+    due: Vec<(Millis, FlowId, Bytes)>,
+    busy_until: [Millis; SLOTS as usize],
+    isns: u32,
+}
+
+impl Target {
+    /// A target without flows. `seed` makes its sequence numbers differ from those of others.
+    #[must_use]
+    pub fn new(seed: u32) -> Self {
+        Self {
+            state: TargetState::Ready,
+            flows: HashMap::new(),
+            due: Vec::new(),
+            busy_until: [Millis::ZERO; SLOTS as usize],
+            isns: seed,
+        }
+    }
+
+    /// Whether the flow is open here.
+    #[must_use]
+    pub fn holds(&self, flow: &FlowId) -> bool {
+        self.flows.get(flow).is_some_and(|held| held.is_open)
+    }
+
+    /// A packet arrives from the agent.
+    pub fn on_packet(&mut self, now: Millis, bytes: &Bytes, out: &mut Vec<TargetEvent>) {
+        let Ok(caller) = from_caller(bytes.clone()) else {
+            return;
+        };
+        let (flow, segment) = (caller.packet.flow, caller.packet.segment);
+        if !is_genuine(bytes) {
+            out.push(TargetEvent::Changed(flow));
+        } else if segment.opens() {
+            self.on_opening(flow, &segment, out);
+        } else if segment.rst {
+            self.flows.remove(&flow);
+        } else if self.is_for_held(&flow, &segment) {
+            self.on_held(now, flow, &segment, bytes, out);
+        } else {
+            out.push(TargetEvent::Send(returned(bytes)));
+        }
+    }
+
+    /// Answers whose time has come.
+    pub fn take_due(&mut self, now: Millis) -> Vec<Bytes> {
+        let due = self.due.extract_if(.., |(at, ..)| *at <= now);
+        let due: Vec<_> = due.collect();
+        due.into_iter()
+            .filter_map(|(_, flow, answer)| self.write_answer(flow, &answer))
+            .collect()
+    }
+
+    fn on_opening(&mut self, flow: FlowId, segment: &Segment, out: &mut Vec<TargetEvent>) {
+        let is_copy = |held: &Held| held.caller_isn == segment.seq;
+        if !self.flows.get(&flow).is_some_and(is_copy) {
+            self.isns = self
+                .isns
+                .wrapping_mul(1_664_525)
+                .wrapping_add(1_013_904_223);
+            let held = Held {
+                caller_isn: segment.seq,
+                next_seq: self.isns.wrapping_add(1),
+                expected: segment.seq.wrapping_add(1),
+                is_open: false,
+                last_answer: None,
+            };
+            self.flows.insert(flow, held);
+        }
+        let Some(held) = self.flows.get(&flow).filter(|held| !held.is_open) else {
+            return;
+        };
+        let segment = Segment {
+            syn: true,
+            ack: true,
+            seq: held.next_seq.wrapping_sub(1),
+            ack_seq: held.expected,
+            ..Segment::default()
+        };
+        let bytes = encode(Writer::Target, flow, &segment, b"");
+        out.push(TargetEvent::Send(bytes));
+    }
+
+    /// A packet that acknowledges another target's answer belongs to a flow of that target.
+    fn is_for_held(&self, flow: &FlowId, segment: &Segment) -> bool {
+        let is_ours = |held: &Held| held.is_open || segment.ack_seq == held.next_seq;
+        self.flows.get(flow).is_some_and(is_ours)
+    }
+
+    fn on_held(
+        &mut self,
+        now: Millis,
+        flow: FlowId,
+        segment: &Segment,
+        bytes: &Bytes,
+        out: &mut Vec<TargetEvent>,
+    ) {
+        let Some(held) = self.flows.get_mut(&flow) else {
+            return;
+        };
+        if !held.is_open {
+            held.is_open = true;
+            out.push(TargetEvent::Opened(flow));
+        }
+        if segment.fin {
+            let segment = Segment {
+                ack: true,
+                fin: true,
+                seq: held.next_seq,
+                ack_seq: segment.seq.wrapping_add(1),
+                ..Segment::default()
+            };
+            let bytes = encode(Writer::Target, flow, &segment, b"");
+            out.push(TargetEvent::Send(bytes));
+            self.flows.remove(&flow);
+        } else if let Some(request) = Request::from_bytes(data(bytes)) {
+            if segment.seq == held.expected {
+                held.expected = held.expected.wrapping_add(segment.payload);
+                held.last_answer = None;
+                out.push(TargetEvent::Runs(request));
+                self.work(now, flow, request);
+            } else if let Some(answer) = held.last_answer.clone() {
+                // The caller has not seen the answer and repeats its request.
+                out.push(TargetEvent::Send(answer));
+            }
+        }
+    }
+
+    fn work(&mut self, now: Millis, flow: FlowId, request: Request) {
+        if let Some(slot) = self.busy_until.iter_mut().min() {
+            *slot = (*slot).max(now).after(WORK);
+            self.due.push((*slot, flow, answer(request.id)));
+        }
+    }
+
+    fn write_answer(&mut self, flow: FlowId, answer: &[u8]) -> Option<Bytes> {
+        let held = self.flows.get_mut(&flow)?;
+        let segment = Segment {
+            ack: true,
+            seq: held.next_seq,
+            ack_seq: held.expected,
+            ..Segment::default()
+        };
+        let len = u32::try_from(answer.len()).unwrap_or_default();
+        held.next_seq = held.next_seq.wrapping_add(len);
+        let bytes = encode(Writer::Target, flow, &segment, answer);
+        held.last_answer = Some(bytes.clone());
+        Some(bytes)
+    }
+}
--- /dev/null
+++ b/crates/soak/tests/ends.rs
@@ -0,0 +1,144 @@
+//! A caller's flow and a target against each other, without sockets.
+
+use bytes::Bytes;
+use citronhollow_core::clock::Millis;
+use citronhollow_core::flow::{FlowId, Segment};
+use citronhollow_core::pass_through::{Reset, ResetReason};
+use citronhollow_soak::exchange::{DEADLINE, Exchange, ExchangeEvent};
+use citronhollow_soak::target::{Request, Target, TargetEvent};
+use citronhollow_standin::packet::{Writer, encode, returned};
+
+const START: Millis = Millis(1_000);
+const LATER: Millis = Millis(1_100);
+const REQUEST: Request = Request {
+    id: 7,
+    may_repeat: false,
+};
+
+macro_rules! cases {
+    ($($name:ident => $body:expr;)*) => {
+        $(#[test] fn $name() { $body })*
+    };
+}
+
+fn flow() -> FlowId {
+    FlowId {
+        caller: "127.0.3.1:20000".parse().expect("an address"),
+        service: "198.18.0.1:8001".parse().expect("an address"),
+    }
+}
+
+fn to_target(target: &mut Target, now: Millis, packet: &Bytes) -> Vec<TargetEvent> {
+    let mut out = Vec::new();
+    target.on_packet(now, packet, &mut out);
+    out
+}
+
+/// The packets among what a target does.
+fn sent(events: &[TargetEvent]) -> Vec<Bytes> {
+    let packet = |event: &TargetEvent| match event {
+        TargetEvent::Send(bytes) => Some(bytes.clone()),
+        _ => None,
+    };
+    events.iter().filter_map(packet).collect()
+}
+
+/// A flow that is accepted, and the packet of its first request.
+fn ask(target: &mut Target) -> (Exchange, Bytes) {
+    let mut exchange = Exchange::new(START, flow(), 500);
+    let accepted = sent(&to_target(target, START, &exchange.opening()));
+    assert_eq!(
+        exchange.on_packet(&accepted[0]),
+        Some(ExchangeEvent::Accepted)
+    );
+    let request = exchange.ask(START, REQUEST);
+    (exchange, request)
+}
+
+cases! {
+    request_runs_once_and_is_answered_whole => {
+        let mut target = Target::new(1);
+        let (mut exchange, request) = ask(&mut target);
+        let events = to_target(&mut target, START, &request);
+        assert_eq!(events, [TargetEvent::Opened(flow()), TargetEvent::Runs(REQUEST)]);
+        assert_eq!(to_target(&mut target, START, &request), [], "a copy while it is worked on");
+        let answers = target.take_due(LATER);
+        assert_eq!(exchange.on_packet(&answers[0]), Some(ExchangeEvent::Answered(REQUEST)));
+        let again = to_target(&mut target, LATER, &request);
+        assert_eq!(sent(&again), answers, "a copy after the answer");
+        assert_eq!(exchange.on_packet(&answers[0]), None);
+        assert!(target.holds(&flow()));
+    };
+
+    packet_of_a_flow_that_is_not_held_goes_back => {
+        let (_, request) = ask(&mut Target::new(1));
+        let events = to_target(&mut Target::new(2), START, &request);
+        assert_eq!(events, [TargetEvent::Send(returned(&request))]);
+    };
+
+    packet_that_acknowledges_another_target_goes_back => {
+        let (exchange, request) = ask(&mut Target::new(1));
+        let mut other = Target::new(2);
+        to_target(&mut other, START, &Exchange::new(START, exchange.flow, 500).opening());
+        assert_eq!(to_target(&mut other, START, &request), [TargetEvent::Send(returned(&request))]);
+        assert!(!other.holds(&flow()));
+    };
+
+    changed_packets_are_noticed_at_both_ends => {
+        let mut target = Target::new(1);
+        let (mut exchange, request) = ask(&mut target);
+        let mut changed = request.to_vec();
+        *changed.last_mut().expect("a byte") ^= 1;
+        let events = to_target(&mut target, START, &Bytes::from(changed));
+        assert_eq!(events, [TargetEvent::Changed(flow())]);
+        to_target(&mut target, START, &request);
+        let mut changed = target.take_due(LATER)[0].to_vec();
+        *changed.last_mut().expect("a byte") ^= 1;
+        assert_eq!(exchange.on_packet(&Bytes::from(changed)), Some(ExchangeEvent::Wrong));
+    };
+
+    answer_to_another_request_is_wrong => {
+        let mut target = Target::new(1);
+        let (mut exchange, request) = ask(&mut target);
+        to_target(&mut target, START, &request);
+        let seq = seq_of(&target.take_due(LATER)[0]);
+        let segment = Segment { ack: true, seq, ..Segment::default() };
+        let other = encode(Writer::Target, flow(), &segment, b"something else");
+        assert_eq!(exchange.on_packet(&other), Some(ExchangeEvent::Wrong));
+    };
+
+    reset_ends_a_flow_if_its_number_is_near => {
+        let mut target = Target::new(1);
+        let (mut exchange, _) = ask(&mut target);
+        let opening = Exchange::new(START, flow(), 500).opening();
+        let seq = seq_of(&sent(&to_target(&mut Target::new(1), START, &opening))[0]);
+        let reset = |seq| {
+            let reason = ResetReason::TargetEnded;
+            citronhollow_adapter::packet::reset(&Reset { flow: flow(), seq, reason })
+        };
+        assert_eq!(exchange.on_packet(&reset(seq.wrapping_add(90_000))), None);
+        assert_eq!(exchange.on_packet(&reset(seq)), Some(ExchangeEvent::Reset(true)));
+    };
+
+    opening_packet_is_repeated_twice_and_then_given_up => {
+        let mut exchange = Exchange::new(START, flow(), 500);
+        let at = |exchange: &mut Exchange, ms| exchange.on_tick(START.after(Millis(ms)));
+        assert_eq!(at(&mut exchange, 199), (None, None));
+        assert_eq!(at(&mut exchange, 200).0, Some(exchange.opening()));
+        assert_eq!(at(&mut exchange, 600).0, Some(exchange.opening()));
+        assert_eq!(at(&mut exchange, 1_400), (None, Some(ExchangeEvent::GaveUp)));
+    };
+
+    request_without_an_answer_is_repeated_and_given_up => {
+        let (mut exchange, request) = ask(&mut Target::new(1));
+        assert_eq!(exchange.on_tick(START.after(Millis(200))), (Some(request), None));
+        assert_eq!(exchange.on_tick(START.after(DEADLINE)), (None, Some(ExchangeEvent::GaveUp)));
+    };
+}
+
+fn seq_of(packet: &Bytes) -> u32 {
+    match citronhollow_adapter::packet::from_target(packet.clone()) {
+        Ok(citronhollow_adapter::packet::FromTarget::ToCaller(packet)) => packet.segment.seq,
+        other => panic!("{other:?}"),
+    }
+}
--- /dev/null
+++ b/crates/soak/tests/short.rs
@@ -0,0 +1,24 @@
+//! One short seed against the real programs. Longer runs are started by hand (`docs/SOAK.md`).
+
+use citronhollow_core::clock::Millis;
+use citronhollow_soak::run::play;
+
+/// Seed of the run that CI plays. Its plan has restarts of both kinds of processes, a change of the
+/// configuration and a store that refuses calls.
+const SEED: u64 = 1;
+
+const LENGTH: Millis = Millis::from_secs(8);
+
+#[tokio::test]
+async fn promises_hold_under_a_short_plan() {
+    let name = format!("citronhollow-soak-short-{}", std::process::id());
+    let dir = std::env::temp_dir().join(name);
+    let report = play(SEED, LENGTH, &dir).await.expect("a run");
+    assert!(
+        report.broken.is_empty(),
+        "{report:#?}\nlogs: {}",
+        dir.display()
+    );
+    assert!(report.answered > 0, "{report:?}");
+    std::fs::remove_dir_all(&dir).expect("the folder is there");
+}
--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -15,6 +15,8 @@
     Stop,
     /// Lets a frozen process go on.
     Continue,
+    /// Says that the settings have changed.
+    Reload,
 }
 
 impl Signal {
@@ -23,6 +25,7 @@
             Self::Terminate => "-TERM",
             Self::Stop => "-STOP",
             Self::Continue => "-CONT",
+            Self::Reload => "-HUP",
         }
     }
 }
@@ -35,7 +38,8 @@
 }
 
 impl Process {
-    /// Starts a binary of this workspace; its standard error goes to `log`.
+    /// Starts a binary of this workspace. Its standard error goes to `log`, and its standard output to a
+    /// file beside it that ends in `.out`.
     ///
     /// # Errors
     ///
@@ -46,11 +50,12 @@
         I::Item: AsRef<OsStr>,
     {
         let program = binaries()?.join(binary);
+        let output = std::fs::File::create(log.with_extension("out"))?;
         let log = std::fs::File::create(log)?;
         let child = Command::new(program)
             .args(args)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(output)
             .stderr(log)
             .spawn()?;
         Ok(Self {
@@ -135,12 +140,15 @@
     profile_folder()
 }
 
-/// The folder above `deps` or `examples`, in which the running program lies.
+/// The nearest folder above the running program that holds the product's: the program itself may lie
+/// there, or in `deps` or `examples` below it.
 fn profile_folder() -> io::Result<PathBuf> {
     let program = std::env::current_exe()?;
+    let holds_product = |dir: &&Path| dir.join("citronhollow").is_file();
     program
         .ancestors()
-        .nth(2)
+        .skip(1)
+        .find(holds_product)
         .map(Path::to_path_buf)
         .ok_or_else(|| io::Error::other("the program lies in no build folder"))
 }
