Count what a target fails as load

Ruled out: probes (they are priced, and a health check says nothing here); resets of open flows of such a target (a healthy one that is slow would lose sessions); ejection by a threshold with a cap, since the share as load does the same without one: a failing target still helps where the others are full, and a pool that fails as a whole is served by all. Answers that say that they failed cannot be told from others, since only the ends read them.

Change: the agent watches each request. One whose flow the target resets has failed, and so has one without an answer for five times the expected time behind those ahead of it, 500 ms at least. The share over about eight requests goes with the report; half of it is forgotten after 2 s without a request, and a pause or a new start of the target clears it. Balancers add three times the share above 130 per mille to the load.

Tests without network: agent::target_that_resets_requests_is_reported_as_failing and seven more, load::target_that_fails_fast_attracts_no_flows and four more.

--- a/crates/core/examples/pass_through_cost.rs
+++ b/crates/core/examples/pass_through_cost.rs
@@ -90,6 +90,7 @@
         flows: 0,
         busy: 0,
         mean_busy_milli: 0,
+        failing_milli: 0,
     }
 }
 
--- a/crates/core/src/pass_through/agent.rs
+++ b/crates/core/src/pass_through/agent.rs
@@ -15,11 +15,13 @@
 use crate::recent::Recent;
 
 mod admission;
+mod health;
 mod list;
 mod target;
 mod unknown;
 
 use admission::Opening;
+use health::Health;
 pub use list::{FlowList, ListedFlow};
 use unknown::ABSENT_LIFE;
 
@@ -179,6 +181,7 @@
     work_micros: u64,
     mean_busy_milli: u64,
     measured: Millis,
+    health: Health,
 }
 
 impl<B: Clone> Agent<B> {
@@ -210,6 +213,7 @@
             work_micros: 0,
             mean_busy_milli: 0,
             measured: now,
+            health: Health::default(),
         }
     }
 
@@ -269,6 +273,9 @@
         }
         self.offers.remove(&flow);
         if segment.rst {
+            if self.conns.get(&flow).is_some_and(|conn| conn.is_busy) {
+                self.health.on_end(now, false);
+            }
             self.forget(now, &flow);
         } else if !self.ended.contains(&flow) {
             // An answer that came after its opening packet was given back opens nothing by itself.
@@ -332,6 +339,9 @@
             self.goodbye = None;
             self.reset_flows(now, now, out);
         }
+        let conns = &self.conns;
+        let began = |flow: &FlowId| conns.get(flow)?.request.map(|(since, _)| since);
+        self.health.on_tick(now, began);
         self.end_trials(now, out);
         self.withdraw_offers(now, out);
         self.give_waiting_back(now, out);
@@ -444,12 +454,15 @@
         let mut answered = None;
         if is_busy && !was_busy {
             conn.request = Some((now, self.busy));
+            let expected = self.expected_work(self.busy);
+            self.health.on_request(now, flow, expected);
         } else if was_busy && !is_busy {
             answered = conn.request.take();
         }
         self.busy = self.busy + u32::from(is_busy) - u32::from(was_busy);
         if let Some((since, ahead)) = answered {
             self.learn_work(now.since(since), ahead);
+            self.health.on_end(now, true);
         }
         if has_ended {
             self.forget(now, &flow);
--- a/crates/core/src/pass_through/agent/admission.rs
+++ b/crates/core/src/pass_through/agent/admission.rs
@@ -149,6 +149,15 @@
         };
     }
 
+    /// Time in which a request should be answered that comes behind `ahead` others.
+    pub(super) fn expected_work(&self, ahead: u32) -> Millis {
+        let slots = self
+            .last_heartbeat
+            .map_or(1, |(_, heartbeat)| heartbeat.slots);
+        let rounds = u64::from(ahead) / u64::from(slots.max(1)) + 1;
+        Millis(self.work_micros * rounds / 1_000)
+    }
+
     fn offer(&mut self, now: Millis, opening: Opening<B>, out: &mut Vec<AgentAction<B>>) {
         let Packet {
             flow,
--- a/crates/core/src/pass_through/agent/target.rs
+++ b/crates/core/src/pass_through/agent/target.rs
@@ -7,6 +7,7 @@
 use super::super::conn::{Conn, Stage};
 use super::super::fleet::Report;
 use super::super::packet::{Holding, Reset, ResetReason};
+use super::health::Health;
 use super::{ANSWER_WITHIN, Agent, AgentAction, Heartbeat, Life};
 
 /// Span over which the mean of requests in progress is taken.
@@ -47,6 +48,7 @@
             }
             Some(_) => {
                 self.saw_start = true;
+                self.health = Health::default();
                 let started = Millis(now.0.saturating_sub(heartbeat.age.0));
                 self.reset_flows(now, started, out);
             }
@@ -103,6 +105,7 @@
             flows: u32::try_from(self.conns.len()).unwrap_or(u32::MAX),
             busy: self.pending(),
             mean_busy_milli: u32::try_from(self.mean_busy_milli).unwrap_or(u32::MAX),
+            failing_milli: self.health.failing_milli(),
         }
     }
 
@@ -128,6 +131,7 @@
     pub(super) fn notice_pause(&mut self, now: Millis) {
         if now.since(self.entered) > PAUSE {
             self.listening_since = now;
+            self.health.forgive();
             if let Some((at, _)) = &mut self.last_heartbeat {
                 *at = now;
             }
--- a/crates/core/src/pass_through/fleet.rs
+++ b/crates/core/src/pass_through/fleet.rs
@@ -46,6 +46,8 @@
     pub busy: u32,
     /// Requests in progress and waiting over the last seconds, in thousandths.
     pub mean_busy_milli: u32,
+    /// Share of its last requests that the target did not answer, in thousandths.
+    pub failing_milli: u32,
 }
 
 /// Position of a target in [`Fleet`].
--- a/crates/core/src/pass_through/steering.rs
+++ b/crates/core/src/pass_through/steering.rs
@@ -4,7 +4,9 @@
 //! works on at the moment: the load of a target is the mean of its measured requests in progress
 //! and of what its number of flows brings at the fleet's average. Flows given since the last
 //! report count at once, which keeps many callers that come back together from meeting at the
-//! target that looked idle. Traffic between failure domains costs, so a target in another domain
+//! target that looked idle. A target that leaves requests without an answer is soon done with them
+//! and looks idle too, so the share that it fails counts as load. That is relative: it still helps
+//! where the others are full, and a pool that fails as a whole is used as before. Traffic between failure domains costs, so a target in another domain
 //! must be better by a margin that depends on the bytes a flow carries.
 
 use rand::Rng;
@@ -38,6 +40,14 @@
 /// A target is slower by about this much while it is cold, in thousandths.
 const COLD_MILLI: u64 = 1_600;
 
+/// Share of failed requests that is taken for single failures, in thousandths: of eight requests in
+/// a row none, with the weight that one failure has in the share.
+const FAILING_IGNORED_MILLI: u64 = 130;
+
+/// Load for each failed request: a target that fails a third more than single requests comes after
+/// one whose slots are full.
+const FAILING_LOAD: u64 = 3;
+
 /// Random part of a score, in thousandths of the slots. Balancers that know the same do not
 /// choose the same target then.
 const JITTER_MILLI: u64 = 40;
@@ -111,7 +121,8 @@
     let measured = u64::from(report.mean_busy_milli).midpoint(u64::from(report.busy) * FULL_MILLI);
     let measured = measured + given * flow_milli;
     let work = by_flows.midpoint(measured);
-    let load = work / u64::from(report.slots.max(1));
+    let failing = u64::from(report.failing_milli).saturating_sub(FAILING_IGNORED_MILLI);
+    let load = work / u64::from(report.slots.max(1)) + failing * FAILING_LOAD;
     if report.cold_left == Millis::ZERO {
         load
     } else {
--- a/crates/core/tests/pass_through/agent.rs
+++ b/crates/core/tests/pass_through/agent.rs
@@ -55,6 +55,12 @@
     from_caller(agent, now, Offer::Held, flow, ack(TARGET_ISN));
 }
 
+/// A flow with a request in progress.
+fn ask(agent: &mut Agent<Bytes>, now: Millis, flow: FlowId) {
+    open(agent, now, flow);
+    from_caller(agent, now, Offer::Held, flow, request());
+}
+
 /// A request of 90 ms, and then two requests for each of the two slots.
 fn fill(agent: &mut Agent<Bytes>) {
     work(agent, Millis(90));
@@ -542,6 +548,93 @@
         assert!(matches!(actions[..], [AgentAction::ToCaller { .. }]), "{actions:?}");
     };
 
+    target_that_resets_requests_is_reported_as_failing => {
+        let mut agent = agent(START);
+        for number in 1..=4 {
+            ask(&mut agent, START, flow(number));
+            let rst = Segment { rst: true, ..response() };
+            from_target(&mut agent, SOON, flow(number), rst);
+        }
+        let failing = agent.report(SOON).failing_milli;
+        assert!(failing >= 300, "{failing}");
+    };
+
+    answers_and_idle_flows_are_no_failures => {
+        let mut agent = agent(START);
+        ask(&mut agent, START, flow(1));
+        from_target(&mut agent, SOON, flow(1), response());
+        open(&mut agent, SOON, flow(2));
+        from_target(&mut agent, SOON, flow(2), Segment { rst: true, ..response() });
+        beat_until(&mut agent, SOON, SOON.after(Millis::from_secs(3)));
+        assert_eq!(agent.report(SOON.after(Millis::from_secs(3))).failing_milli, 0);
+    };
+
+    request_without_an_answer_counts_as_failed => {
+        let mut agent = agent(START);
+        work(&mut agent, Millis(60));
+        ask(&mut agent, START, flow(1));
+        let soon = START.after(Millis(450));
+        tick(&mut agent, soon);
+        assert_eq!(agent.report(soon).failing_milli, 0, "a lost packet would be repeated by now");
+        let later = START.after(Millis(500));
+        tick(&mut agent, later);
+        assert!(agent.report(later).failing_milli > 0);
+    };
+
+    request_during_a_pause_of_the_agent_is_no_failure => {
+        let mut agent = agent(START);
+        ask(&mut agent, START, flow(1));
+        let later = START.after(Millis::from_secs(3));
+        tick(&mut agent, later);
+        assert_eq!(agent.report(later).failing_milli, 0);
+    };
+
+    request_behind_others_may_take_longer => {
+        let mut agent = agent(START);
+        work(&mut agent, Millis(200));
+        for number in 1..=4 {
+            ask(&mut agent, START, flow(number));
+        }
+        from_target(&mut agent, SOON, flow(1), response());
+        from_target(&mut agent, SOON, flow(2), response());
+        from_target(&mut agent, SOON, flow(3), response());
+        let later = START.after(Millis(1_000));
+        for at in (0..=1_000).step_by(50) {
+            tick(&mut agent, START.after(Millis(at)));
+        }
+        assert_eq!(agent.report(later).failing_milli, 0);
+    };
+
+    caller_that_ends_its_flow_is_no_failure_of_the_target => {
+        let mut agent = agent(START);
+        ask(&mut agent, START, flow(1));
+        let rst = Segment { rst: true, ..request() };
+        from_caller(&mut agent, SOON, Offer::Held, flow(1), rst);
+        beat_until(&mut agent, SOON, SOON.after(Millis::from_secs(2)));
+        assert_eq!(agent.report(SOON.after(Millis::from_secs(2))).failing_milli, 0);
+    };
+
+    failures_are_forgotten_without_requests => {
+        let mut agent = agent(START);
+        for number in 1..=4 {
+            ask(&mut agent, START, flow(number));
+            from_target(&mut agent, SOON, flow(number), Segment { rst: true, ..response() });
+        }
+        let later = SOON.after(Millis::from_secs(20));
+        beat_until(&mut agent, SOON, later);
+        assert!(agent.report(later).failing_milli < 50);
+    };
+
+    target_that_was_started_again_is_not_judged_by_its_last_start => {
+        let mut agent = agent(START);
+        for number in 1..=4 {
+            ask(&mut agent, START, flow(number));
+            from_target(&mut agent, SOON, flow(number), Segment { rst: true, ..response() });
+        }
+        beat(&mut agent, SOON, heartbeat(2, 1, TargetState::Ready));
+        assert_eq!(agent.report(SOON).failing_milli, 0);
+    };
+
     ended_flow_is_counted_no_more_and_its_last_packets_pass => {
         let mut agent = agent(START);
         open(&mut agent, START, flow(1));
--- a/crates/core/tests/pass_through/fixture.rs
+++ b/crates/core/tests/pass_through/fixture.rs
@@ -205,6 +205,7 @@
         flows: 0,
         busy: 0,
         mean_busy_milli: 0,
+        failing_milli: 0,
     }
 }
 
--- a/crates/core/tests/pass_through/load.rs
+++ b/crates/core/tests/pass_through/load.rs
@@ -163,4 +163,56 @@
         let flows = site.flows();
         assert!(flows[0] >= 3 * flows[1], "{flows:?}");
     };
+
+    // Servers that fail a part of their requests are soon done with them and look idle.
+    target_that_fails_fast_attracts_no_flows => {
+        let mut site = Site::new(&[0; 5], Spill::Normal);
+        site.open_slowly(100, 20);
+        site.targets[0].failing_milli = 450;
+        site.targets[0].flows = 0;
+        site.report(20);
+        site.open_slowly(60, 20);
+        let flows = site.flows();
+        assert!(flows[0] <= 4, "a fifth would be 12: {flows:?}");
+    };
+
+    failing_target_helps_where_the_others_are_full => {
+        let mut site = Site::new(&[0; 2], Spill::Normal);
+        site.targets[0].failing_milli = 450;
+        site.report(20);
+        site.open_slowly(300, 20);
+        let flows = site.flows();
+        assert!(flows[0] > 0, "{flows:?}");
+        assert!(flows[0] < flows[1], "{flows:?}");
+    };
+
+    pool_that_fails_as_a_whole_is_served_by_all => {
+        let mut site = Site::new(&[0; 5], Spill::Normal);
+        for target in &mut site.targets {
+            target.failing_milli = 450;
+        }
+        site.report(20);
+        site.open_slowly(100, 20);
+        assert!(site.busiest_percent() <= 120, "{:?}", site.flows());
+    };
+
+    single_failures_change_nothing => {
+        let mut site = Site::new(&[0; 5], Spill::Normal);
+        site.targets[0].failing_milli = 90;
+        site.report(20);
+        site.open_slowly(100, 20);
+        assert!(site.busiest_percent() <= 110, "{:?}", site.flows());
+    };
+
+    target_that_recovers_gets_its_share_without_a_flood => {
+        let mut site = Site::new(&[0; 5], Spill::Normal);
+        site.targets[0].failing_milli = 450;
+        site.report(20);
+        site.open_slowly(100, 20);
+        site.targets[0].failing_milli = 0;
+        site.report(20);
+        site.open(12);
+        let flows = site.flows();
+        assert!((6..=12).contains(&flows[0]), "{flows:?}");
+    };
 }
--- a/crates/peer/src/message/pass_through.rs
+++ b/crates/peer/src/message/pass_through.rs
@@ -71,6 +71,9 @@
     /// Mean of the same over the last seconds, in thousandths.
     #[prost(uint32, tag = "13")]
     pub mean_busy_milli: u32,
+    /// Share of its last requests that the target did not answer, in thousandths.
+    #[prost(uint32, tag = "14")]
+    pub failing_milli: u32,
 }
 
 /// Reports of several targets, from one balancer to another.
--- a/crates/peer/src/pass_through.rs
+++ b/crates/peer/src/pass_through.rs
@@ -114,6 +114,7 @@
         flows: report.flows,
         busy: report.busy,
         mean_busy_milli: report.mean_busy_milli,
+        failing_milli: report.failing_milli,
     }
 }
 
@@ -138,5 +139,6 @@
         flows: message.flows,
         busy: message.busy,
         mean_busy_milli: message.mean_busy_milli,
+        failing_milli: message.failing_milli,
     })
 }
