Claim no flow for a target that has crashed

A search for a flow of target 0 came to a trial at all agents. The crashed target kept the packet as it keeps everything, so after 60 ms its agent claimed the flow. When target 1 was started again, its agent reset "its" flows, this one too, which target 0 still held. Traced in the decision logs: flow_tried at 7,094 ms, flow_answered: here by agent-1 at 7,164, flow_reset: the target has ended by agent-1 at 7,763.

Ruled out: a wrong address or an answer of another agent (the lines name agent-1 alone); the restart of agent-0, which answered "here" before and after.

Change: a kept packet proves something only if the target has sent a packet or a heartbeat, or returned a packet, once the time to return it was over. Without such a sign within two heartbeats the trial is given up. What the last start of a target was shown proves nothing of the next.

The grace of a frozen process begins when it goes on. The plan is printed without an end by a closed pipe.

--- a/crates/core/src/pass_through/agent.rs
+++ b/crates/core/src/pass_through/agent.rs
@@ -166,6 +166,8 @@
     listening_since: Millis,
     /// When the target sent a packet last.
     last_packet: Millis,
+    /// When the target last sent or returned a packet or a heartbeat, none if it never did.
+    last_sign: Option<Millis>,
     /// When the target said goodbye, until its flows are reset.
     goodbye: Option<Millis>,
     /// When the table was entered last, by a packet, a message or a tick.
@@ -203,6 +205,7 @@
             inherited: None,
             listening_since: now,
             last_packet: now,
+            last_sign: None,
             goodbye: None,
             entered: now,
             saw_start: false,
@@ -267,6 +270,7 @@
         } = packet;
         self.life = Life::Seen;
         self.last_packet = now;
+        self.last_sign = Some(now);
         if let Some(trial) = self.trials.remove(&flow) {
             let (to, holding) = (trial.balancer, Holding::Here);
             out.push(AgentAction::Reply { to, flow, holding });
@@ -294,6 +298,7 @@
     pub fn on_returned(&mut self, now: Millis, packet: Packet<B>, out: &mut Vec<AgentAction<B>>) {
         self.notice_pause(now);
         self.life = Life::Seen;
+        self.last_sign = Some(now);
         if packet.segment.opens() {
             self.on_returned_opening(now, packet, out);
         } else {
--- a/crates/core/src/pass_through/agent/target.rs
+++ b/crates/core/src/pass_through/agent/target.rs
@@ -14,7 +14,7 @@
 const BUSY_SPAN: Millis = Millis(1_000);
 
 /// Heartbeats that may be missing before the target is given no new flows.
-const MISSED_HEARTBEATS: u64 = 2;
+pub(super) const MISSED_HEARTBEATS: u64 = 2;
 
 /// Heartbeats that are missing, with nothing else from the target, when it counts as gone.
 const GONE_HEARTBEATS: u64 = 3;
@@ -49,6 +49,8 @@
             Some(_) => {
                 self.saw_start = true;
                 self.health = Health::default();
+                // What the last start was shown is lost with it.
+                self.trials.clear();
                 let started = Millis(now.0.saturating_sub(heartbeat.age.0));
                 self.reset_flows(now, started, out);
             }
@@ -60,6 +62,7 @@
         }
         self.last_heartbeat = Some((now, heartbeat));
         self.life = Life::Seen;
+        self.last_sign = Some(now);
         self.use_inherited(now, out);
         Some(self.state(now) != before)
     }
--- a/crates/core/src/pass_through/agent/unknown.rs
+++ b/crates/core/src/pass_through/agent/unknown.rs
@@ -1,7 +1,8 @@
 //! Flows that the agent does not know, and packets that the target returned.
 //!
 //! A packet that comes back proves that the target does not hold its flow. One that stays proves the
-//! opposite only if the target is at work.
+//! opposite only if the target has shown afterwards that it is at work: one that has crashed keeps
+//! everything.
 
 use std::net::SocketAddr;
 
@@ -10,7 +11,8 @@
 
 use super::super::conn::{Conn, Stage};
 use super::super::packet::{Holding, Offer, Packet, RejectReason, Reset, ResetReason};
-use super::{Agent, AgentAction, Life, Trial, drop_ended, reject};
+use super::target::MISSED_HEARTBEATS;
+use super::{Agent, AgentAction, Trial, drop_ended, reject};
 
 /// Time in which the target returns a packet that it does not want. The two share a machine, so
 /// this covers one turn of a slow processor.
@@ -83,11 +85,18 @@
         knows_all || was_returned || self.is_gone(now)
     }
 
+    /// Claims flows whose packet the target has kept for longer than it needs to return one, and was
+    /// heard since. Gives up trials at a target that is not heard.
     pub(super) fn end_trials(&mut self, now: Millis, out: &mut Vec<AgentAction<B>>) {
-        let is_over = |trial: &Trial| now.since(trial.since) >= RETURN_WITHIN;
-        let ended = self.trials.extract_if(|_, trial| is_over(trial));
-        // A target that is not at work yet returns nothing, which proves nothing.
-        let ended: Vec<_> = ended.filter(|_| self.life != Life::Unseen).collect();
+        let last_sign = self.last_sign;
+        let is_kept = |trial: &Trial| last_sign.is_some_and(|at| at >= trial.returned_by());
+        let patience = Millis(self.limits.heartbeat.0 * MISSED_HEARTBEATS);
+        let is_over = |trial: &Trial| is_kept(trial) || now.since(trial.since) > patience;
+        let ended: Vec<_> = self
+            .trials
+            .extract_if(|_, trial| is_over(trial))
+            .filter(|(_, trial)| is_kept(trial))
+            .collect();
         for (flow, trial) in ended {
             let conn = Conn::new(now, Stage::Presumed, Some(trial.balancer));
             if let Some((_, evicted)) = self.conns.insert(now, flow, conn) {
@@ -98,3 +107,10 @@
         }
     }
 }
+
+impl Trial {
+    /// When the target has returned the packet if it does not hold the flow.
+    const fn returned_by(&self) -> Millis {
+        Millis(self.since.0 + RETURN_WITHIN.0)
+    }
+}
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -193,12 +193,13 @@
         }
     }
 
-    /// Sends a signal that does not end the process, if it runs.
+    /// Sends a signal that does not end the process, if it runs. The grace of one that was frozen when
+    /// it was asked to end begins anew: it learns of it now.
     ///
     /// # Errors
     ///
     /// The error of the signal.
-    pub fn signal(&mut self, node: Node, signal: Signal) -> io::Result<()> {
+    pub fn signal(&mut self, now: Millis, node: Node, signal: Signal) -> io::Result<()> {
         let Some(member) = self.members.get_mut(&node) else {
             return Ok(());
         };
@@ -211,7 +212,10 @@
         }
         match signal {
             Signal::Stop => member.is_paused = true,
-            Signal::Continue => member.is_paused = false,
+            Signal::Continue => {
+                member.is_paused = false;
+                member.leaving_since = member.leaving_since.map(|_| now);
+            }
             Signal::Terminate | Signal::Reload => {}
         }
         process.signal(signal)
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -1,5 +1,6 @@
 //! `soak`: plays seeds against the real programs and prints what is broken.
 
+use std::io::Write;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Mutex;
@@ -40,10 +41,7 @@
     let arguments = Arguments::parse_args_default_or_exit();
     let length = Millis::from_secs(arguments.seconds);
     if arguments.plan {
-        for (at, action) in Plan::draw(arguments.seed, SHAPE, length).steps {
-            println!("{:>6} ms  {action:?}", at.0);
-        }
-        return ExitCode::SUCCESS;
+        return print_plan(&Plan::draw(arguments.seed, SHAPE, length));
     }
     let last = arguments.seed.saturating_add(arguments.count);
     let seeds = Mutex::new(arguments.seed..last);
@@ -67,6 +65,17 @@
     }
 }
 
+fn print_plan(plan: &Plan) -> ExitCode {
+    let mut out = std::io::stdout().lock();
+    for (at, action) in &plan.steps {
+        // A reader that has seen enough closes the pipe.
+        if writeln!(out, "{:>6} ms  {action:?}", at.0).is_err() {
+            break;
+        }
+    }
+    ExitCode::SUCCESS
+}
+
 /// Plays one seed. Returns whether every promise was kept.
 fn play(seed: u64, length: Millis, keep: Option<&PathBuf>) -> bool {
     let name = format!("citronhollow-soak-{}-{seed}", std::process::id());
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -305,13 +305,13 @@
             }
             Action::Pause(node) => {
                 self.begin(now, node);
-                self.fleet.signal(node, Signal::Stop)?;
+                self.fleet.signal(now, node, Signal::Stop)?;
             }
             Action::Resume(node) => {
-                self.fleet.signal(node, Signal::Continue)?;
+                self.fleet.signal(now, node, Signal::Continue)?;
                 self.end(now, node);
             }
-            Action::Reload(node) => self.fleet.signal(node, Signal::Reload)?,
+            Action::Reload(node) => self.fleet.signal(now, node, Signal::Reload)?,
             Action::Link(node, mode) => {
                 self.disturb_store(now, mode);
                 let links = self.links.iter().filter(|(of, _)| *of == node);
