Remove entries of machines that are lost for good

Ruled out: a time of last use in each entry (a write a minute from each machine); removal by whoever notices first (a balancer that is cut off would remove everybody).

Change: each balancer looks through both lists once a minute. An entry whose process was not heard between ten looks in a row is removed, if its revision is the listed one, and with an agent's entry its list of flows. Looks are counted and not time, so that a process that was paused begins anew, and one that hears less than half of the targets begins anew too. A process whose entry is removed while it lives writes it again within two lists.

--- a/crates/balancer/src/pass_through/control.rs
+++ b/crates/balancer/src/pass_through/control.rs
@@ -1,14 +1,16 @@
 //! The control thread of a balancer: configuration, the balancer's entry at the platform, and the
 //! way to other balancers.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use citronhollow_adapter::store::{self, Entries, Entry};
+use citronhollow_adapter::store::{self, Entries, Entry, Listed};
 use citronhollow_core::clock::Millis;
 use citronhollow_core::config::Revision;
 use citronhollow_core::id::TargetId;
+use citronhollow_core::pass_through::Abandoned;
 use citronhollow_operator::decisions::{self, Decision, DecisionLog};
 use citronhollow_peer::message::{RevisionReply, RevisionRequest};
 use citronhollow_peer::{Body, Keyring, exchange};
@@ -17,7 +19,7 @@
 use citronhollow_platform::{Client, PlatformError};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
-use tokio::sync::watch;
+use tokio::sync::{oneshot, watch};
 use tokio::time::sleep;
 
 use super::link::{Command, Event};
@@ -37,6 +39,10 @@
 /// again, within 2 s of the platform's return.
 const LIST_INTERVAL_UNSURE: Duration = Duration::from_millis(800);
 
+/// Time between two looks for entries of processes that are gone for good. Processes that live are
+/// heard many times in between.
+const ABANDONED_INTERVAL: Millis = Millis::from_secs(60);
+
 /// What the tasks of the control thread share.
 #[derive(Clone)]
 pub(super) struct Control {
@@ -176,6 +182,52 @@
         }
     }
 
+    /// Removes entries of processes that are gone for good, for as long as the process runs.
+    pub(super) async fn remove_abandoned(self) {
+        let mut kinds =
+            [Entries::Balancers, Entries::Agents].map(|kind| (kind, Abandoned::default()));
+        loop {
+            sleep(ABANDONED_INTERVAL.into()).await;
+            let (heard, answer) = oneshot::channel();
+            let command = Command::Heard(ABANDONED_INTERVAL, heard);
+            // The traffic thread is gone only while the process ends.
+            let _ = self.commands.send(command);
+            let Ok(Some(heard)) = answer.await else {
+                for (_, abandoned) in &mut kinds {
+                    abandoned.clear();
+                }
+                continue;
+            };
+            for (kind, abandoned) in &mut kinds {
+                if let Err(err) = self.remove_unheard(*kind, abandoned, &heard).await {
+                    log::warn!("platform: entries not looked through: {err}");
+                }
+            }
+        }
+    }
+
+    async fn remove_unheard(
+        &self,
+        kind: Entries,
+        abandoned: &mut Abandoned<Listed>,
+        heard: &HashSet<SocketAddr>,
+    ) -> Result<(), PlatformError> {
+        let listed = store::list_revised(&self.client, kind, true).await?;
+        let with_heard = listed.into_iter().map(|listed| {
+            let is_heard = heard.contains(&listed.entry.address);
+            (listed, is_heard)
+        });
+        for listed in abandoned.on_look(with_heard) {
+            let name = &listed.entry.name;
+            log::info!("platform: {name} was not heard for long, its entry is removed");
+            store::remove_listed(&self.client, kind, &listed).await?;
+            if kind == Entries::Agents {
+                store::remove_flows(&self.client, name).await?;
+            }
+        }
+        Ok(())
+    }
+
     /// Fetches newer revisions from other balancers, for when the platform cannot be reached.
     pub(super) async fn fetch_revisions(self, mut events: UnboundedReceiver<Event>) {
         while let Some(Event::NewerRevision { at, number }) = events.recv().await {
--- a/crates/balancer/src/pass_through/link.rs
+++ b/crates/balancer/src/pass_through/link.rs
@@ -1,5 +1,6 @@
 //! Messages between the control thread and the traffic thread of a balancer.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -7,6 +8,7 @@
 use citronhollow_core::clock::Millis;
 use citronhollow_core::config::Revision;
 use citronhollow_core::id::TargetId;
+use tokio::sync::oneshot;
 
 /// From the control thread to the traffic thread.
 #[derive(Debug)]
@@ -23,6 +25,8 @@
         /// The list was read after the start.
         is_complete: bool,
     },
+    /// Answered with the addresses of the processes that were heard within the time.
+    Heard(Millis, oneshot::Sender<Option<HashSet<SocketAddr>>>),
     /// The process ends.
     Stop,
 }
--- a/crates/balancer/src/pass_through/run.rs
+++ b/crates/balancer/src/pass_through/run.rs
@@ -159,6 +159,7 @@
     tokio::spawn(control.clone().fetch_revisions(events));
     tokio::spawn(control.clone().follow_config());
     tokio::spawn(control.clone().follow_agents());
+    tokio::spawn(control.clone().remove_abandoned());
     let entry = tokio::spawn(control.follow_balancers());
     log::info!("balancer: {} is at work", settings.name);
     decisions.write(Decision::new(Event::ProcessStarted));
--- a/crates/balancer/src/pass_through/traffic.rs
+++ b/crates/balancer/src/pass_through/traffic.rs
@@ -1,5 +1,6 @@
 //! The traffic thread of a balancer: packets of callers, messages of agents and balancers.
 
+use std::collections::HashSet;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -165,10 +166,23 @@
                 listed,
                 is_complete,
             } => self.on_listed(&listed, is_complete),
+            Command::Heard(age, heard) => {
+                // Whoever asked may have given up.
+                let _ = heard.send(self.heard(age));
+            }
             Command::Stop => {}
         }
     }
 
+    /// Processes that were heard within `age`, none while this one may be cut off.
+    fn heard(&self, age: Millis) -> Option<HashSet<SocketAddr>> {
+        let now = self.now();
+        let mut heard = self.balancer.heard(now, age)?;
+        heard.extend(self.contacts.heard(now, age));
+        heard.insert(self.own_addr);
+        Some(heard)
+    }
+
     /// Makes this balancer known to agents that it does not know.
     fn on_listed(&mut self, listed: &[(TargetId, SocketAddr)], is_complete: bool) {
         if is_complete {
@@ -307,10 +321,7 @@
         if self.contacts.on_heard(now, addr) {
             self.peers.send(&self.greeting(false), addr);
         }
-        let others = greeting.others.iter();
-        let others: Vec<_> = others
-            .filter_map(|addr| addr_from_bytes(addr).ok())
-            .collect();
+        let others: Vec<_> = pass_through::named_balancers(greeting).collect();
         self.meet(&others);
         if greeting.wants_reports {
             self.send_reports(addr);
--- a/crates/core/src/pass_through.rs
+++ b/crates/core/src/pass_through.rs
@@ -11,6 +11,7 @@
 //! from them it knows which flows the target holds and how busy it is. Its [`Report`] is all that
 //! balancers know of a target.
 
+mod abandoned;
 mod agent;
 mod balancer;
 mod conn;
@@ -20,6 +21,7 @@
 mod search;
 mod steering;
 
+pub use abandoned::{ABANDONED_LOOKS, Abandoned};
 pub use agent::{Agent, AgentAction, AgentLimits, FlowList, Heartbeat, ListedFlow, Place};
 pub use balancer::{Balancer, BalancerAction, BalancerLimits};
 pub use contacts::Contacts;
--- a/crates/core/src/pass_through/balancer.rs
+++ b/crates/core/src/pass_through/balancer.rs
@@ -211,6 +211,16 @@
         self.missing = Some(missing.collect());
     }
 
+    /// Addresses of the agents that were heard within `age`, none if that is less than half of them:
+    /// this balancer may be cut off then.
+    #[must_use]
+    pub fn heard(&self, now: Millis, age: Millis) -> Option<HashSet<SocketAddr>> {
+        let heard = self.fleet.iter();
+        let heard = heard.filter(|(_, member)| member.is_heard(now, age));
+        let heard = heard.map(|(_, member)| member.report.agent).collect();
+        self.fleet.hears_most(now, age).then_some(heard)
+    }
+
     /// Whether all targets are known that may hold a flow.
     fn is_settled(&self, now: Millis) -> bool {
         let is_complete = self.missing.as_ref().is_some_and(HashSet::is_empty);
--- a/crates/core/src/pass_through/contacts.rs
+++ b/crates/core/src/pass_through/contacts.rs
@@ -89,6 +89,19 @@
         near.map(|(addr, _)| *addr)
     }
 
+    /// Addresses of those that were heard within `age`.
+    pub fn heard(&self, now: Millis, age: Millis) -> impl Iterator<Item = SocketAddr> {
+        let is_heard = move |contact: &Contact| {
+            let heard = contact.heard;
+            heard.is_some_and(|heard| now.since(heard) < age)
+        };
+        let heard = self
+            .known
+            .iter()
+            .filter(move |(_, contact)| is_heard(contact));
+        heard.map(|(addr, _)| *addr)
+    }
+
     /// At most `max` of them, by chance.
     pub fn sample(&self, max: usize, rng: &mut impl Rng) -> Vec<SocketAddr> {
         self.iter().choose_multiple(rng, max)
@@ -96,12 +109,7 @@
 
     /// At most `max` of those that are at work, by chance.
     pub fn sample_heard(&self, now: Millis, max: usize, rng: &mut impl Rng) -> Vec<SocketAddr> {
-        let is_heard = |contact: &Contact| {
-            let heard = contact.heard;
-            heard.is_some_and(|heard| now.since(heard) < HEARD_WITHIN)
-        };
-        let heard = self.known.iter().filter(|(_, contact)| is_heard(contact));
-        heard.map(|(addr, _)| *addr).choose_multiple(rng, max)
+        self.heard(now, HEARD_WITHIN).choose_multiple(rng, max)
     }
 
     fn note(&mut self, now: Millis, balancer: SocketAddr) -> (&mut Contact, bool) {
--- a/crates/core/tests/pass_through/main.rs
+++ b/crates/core/tests/pass_through/main.rs
@@ -6,6 +6,7 @@
     };
 }
 
+mod abandoned;
 mod agent;
 mod balancer;
 mod contacts;
--- a/crates/peer/src/pass_through.rs
+++ b/crates/peer/src/pass_through.rs
@@ -1,5 +1,7 @@
 //! Messages of pass-through delivery as the decisions know them, and back.
 
+use std::net::SocketAddr;
+
 use bytes::Bytes;
 use citronhollow_core::clock::Millis;
 use citronhollow_core::flow::FlowId;
@@ -8,7 +10,7 @@
 
 use crate::addr::{AddrError, addr_from_bytes, addr_to_bytes};
 use crate::members::{RecordError, state_from_number, state_to_number};
-use crate::message::{self, Body, Forward, Question, Reject, Reply, TargetReport};
+use crate::message::{self, Body, Forward, Greeting, Question, Reject, Reply, TargetReport};
 
 /// The message that brings a packet to an agent, without the packet.
 #[must_use]
@@ -97,6 +99,19 @@
     })
 }
 
+/// Balancers that a greeting names. An address that cannot be read is left out, since the others
+/// hold.
+pub fn named_balancers(greeting: &Greeting) -> impl Iterator<Item = SocketAddr> {
+    let addrs = greeting.others.iter();
+    addrs.filter_map(|addr| match addr_from_bytes(addr) {
+        Ok(addr) => Some(addr),
+        Err(err) => {
+            log::warn!("peer: balancer named by another one is left out: {err}");
+            None
+        }
+    })
+}
+
 /// Encodes a report.
 #[must_use]
 pub fn report_to_message(report: &Report) -> TargetReport {
