Say in logs and metrics that a target fails its requests

Cause: an operator whose server says that it is well could not see that it leaves requests without an answer; the share was in reports only.

Failing begins at three failures in a row and ends after some answers, so that lines do not alternate. The agent's flag argument is gone: balancers that were unknown are introduced where they become known.

Tests: single_failures_are_not_called_failing, target_that_answers_again_is_called_failing_for_some_requests_more.

--- a/crates/agent/src/pass_through/traffic.rs
+++ b/crates/agent/src/pass_through/traffic.rs
@@ -59,6 +59,7 @@
     /// Reports since the last one to all balancers.
     near_reports: u32,
     domain: DomainId,
+    was_failing: bool,
     leaving: Option<(Millis, oneshot::Sender<TargetState>)>,
     actions: Vec<AgentAction<Bytes>>,
     decisions: DecisionLog,
@@ -69,6 +70,7 @@
 struct Gauges {
     flows: IntGauge,
     busy: IntGauge,
+    failing: IntGauge,
     balancers: IntGauge,
 }
 
@@ -78,6 +80,10 @@
         Self {
             flows: gauge("citronhollow_flows", "Flows of the target"),
             busy: gauge("citronhollow_requests", "Requests in progress and waiting"),
+            failing: gauge(
+                "citronhollow_failing_permille",
+                "Share of the last requests that the target left without an answer",
+            ),
             balancers: gauge("citronhollow_balancers", "Balancers that get reports"),
         }
     }
@@ -114,6 +120,7 @@
             next_report: Millis::ZERO,
             near_reports: 0,
             domain: place.domain,
+            was_failing: false,
             leaving: None,
             actions: Vec::new(),
             decisions,
@@ -175,8 +182,7 @@
             }
             Command::Balancers(addrs) => {
                 for addr in addrs {
-                    let is_new = self.contacts.on_named(now, addr);
-                    self.meet(now, addr, is_new);
+                    self.on_named(now, addr);
                 }
             }
             Command::Leave(left) => {
@@ -188,23 +194,24 @@
         }
     }
 
-    /// Reports to a balancer at once if it was unknown.
-    fn meet(&mut self, now: Millis, balancer: SocketAddr, is_new: bool) {
-        if is_new {
-            let report = self.report_message(now);
-            self.peers.send(&report, balancer);
+    /// Somebody names a balancer. One that was unknown is reported to at once.
+    fn on_named(&mut self, now: Millis, balancer: SocketAddr) {
+        if self.contacts.on_named(now, balancer) {
+            self.introduce(now, balancer);
         }
     }
 
-    fn on_heard(&mut self, now: Millis, balancer: SocketAddr) {
-        let is_new = self.contacts.on_heard(now, balancer);
-        self.meet(now, balancer, is_new);
+    /// Reports to a balancer that has just become known.
+    fn introduce(&mut self, now: Millis, balancer: SocketAddr) {
+        let report = self.report_message(now);
+        self.peers.send(&report, balancer);
     }
 
     fn on_tick(&mut self) {
         let now = self.now();
         let mut has_changed = false;
         self.decide(|agent, out| has_changed = agent.on_tick(now, out));
+        self.note_health();
         if has_changed {
             self.report_state(now);
         } else if now >= self.next_report {
@@ -226,6 +233,17 @@
         }
     }
 
+    /// Writes a line when the target begins to fail, or answers again.
+    fn note_health(&mut self) {
+        let is_failing = self.agent.is_failing();
+        if std::mem::replace(&mut self.was_failing, is_failing) != is_failing {
+            let reason = if is_failing { "failing" } else { "well" };
+            log::info!("target: it is {reason}, by the requests that it answers");
+            let decision = Decision::new(Event::TargetHealth);
+            self.decisions.write(decision.reason(&reason));
+        }
+    }
+
     fn report_state(&mut self, now: Millis) {
         let state = self.agent.state(now);
         log::info!("target: state is {state:?}");
@@ -261,6 +279,7 @@
         let report = self.agent.report(now);
         self.gauges.flows.set(i64::from(report.flows));
         self.gauges.busy.set(i64::from(report.busy));
+        self.gauges.failing.set(i64::from(report.failing_milli));
         let balancers = i64::try_from(self.contacts.len());
         self.gauges.balancers.set(balancers.unwrap_or(i64::MAX));
         Envelope::from(Body::TargetReport(pass_through::report_to_message(&report)))
@@ -302,12 +321,11 @@
             Some(Body::Greeting(greeting)) => match addr_from_bytes(&greeting.balancer) {
                 Ok(balancer) => {
                     let domain = DomainId(greeting.domain);
-                    let is_new = self.contacts.on_greeting(now, balancer, domain);
-                    self.meet(now, balancer, is_new);
-                    let others = greeting.others.iter();
-                    for other in others.filter_map(|addr| addr_from_bytes(addr).ok()) {
-                        let is_new = self.contacts.on_named(now, other);
-                        self.meet(now, other, is_new);
+                    if self.contacts.on_greeting(now, balancer, domain) {
+                        self.introduce(now, balancer);
+                    }
+                    for other in pass_through::named_balancers(&greeting) {
+                        self.on_named(now, other);
                     }
                 }
                 Err(err) => log::warn!("peer: greeting from {from} dropped: {err}"),
@@ -336,7 +354,9 @@
         group: GroupId,
         packet: citronhollow_core::pass_through::Packet<Bytes>,
     ) {
-        self.on_heard(now, from);
+        if self.contacts.on_heard(now, from) {
+            self.introduce(now, from);
+        }
         self.decide(|agent, out| agent.on_packet(now, from, offer, group, packet, out));
     }
 
--- a/crates/core/src/pass_through/agent/health.rs
+++ b/crates/core/src/pass_through/agent/health.rs
@@ -16,6 +16,11 @@
 /// Share of a target that fails everything, in thousandths.
 const ALL_MILLI: u32 = 1_000;
 
+/// Share from which the target is called failing, and to which it must fall again before it is not, in
+/// thousandths: three failures in a row, and eight answers after that.
+const FAILING_FROM_MILLI: u32 = 300;
+const FAILING_TO_MILLI: u32 = 110;
+
 /// Times the expected time after which a request counts as failed.
 const LATE_TIMES: u64 = 5;
 
@@ -42,6 +47,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Health {
     failing_milli: u32,
+    is_failing: bool,
     /// When the share changed last.
     changed: Millis,
     /// Requests in the order in which they came.
@@ -65,8 +71,8 @@
     /// A request was answered, or the target reset its flow.
     pub(super) fn on_end(&mut self, now: Millis, is_answered: bool) {
         let failed = if is_answered { 0 } else { ALL_MILLI };
-        self.failing_milli = (self.failing_milli * SHARE_WEIGHT + failed) / (SHARE_WEIGHT + 1);
-        self.changed = now;
+        let share = (self.failing_milli * SHARE_WEIGHT + failed) / (SHARE_WEIGHT + 1);
+        self.set(now, share);
     }
 
     /// Counts requests that are late. `began` says when the request began that a flow has in progress,
@@ -83,11 +89,25 @@
             }
         }
         if now.since(self.changed) >= FORGET_AFTER {
-            self.failing_milli /= 2;
-            self.changed = now;
+            self.set(now, self.failing_milli / 2);
+        }
+    }
+
+    fn set(&mut self, now: Millis, share: u32) {
+        self.failing_milli = share;
+        self.changed = now;
+        if share >= FAILING_FROM_MILLI {
+            self.is_failing = true;
+        } else if share <= FAILING_TO_MILLI {
+            self.is_failing = false;
         }
     }
 
+    /// Whether the target fails more than single requests.
+    pub(super) const fn is_failing(&self) -> bool {
+        self.is_failing
+    }
+
     /// The process was paused, so that requests in progress may have been answered in time.
     pub(super) fn forgive(&mut self) {
         self.watched.clear();
--- a/crates/core/src/pass_through/agent/target.rs
+++ b/crates/core/src/pass_through/agent/target.rs
@@ -112,6 +112,12 @@
         }
     }
 
+    /// Whether the target leaves many requests without an answer, whatever it says of itself.
+    #[must_use]
+    pub const fn is_failing(&self) -> bool {
+        self.health.is_failing()
+    }
+
     /// What the target can take.
     #[must_use]
     pub fn state(&self, now: Millis) -> TargetState {
--- a/crates/core/tests/pass_through/agent.rs
+++ b/crates/core/tests/pass_through/agent.rs
@@ -581,6 +581,33 @@
         }
         let failing = agent.report(SOON).failing_milli;
         assert!(failing >= 300, "{failing}");
+        assert!(agent.is_failing());
+    };
+
+    single_failures_are_not_called_failing => {
+        let mut agent = agent(START);
+        for number in 1..=9 {
+            ask(&mut agent, START, flow(number));
+            let is_reset = number % 8 == 0;
+            from_target(&mut agent, SOON, flow(number), Segment { rst: is_reset, ..response() });
+            assert!(!agent.is_failing(), "{number}");
+        }
+    };
+
+    target_that_answers_again_is_called_failing_for_some_requests_more => {
+        let mut agent = agent(START);
+        for number in 1..=3 {
+            ask(&mut agent, START, flow(number));
+            from_target(&mut agent, SOON, flow(number), Segment { rst: true, ..response() });
+        }
+        assert!(agent.is_failing());
+        let mut answers = 0;
+        while agent.is_failing() {
+            answers += 1;
+            ask(&mut agent, SOON, flow(10 + answers));
+            from_target(&mut agent, SOON, flow(10 + answers), response());
+        }
+        assert!((4..=12).contains(&answers), "{answers}");
     };
 
     answers_and_idle_flows_are_no_failures => {
--- a/crates/operator/src/decisions.rs
+++ b/crates/operator/src/decisions.rs
@@ -52,6 +52,9 @@
     /// The target's state changed.
     #[display("target_state")]
     TargetState,
+    /// The target began to leave many requests without an answer, or answers again.
+    #[display("target_health")]
+    TargetHealth,
     /// A balancer offered a new flow to an agent.
     #[display("flow_offered")]
     FlowOffered,
