Keep denials for the next copy of a packet

Cause: an agent that does not answer (its machine is dark, or it is being stopped) keeps each search from an end for up to 8 s. The caller repeats its packet up to eight times, and each copy asked every agent anew.

Ruled out: fewer questions in a first search (the holder may be anywhere); a shorter wait for silent agents (their targets may live).

Change: a search that ends without a result leaves its denials for 10 s. The search for the next copy asks who has not denied the flow; everybody is asked once more for the proof, as before. Denials go with a new opening packet of the flow. Memory: at most as many flows as searches, 256 denials each.

Tests: repeated_packet_is_asked_for_where_nobody_has_denied_it (fails before), denial_is_forgotten_after_a_while, denial_is_forgotten_when_the_flow_is_opened_anew.

--- a/crates/core/src/pass_through/balancer.rs
+++ b/crates/core/src/pass_through/balancer.rs
@@ -24,6 +24,7 @@
 use super::fleet::{Fleet, Report, TargetKey};
 use super::packet::{DropReason, Holding, Offer, Packet, ROOM_WAIT, Reset};
 use super::search::Search;
+use ongoing::DENIAL_LIFE;
 
 /// Targets that a new flow is offered to before it is refused.
 const MAX_OFFERS: usize = 4;
@@ -117,6 +118,8 @@
     fleet: Fleet,
     flows: Recent<FlowId, Entry>,
     searches: HashMap<FlowId, Search<B>>,
+    /// Who denied a flow in a search that came to no end, and when that was.
+    denials: HashMap<FlowId, (Millis, Vec<TargetKey>)>,
     /// Opening packets that came before this balancer knew enough, by their time of arrival.
     openings: Vec<(Millis, Packet<B>)>,
     /// Targets that the platform lists and that have not reported yet, none before it was read.
@@ -140,6 +143,7 @@
             fleet: Fleet::default(),
             flows: Recent::new(limits.flows),
             searches: HashMap::new(),
+            denials: HashMap::new(),
             openings: Vec::new(),
             missing: None,
             rng: SmallRng::seed_from_u64(seed),
@@ -336,6 +340,8 @@
         for flow in flows {
             self.advance(now, flow, out);
         }
+        let is_kept = |since: Millis| now.since(since) < DENIAL_LIFE;
+        self.denials.retain(|_, (since, _)| is_kept(*since));
         self.reset_lost_flows(now, out);
         self.offer_waiting(now, out);
         while self.flows.pop_unused(now, self.limits.flow_life).is_some() {}
--- a/crates/core/src/pass_through/balancer/ongoing.rs
+++ b/crates/core/src/pass_through/balancer/ongoing.rs
@@ -18,6 +18,13 @@
 /// A target whose agent is silent for this long is gone, whatever it said.
 const GONE_AFTER: Millis = Millis::from_secs(8);
 
+/// Time for which denials of a flow are kept for the caller's next copy of the packet, which comes
+/// after 1.6 s at most. A flow that a target does not hold comes there only by a new opening packet.
+pub(super) const DENIAL_LIFE: Millis = Millis::from_secs(10);
+
+/// Denials of one flow that are kept, 1 KB. The other targets are asked again.
+const DENIALS_MAX: usize = 256;
+
 impl<B: Clone> Balancer<B> {
     /// Resets the callers of targets that have been lost, also those that wait for nothing: their
     /// next request would be lost.
@@ -86,7 +93,8 @@
         }
     }
 
-    /// Asks the agents near by. `denied` has just given the packet back and is not asked for it.
+    /// Asks the agents near by. `denied` has just given the packet back and is not asked for it, nor are
+    /// those who denied the flow in an earlier search.
     pub(super) fn search(
         &mut self,
         now: Millis,
@@ -104,10 +112,15 @@
             return;
         }
         let flow = packet.flow;
+        let mut denials = self
+            .denials
+            .remove(&flow)
+            .map_or_else(Vec::new, |kept| kept.1);
+        denials.extend(denied);
         let mut near = self.askable(now);
-        near.retain(|(key, _)| self.is_near(*key) && Some(*key) != denied);
+        near.retain(|(key, _)| self.is_near(*key) && !denials.contains(key));
         let keys = near.iter().map(|(key, _)| *key);
-        let search = Search::new(now, packet.segment, keys, denied, packet.bytes);
+        let search = Search::new(now, packet.segment, keys, denials.into_iter(), packet.bytes);
         ask(flow, near, out);
         self.searches.insert(flow, search);
         self.advance(now, flow, out);
@@ -163,7 +176,11 @@
                 self.on_unclaimed(now, flow, segment.ack.then_some(segment.ack_seq), out);
             }
             Progress::Unknown => {
+                let denied = search.denied().take(DENIALS_MAX).collect();
                 self.searches.remove(&flow);
+                if self.denials.len() < self.limits.searches {
+                    self.denials.insert(flow, (now, denied));
+                }
                 drop_for(flow, DropReason::Unclaimed, out);
             }
         }
--- a/crates/core/src/pass_through/balancer/opening.rs
+++ b/crates/core/src/pass_through/balancer/opening.rs
@@ -59,6 +59,7 @@
         repeats: u32,
         out: &mut Vec<BalancerAction<B>>,
     ) {
+        self.denials.remove(&packet.flow);
         let known = self.flows.get(&packet.flow).copied();
         let known = known.filter(|entry| entry.caller_isn == Some(packet.segment.seq));
         if let Some(entry) = known {
--- a/crates/core/src/pass_through/search.rs
+++ b/crates/core/src/pass_through/search.rs
@@ -3,7 +3,9 @@
 //! First the agents of the balancer's own failure domain are asked, since most flows stay in their
 //! caller's, and then all others, which costs a small message each. Where none holds the flow for
 //! certain but some may, as after many agents were started again, those let their targets see one
-//! packet. What nobody claims in either way is left to the balancer to judge.
+//! packet. What nobody claims in either way is left to the balancer to judge. Where somebody did not
+//! answer, the caller repeats its packet and the next search begins with the denials of this one: an
+//! end of a flow that is lost is not found again.
 
 use std::collections::HashMap;
 
@@ -71,12 +73,12 @@
 }
 
 impl<B> Search<B> {
-    /// A search that begins with the targets near by. `denied` has just given the packet back.
+    /// A search that begins with the targets near by, of which `denied` need not be asked.
     pub(super) fn new(
         now: Millis,
         segment: Segment,
         near: impl Iterator<Item = TargetKey>,
-        denied: Option<TargetKey>,
+        denied: impl Iterator<Item = TargetKey>,
         first: B,
     ) -> Self {
         let denials = denied.map(|key| (key, Some(Holding::No)));
@@ -134,6 +136,14 @@
         self.answers.contains_key(&target)
     }
 
+    /// Targets that have denied the flow.
+    pub(super) fn denied(&self) -> impl Iterator<Item = TargetKey> {
+        let has_denied = |answer: &Option<Holding>| *answer == Some(Holding::No);
+        let denials = self.answers.iter();
+        let denials = denials.filter(move |(_, answer)| has_denied(answer));
+        denials.map(|(key, _)| *key)
+    }
+
     /// The others are asked besides.
     pub(super) fn ask_far(&mut self, now: Millis, far: impl Iterator<Item = TargetKey>) {
         self.answers.extend(far.map(|key| (key, None)));
--- a/crates/core/tests/pass_through/balancer.rs
+++ b/crates/core/tests/pass_through/balancer.rs
@@ -309,6 +309,52 @@
         assert_eq!(asked(&tick(&mut balancer, again)), 2, "a denial counts when it is repeated");
     };
 
+    // Callers repeat a packet of a lost flow up to eight times, and an agent that is gone keeps each
+    // search from an end. On trouble-1 of greenrink-grown each one asked 65 agents.
+    repeated_packet_is_asked_for_where_nobody_has_denied_it => {
+        let mut balancer = with_targets(START);
+        assert_eq!(asked(&send(&mut balancer, START, 1, request())), 2);
+        reply(&mut balancer, START, 1, Holding::No);
+        let mut now = START;
+        for _ in 0..8 {
+            now = now.after(Millis(25));
+            tick(&mut balancer, now);
+        }
+        let actions = send(&mut balancer, now, 1, request());
+        assert_eq!(actions, [BalancerAction::Ask { to: agent_addr(2), flow: flow(1) }]);
+        assert_eq!(resets(&reply(&mut balancer, now, 2, Holding::No)), []);
+        let again = now.after(Millis(120));
+        assert_eq!(asked(&tick(&mut balancer, again)), 2, "everybody is asked for the proof");
+    };
+
+    denial_is_forgotten_after_a_while => {
+        let mut balancer = with_targets(START);
+        send(&mut balancer, START, 1, request());
+        reply(&mut balancer, START, 1, Holding::No);
+        let mut now = START;
+        while now < START.after(Millis(10_300)) {
+            now = now.after(Millis(25));
+            balancer.on_report(now, report(1, now.0));
+            balancer.on_report(now, report(2, now.0));
+            tick(&mut balancer, now);
+        }
+        assert_eq!(asked(&send(&mut balancer, now, 1, request())), 2);
+    };
+
+    denial_is_forgotten_when_the_flow_is_opened_anew => {
+        let mut balancer = with_targets(START);
+        send(&mut balancer, START, 1, request());
+        reply(&mut balancer, START, 1, Holding::No);
+        let mut now = START;
+        for _ in 0..8 {
+            now = now.after(Millis(25));
+            tick(&mut balancer, now);
+        }
+        let to = offered_to(&send(&mut balancer, now, 1, syn()));
+        reply(&mut balancer, now, to, Holding::No);
+        assert_eq!(asked(&send(&mut balancer, now, 1, request())), 2);
+    };
+
     targets_that_may_hold_a_flow_are_tried => {
         let mut balancer = with_targets(START);
         send(&mut balancer, START, 1, request());
