Reset no flow with a target to which it was only offered

The caller's flow was open at target 2. When balancer-0 stopped, balancer-2 sent its packets to agent-1, which had just been killed, and after 2 s reset the flow with that machine. Traced in the decision logs: flow_offered by balancer-0 to agent-2 at 142,868 ms, by balancer-2 to agent-2 at 144,299 and to agent-1 at 144,300, flow_reset: the target cannot be reached by balancer-2 at 150,538.

Ruled out: an age of opening packets (a balancer cannot see how long one waited in its socket); a question to the agents before every reset (the lost one cannot answer).

Change: a balancer takes a flow for its target's own once the agent has had a packet of it for 200 ms, in which it would have given the packet back, and has reported since; or once the agent has claimed it. Flows that were only offered to a lost or ended target are looked for with their next packet.

In two cases the agent now reports after it had the packet, since a reset without that is what was wrong.

--- a/crates/core/src/pass_through/balancer.rs
+++ b/crates/core/src/pass_through/balancer.rs
@@ -21,7 +21,7 @@
 mod ongoing;
 mod opening;
 
-use super::fleet::{Fleet, Report, TargetKey};
+use super::fleet::{Fleet, Member, Report, TargetKey};
 use super::packet::{DropReason, Holding, Offer, Packet, ROOM_WAIT, Reset};
 use super::search::Search;
 use ongoing::DENIAL_LIFE;
@@ -98,6 +98,9 @@
     caller_isn: Option<u32>,
     /// What the caller acknowledged last.
     caller_ack: Option<u32>,
+    /// A report of the agent from then on shows that its target holds the flow, none while the flow was
+    /// only offered. Another target may have been quicker to answer another copy of the opening packet.
+    held_from: Option<Millis>,
     /// The opening packet waits at the agent until then.
     waits_until: Option<Millis>,
     tried: [Option<TargetKey>; MAX_OFFERS],
@@ -362,20 +365,28 @@
 }
 
 impl Entry {
+    /// Whether the target holds the flow, as far as its agent can have said otherwise.
+    fn is_held(&self, member: &Member) -> bool {
+        self.held_from.is_some_and(|from| member.reported >= from)
+    }
+
     /// A flow that was offered to nobody yet.
     fn opening<B>(now: Millis, packet: &Packet<B>) -> Self {
         Self {
             caller_isn: Some(packet.segment.seq),
+            held_from: None,
             ..Self::found(now, TargetKey::default())
         }
     }
 
+    /// A flow that its target's agent has claimed.
     const fn found(now: Millis, target: TargetKey) -> Self {
         Self {
             target,
             since: now,
             caller_isn: None,
             caller_ack: None,
+            held_from: Some(now),
             waits_until: None,
             tried: [None; MAX_OFFERS],
         }
--- a/crates/core/src/pass_through/balancer/ongoing.rs
+++ b/crates/core/src/pass_through/balancer/ongoing.rs
@@ -18,6 +18,10 @@
 /// A target whose agent is silent for this long is gone, whatever it said.
 const GONE_AFTER: Millis = Millis::from_secs(8);
 
+/// Time in which an agent gives back a packet of a flow that its target does not hold: the way to another
+/// failure domain and back, and a turn of a slow processor at the agent and at its target.
+const GIVEN_BACK_WITHIN: Millis = Millis(200);
+
 /// Time for which denials of a flow are kept for the caller's next copy of the packet, which comes
 /// after 1.6 s at most. A flow that a target does not hold comes there only by a new opening packet.
 pub(super) const DENIAL_LIFE: Millis = Millis::from_secs(10);
@@ -27,7 +31,8 @@
 
 impl<B: Clone> Balancer<B> {
     /// Resets the callers of targets that have been lost, also those that wait for nothing: their
-    /// next request would be lost.
+    /// next request would be lost. A flow that was only offered there may be held by another target, and
+    /// is looked for with its next packet.
     ///
     /// A balancer that hears from few targets may itself be cut off, and concludes nothing.
     pub(super) fn reset_lost_flows(&mut self, now: Millis, out: &mut Vec<BalancerAction<B>>) {
@@ -39,11 +44,12 @@
             .flows
             .newest_first()
             .filter(|(_, entry)| lost.contains(&entry.target))
-            .map(|(flow, entry)| (*flow, entry.caller_ack))
+            .map(|(flow, entry)| (*flow, *entry))
             .collect();
-        for (flow, ack) in flows {
+        for (flow, entry) in flows {
             self.flows.remove(&flow);
-            if let Some(seq) = ack {
+            let is_held = entry.is_held(self.fleet.get(entry.target));
+            if let Some(seq) = entry.caller_ack.filter(|_| is_held) {
                 let reason = ResetReason::TargetLost;
                 out.push(BalancerAction::Reset(Reset { flow, seq, reason }));
             }
@@ -71,7 +77,8 @@
             return;
         };
         let member = self.fleet.get(entry.target);
-        if member.report.state == TargetState::Dead && packet.segment.ack {
+        let is_dead = member.report.state == TargetState::Dead;
+        if is_dead && packet.segment.ack && entry.is_held(member) {
             // The target itself announced its end, and its flows ended with it.
             self.flows.remove(&packet.flow);
             out.push(BalancerAction::Reset(Reset {
@@ -79,11 +86,12 @@
                 seq: packet.segment.ack_seq,
                 reason: ResetReason::TargetEnded,
             }));
-        } else if member.is_heard(now, GONE_AFTER) {
+        } else if !is_dead && member.is_heard(now, GONE_AFTER) {
             if let Some(entry) = self.flows.get_mut(&packet.flow)
                 && packet.segment.ack
             {
                 entry.caller_ack = Some(packet.segment.ack_seq);
+                entry.held_from.get_or_insert(now.after(GIVEN_BACK_WITHIN));
             }
             self.flows.touch(now, &packet.flow);
             self.forward(&entry, Offer::Held, packet.bytes, out);
--- a/crates/core/src/pass_through/balancer/opening.rs
+++ b/crates/core/src/pass_through/balancer/opening.rs
@@ -123,6 +123,7 @@
                 self.fleet.member_mut(target).given += 1;
                 entry.target = target;
                 entry.waits_until = None;
+                entry.held_from = None;
                 self.flows.insert(now, packet.flow, entry);
                 self.forward(&entry, Offer::New, packet.bytes, out);
             }
--- a/crates/core/src/pass_through/fleet.rs
+++ b/crates/core/src/pass_through/fleet.rs
@@ -58,8 +58,10 @@
 #[derive(Clone, Debug)]
 pub(super) struct Member {
     pub(super) report: Report,
-    /// When the last report came.
+    /// When the last report came, or a pause of this process ended.
     pub(super) seen: Millis,
+    /// When the last report came.
+    pub(super) reported: Millis,
     /// Flows given to the target since then.
     pub(super) given: u32,
     /// Another start of the agent, and the last report of it.
@@ -204,6 +206,7 @@
         Self {
             report,
             seen,
+            reported: seen,
             given: 0,
             other_start: None,
             is_lost: false,
