Read changes in quick succession together

Ruled out: fewer watchers (a balancer whose greetings are lost would be late).

Change: 200 ms of pause before the next watch once a change was read, far below the seconds in which a configuration has to be in force. Others announce newer revisions meanwhile.

--- a/crates/balancer/src/pass_through/control.rs
+++ b/crates/balancer/src/pass_through/control.rs
@@ -28,6 +28,10 @@
 /// it. Other balancers, whose watches end at other times, announce a change sooner.
 const WATCH_WAIT: Millis = Millis(4_000);
 
+/// Pause before the next watch after a change was read, so that changes in quick succession cost one call.
+/// Small against the seconds in which a configuration has to be in force.
+const WATCH_PAUSE: Duration = Duration::from_millis(200);
+
 /// Pause after an accept that failed, which it does when the process has no descriptor left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
@@ -95,6 +99,7 @@
                     at = Some(read.at);
                     if let Some(revision) = read.revision {
                         self.take(revision);
+                        sleep(WATCH_PAUSE).await;
                     }
                 }
                 Err(err) => {
