--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -158,20 +158,21 @@
         Ok(())
     }
 
-    /// Ends a process at once.
+    /// Ends a process at once. Returns whether a planned stop of it was under way.
     ///
     /// # Errors
     ///
     /// The error of the signal.
-    pub fn kill(&mut self, node: Node) -> io::Result<()> {
+    pub fn kill(&mut self, node: Node) -> io::Result<bool> {
         let Some(member) = self.members.get_mut(&node) else {
-            return Ok(());
+            return Ok(false);
         };
+        let was_stopping = member.leaving_since.is_some() || member.start_at.is_some();
         (member.is_paused, member.leaving_since, member.start_at) = (false, None, None);
-        match member.process.take() {
-            Some(mut process) => process.kill(),
-            None => Ok(()),
+        if let Some(mut process) = member.process.take() {
+            process.kill()?;
         }
+        Ok(was_stopping)
     }
 
     /// Asks a process to end. It is started again afterwards.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod link;
 pub mod plan;
 pub mod promises;
+pub mod regressions;
 pub mod router;
 pub mod run;
 pub mod target;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -7,6 +7,7 @@
 
 use citronhollow_core::clock::Millis;
 use citronhollow_soak::plan::Plan;
+use citronhollow_soak::regressions::REGRESSIONS;
 use citronhollow_soak::run::{self, Report, SHAPE};
 use gumdrop::Options;
 
@@ -27,6 +28,8 @@
     seconds: u64,
     #[options(no_short, help = "seeds that are played at once", default = "1")]
     jobs: usize,
+    #[options(no_short, help = "play the seeds that once failed, and no others")]
+    regressions: bool,
     #[options(no_short, help = "print the plan of the first seed and play nothing")]
     plan: bool,
     #[options(
@@ -44,13 +47,20 @@
         return print_plan(&Plan::draw(arguments.seed, SHAPE, length));
     }
     let last = arguments.seed.saturating_add(arguments.count);
-    let seeds = Mutex::new(arguments.seed..last);
+    let runs: Vec<_> = if arguments.regressions {
+        let seeds = REGRESSIONS.iter();
+        seeds.map(|known| (known.seed, known.length)).collect()
+    } else {
+        let seeds = arguments.seed..last;
+        seeds.map(|seed| (seed, length)).collect()
+    };
+    let runs = Mutex::new(runs.into_iter());
     let has_failed = Mutex::new(false);
     std::thread::scope(|scope| {
         for _ in 0..arguments.jobs.max(1) {
             scope.spawn(|| {
-                let next = || seeds.lock().ok()?.next();
-                while let Some(seed) = next() {
+                let next = || runs.lock().ok()?.next();
+                while let Some((seed, length)) = next() {
                     let is_kept = play(seed, length, arguments.keep.as_ref());
                     if !is_kept && let Ok(mut has_failed) = has_failed.lock() {
                         *has_failed = true;
--- /dev/null
+++ b/crates/soak/src/run/host.rs
@@ -0,0 +1,181 @@
+//! A target with its sockets and heartbeats, and what the soak knows of the agent beside it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use citronhollow_core::clock::Millis;
+use citronhollow_core::flow::FlowId;
+use citronhollow_core::members::TargetState;
+use citronhollow_standin::server::{self, Beat};
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc::UnboundedSender;
+
+use crate::bounds::{DRAIN, HEARTBEAT, LOST, STABILITY};
+use crate::fleet::{Fleet, SERVICES, service_of};
+use crate::target::{SLOTS, Target};
+
+use super::Input;
+use super::socket::send;
+
+/// Time after its bound for which a target that leaves goes on.
+const LINGER: Millis = Millis(500);
+
+/// Time between the end of a target that left and its next start.
+const TARGET_RESTART: Millis = Millis(300);
+
+/// One target and its starts.
+pub(super) struct TargetHost {
+    pub(super) socket: Arc<UdpSocket>,
+    pub(super) agent: SocketAddr,
+    pub(super) heartbeats: SocketAddr,
+    pub(super) target: Option<Target>,
+    pub(super) starts: u32,
+    pub(super) born: u64,
+    pub(super) sequence: u64,
+    pub(super) next_beat: Millis,
+    pub(super) announced: Option<Millis>,
+    pub(super) acknowledged: Option<Millis>,
+    pub(super) start_at: Option<Millis>,
+    /// When the agent beside it may have reported last, if it is not at work.
+    pub(super) agent_silent: Option<Millis>,
+    /// When an agent that was silent for long was back.
+    pub(super) was_lost: Option<Millis>,
+    pub(super) is_overdue: bool,
+}
+
+impl TargetHost {
+    pub(super) fn new(target: usize, socket: Arc<UdpSocket>, fleet: &Fleet) -> Self {
+        Self {
+            socket,
+            agent: fleet.from_target(target),
+            heartbeats: fleet.heartbeats(target),
+            target: None,
+            starts: 0,
+            born: 0,
+            sequence: 0,
+            next_beat: Millis::ZERO,
+            announced: None,
+            acknowledged: None,
+            start_at: None,
+            agent_silent: None,
+            was_lost: None,
+            is_overdue: false,
+        }
+    }
+
+    pub(super) fn start(&mut self, now: Millis, seed: u32) {
+        self.start_at = None;
+        if self.target.is_some() {
+            return;
+        }
+        self.target = Some(Target::new(seed));
+        self.starts += 1;
+        (self.announced, self.acknowledged, self.is_overdue) = (None, None, false);
+        self.sequence = 0;
+        self.next_beat = now;
+        // Two starts are never in the same millisecond, as on the platform.
+        let time_of_day = SystemTime::now().duration_since(UNIX_EPOCH);
+        let millis = time_of_day.map_or(0, |time| time.as_millis());
+        self.born = u64::try_from(millis).unwrap_or(u64::MAX).max(self.born + 1);
+    }
+
+    pub(super) fn end(&mut self) {
+        self.target = None;
+        (self.announced, self.acknowledged) = (None, None);
+    }
+
+    pub(super) fn leave(&mut self, now: Millis) {
+        if let Some(target) = &mut self.target
+            && self.announced.is_none()
+        {
+            target.state = TargetState::Draining;
+            self.announced = Some(now);
+            self.next_beat = now;
+        }
+    }
+
+    /// A target that leaves goes on for its bound after the acknowledgement, or ends without one.
+    pub(super) fn look_after_leaving(&mut self, now: Millis) {
+        let waits = DRAIN.after(LINGER);
+        let acknowledged = self.acknowledged.map(|since| since.after(waits));
+        let unheard = self
+            .announced
+            .map(|since| since.after(waits).after(STABILITY));
+        let is_due = |at: Option<Millis>| at.is_some_and(|at| now >= at);
+        if !is_due(acknowledged) && !is_due(unheard) {
+            return;
+        }
+        let (heartbeats, name) = (self.heartbeats, self.name());
+        // Whether the last word is acknowledged is of no interest to a target that ends anyway.
+        tokio::spawn(async move { server::goodbye(heartbeats, &name).await });
+        self.end();
+        self.start_at = Some(now.after(TARGET_RESTART));
+    }
+
+    pub(super) fn beat(&mut self, now: Millis, number: usize, inputs: &UnboundedSender<Input>) {
+        let Some(target) = &self.target else {
+            return;
+        };
+        if now < self.next_beat {
+            return;
+        }
+        self.next_beat = now.after(HEARTBEAT);
+        self.sequence += 1;
+        let (to, name, inputs) = (self.heartbeats, self.name(), inputs.clone());
+        let (start, born, sequence, state) = (self.starts, self.born, self.sequence, target.state);
+        tokio::spawn(async move {
+            let beat = Beat {
+                name: &name,
+                service: SERVICES[service_of(number)],
+                born,
+                sequence,
+                state,
+                slots: SLOTS,
+            };
+            let is_acknowledged = beat.send(to).await;
+            // The receiver is gone only when the run has ended.
+            let _ = inputs.send(Input::Beaten {
+                target: number,
+                start,
+                state,
+                is_acknowledged,
+            });
+        });
+    }
+
+    pub(super) fn name(&self) -> String {
+        format!("i-{}", self.starts)
+    }
+
+    pub(super) fn send(&self, packet: &Bytes) {
+        send(&self.socket, packet, self.agent);
+    }
+
+    pub(super) fn take_due(&mut self, now: Millis) -> Vec<Bytes> {
+        let target = self.target.as_mut();
+        target.map_or_else(Vec::new, |target| target.take_due(now))
+    }
+
+    pub(super) fn holds(&self, flow: &FlowId) -> bool {
+        self.target
+            .as_ref()
+            .is_some_and(|target| target.holds(flow))
+    }
+
+    pub(super) fn on_agent_back(&mut self, now: Millis) {
+        if let Some(since) = self.agent_silent.take()
+            && now.since(since) >= LOST
+        {
+            self.was_lost = Some(now);
+        }
+    }
+
+    /// Whether its agent is or was silent for so long that balancers take the machine for lost.
+    pub(super) fn seemed_lost(&self, now: Millis) -> bool {
+        let is_lost = |since: Millis| now.since(since) >= LOST;
+        let was_lost = |back: Millis| now.since(back) < STABILITY;
+        self.agent_silent.is_some_and(is_lost) || self.was_lost.is_some_and(was_lost)
+    }
+}
--- /dev/null
+++ b/crates/soak/src/run/socket.rs
@@ -0,0 +1,41 @@
+//! Sockets of targets and callers.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc::UnboundedSender;
+
+use super::Input;
+
+pub(super) async fn listen(at: SocketAddr) -> io::Result<Arc<UdpSocket>> {
+    Ok(Arc::new(UdpSocket::bind(at).await?))
+}
+
+/// Sends a datagram, which is lost like any other if the system's buffers are full.
+pub(super) fn send(socket: &UdpSocket, packet: &Bytes, to: SocketAddr) {
+    let _ = socket.try_send_to(packet, to);
+}
+
+/// Passes on what a socket receives until the run ends.
+pub(super) fn receive(
+    socket: &Arc<UdpSocket>,
+    inputs: &UnboundedSender<Input>,
+    input: impl Fn(Bytes) -> Input + Send + 'static,
+) {
+    let (socket, inputs) = (Arc::clone(socket), inputs.clone());
+    tokio::spawn(async move {
+        let mut buf = [0; 2_048];
+        loop {
+            // An error here is the answer of a process that is away to an earlier datagram.
+            if let Ok((len, _)) = socket.recv_from(&mut buf).await {
+                let bytes = Bytes::copy_from_slice(&buf[..len]);
+                if inputs.send(input(bytes)).is_err() {
+                    return;
+                }
+            }
+        }
+    });
+}
--- /dev/null
+++ b/crates/soak/src/run/targets.rs
@@ -0,0 +1,94 @@
+//! Targets within the run: their starts, heartbeats and packets.
+
+use bytes::Bytes;
+use citronhollow_core::clock::Millis;
+use citronhollow_core::flow::FlowId;
+use rand::Rng;
+
+use crate::fleet::service_of;
+use crate::promises::{Opened, Promise};
+use crate::target::TargetEvent;
+
+use super::callers::Caller;
+use super::{CHANGING, ROUTES, World, fixed_service};
+
+impl World {
+    pub(super) fn look_after_hosts(&mut self, now: Millis) {
+        for target in 0..self.hosts.len() {
+            let host = &mut self.hosts[target];
+            if host.start_at.is_some_and(|at| now >= at) {
+                self.start_target(now, target);
+            }
+            let host = &mut self.hosts[target];
+            for packet in host.take_due(now) {
+                host.send(&packet);
+            }
+            host.look_after_leaving(now);
+            if let (Some(since), None) = (host.announced, host.acknowledged)
+                && !host.is_overdue
+            {
+                let before = self.judge.broken().len();
+                self.judge.on_unacknowledged(now, target, since);
+                self.hosts[target].is_overdue = self.judge.broken().len() > before;
+            }
+            self.hosts[target].beat(now, target, &self.inputs);
+        }
+    }
+
+    pub(super) fn on_packet_to_target(&mut self, now: Millis, target: usize, bytes: &Bytes) {
+        let Some(machine) = &mut self.hosts[target].target else {
+            return;
+        };
+        let mut events = Vec::new();
+        machine.on_packet(now, bytes, &mut events);
+        for event in events {
+            match event {
+                TargetEvent::Send(bytes) => self.hosts[target].send(&bytes),
+                TargetEvent::Opened(flow) => self.on_opened(now, target, &flow),
+                TargetEvent::Runs(request) => {
+                    self.judge.on_run(now, request.id, request.may_repeat);
+                }
+                TargetEvent::Changed(flow) => {
+                    let what = format!("target {target} gets a changed packet of {flow:?}");
+                    self.judge.note(now, Promise::Whole, what);
+                }
+            }
+        }
+    }
+
+    pub(super) fn on_opened(&mut self, now: Millis, target: usize, flow: &FlowId) {
+        let of_flow = |caller: &&Caller| {
+            let exchange = caller.exchange.as_ref();
+            exchange.is_some_and(|exchange| exchange.flow == *flow)
+        };
+        // A caller that has given up in the meantime judges nothing.
+        let Some(caller) = self.callers.iter().find(of_flow) else {
+            return;
+        };
+        let Some(exchange) = &caller.exchange else {
+            return;
+        };
+        self.report.opened += 1;
+        let opened = Opened {
+            sent: exchange.opened,
+            was_repeated: exchange.copies > 0,
+            balancer: caller.balancer,
+            target,
+            service: service_of(target),
+            leaving_since: self.hosts[target].acknowledged,
+        };
+        let route = caller.route;
+        self.judge.on_opened_while_leaving(now, &opened);
+        if route == CHANGING {
+            self.judge.on_opened(now, opened);
+        } else if fixed_service(route) != opened.service {
+            let what = format!("a flow of {} comes to target {target}", ROUTES[route].0);
+            self.judge.note(now, Promise::Service, what);
+        }
+    }
+
+    pub(super) fn start_target(&mut self, now: Millis, target: usize) {
+        let seed = self.rng.random();
+        self.hosts[target].start(now, seed);
+    }
+}
