Let the soak play larger fleets

Cause: three balancers and five agents are far from the users' fleets, and from half of what the machine bears.

The way to the store is carried in one loop.

The cases without processes pass.

--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -22,11 +22,14 @@
 /// Failure domains, by their numbers.
 const DOMAINS: [&str; 2] = ["ahmedabad", "surat"];
 
-/// Third parts of the loopback addresses of balancers, agents and callers.
+/// Second parts of the loopback addresses of balancers, agents and callers.
 const BALANCER_NET: u8 = 1;
 const AGENT_NET: u8 = 2;
 const CALLER_NET: u8 = 3;
 
+/// Addresses that differ in their last part only.
+const HOSTS: usize = 250;
+
 /// Time between the end of a process and its next start.
 const RESTART_AFTER: Millis = Millis(300);
 
@@ -307,8 +310,10 @@
 }
 
 fn address(net: u8, number: usize, port: u16) -> SocketAddr {
-    let host = u8::try_from(number + 1).unwrap_or(u8::MAX);
-    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, 0, net, host)), port)
+    let octet = |number: usize| u8::try_from(number).unwrap_or(u8::MAX);
+    let (high, low) = (number / HOSTS, number % HOSTS + 1);
+    let ip = Ipv4Addr::new(127, net, octet(high), octet(low));
+    SocketAddr::new(IpAddr::V4(ip), port)
 }
 
 fn domain_of(number: usize) -> &'static str {
--- a/crates/soak/src/link.rs
+++ b/crates/soak/src/link.rs
@@ -49,29 +49,8 @@
 }
 
 async fn carry(mut stream: TcpStream, store: SocketAddr, mut mode: watch::Receiver<LinkMode>) {
-    let current = *mode.borrow_and_update();
-    match current {
-        LinkMode::Refusing => return,
-        LinkMode::Silent => {
-            hold(mode).await;
-            return;
-        }
-        LinkMode::Slow(time) => sleep(time.into()).await,
-        LinkMode::Open => {}
-    }
-    let Ok(mut store) = TcpStream::connect(store).await else {
-        return;
-    };
+    let mut onward = None;
     loop {
-        tokio::select! {
-            // Either end has closed the connection, or lost it: so does the other.
-            _ = copy_bidirectional(&mut stream, &mut store) => return,
-            changed = mode.changed() => {
-                if changed.is_err() {
-                    return;
-                }
-            }
-        }
         let current = *mode.borrow_and_update();
         match current {
             LinkMode::Refusing => return,
@@ -79,8 +58,27 @@
                 hold(mode).await;
                 return;
             }
+            // Only new connections are slow.
+            LinkMode::Slow(time) if onward.is_none() => sleep(time.into()).await,
             LinkMode::Open | LinkMode::Slow(_) => {}
         }
+        let mut connected = match onward.take() {
+            Some(connected) => connected,
+            None => match TcpStream::connect(store).await {
+                Ok(connected) => connected,
+                Err(_) => return,
+            },
+        };
+        tokio::select! {
+            // Either end has closed the connection, or lost it: so does the other.
+            _ = copy_bidirectional(&mut stream, &mut connected) => return,
+            changed = mode.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+            }
+        }
+        onward = Some(connected);
     }
 }
 
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -6,11 +6,14 @@
 use std::sync::Mutex;
 
 use citronhollow_core::clock::Millis;
-use citronhollow_soak::plan::Plan;
+use citronhollow_soak::plan::{Plan, Shape};
 use citronhollow_soak::regressions::REGRESSIONS;
 use citronhollow_soak::run::{self, Report, SHAPE};
 use gumdrop::Options;
 
+/// Most processes of a kind: each has an address of its own in one part of the loopback net.
+const MOST: usize = 200;
+
 /// Plays faults that are drawn from seeds against the real programs.
 #[derive(Debug, Options)]
 struct Arguments {
@@ -26,6 +29,14 @@
         default = "20"
     )]
     seconds: u64,
+    #[options(no_short, help = "balancers of each run", default = "3")]
+    balancers: usize,
+    #[options(
+        no_short,
+        help = "targets of each run, each with an agent",
+        default = "5"
+    )]
+    targets: usize,
     #[options(no_short, help = "seeds that are played at once", default = "1")]
     jobs: usize,
     #[options(no_short, help = "play the seeds that once failed, and no others")]
@@ -43,8 +54,12 @@
 fn main() -> ExitCode {
     let arguments = Arguments::parse_args_default_or_exit();
     let length = Millis::from_secs(arguments.seconds);
+    let shape = Shape {
+        balancers: arguments.balancers.clamp(SHAPE.balancers, MOST),
+        targets: arguments.targets.clamp(SHAPE.targets, MOST),
+    };
     if arguments.plan {
-        return print_plan(&Plan::draw(arguments.seed, SHAPE, length));
+        return print_plan(&Plan::draw(arguments.seed, shape, length));
     }
     let last = arguments.seed.saturating_add(arguments.count);
     let runs: Vec<_> = if arguments.regressions {
@@ -61,7 +76,7 @@
             scope.spawn(|| {
                 let next = || runs.lock().ok()?.next();
                 while let Some((seed, length)) = next() {
-                    let is_kept = play(seed, length, arguments.keep.as_ref());
+                    let is_kept = play(seed, shape, length, arguments.keep.as_ref());
                     if !is_kept && let Ok(mut has_failed) = has_failed.lock() {
                         *has_failed = true;
                     }
@@ -87,7 +102,7 @@
 }
 
 /// Plays one seed. Returns whether every promise was kept.
-fn play(seed: u64, length: Millis, keep: Option<&PathBuf>) -> bool {
+fn play(seed: u64, shape: Shape, length: Millis, keep: Option<&PathBuf>) -> bool {
     let name = format!("citronhollow-soak-{}-{seed}", std::process::id());
     let dir = keep
         .map_or_else(std::env::temp_dir, Clone::clone)
@@ -95,7 +110,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
-    let report = runtime.and_then(|runtime| runtime.block_on(run::play(seed, length, &dir)));
+    let report = runtime.and_then(|runtime| runtime.block_on(run::play(seed, shape, length, &dir)));
     let is_kept = match &report {
         Ok(report) => {
             print(report);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -34,13 +34,14 @@
 use host::TargetHost;
 use socket::{listen, receive};
 
-/// Processes of a run.
+/// Processes of a run if nothing else is asked for.
 pub const SHAPE: Shape = Shape {
     balancers: 3,
     targets: 5,
 };
 
-const CALLERS: usize = 24;
+/// Callers for each target.
+const CALLERS: usize = 5;
 
 /// Time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(10);
@@ -103,6 +104,7 @@
 }
 
 struct World {
+    shape: Shape,
     started: Instant,
     rng: SmallRng,
     fleet: Fleet,
@@ -128,13 +130,13 @@
 /// # Errors
 ///
 /// If a socket, a file or a process cannot be had.
-pub async fn play(seed: u64, length: Millis, dir: &Path) -> io::Result<Report> {
+pub async fn play(seed: u64, shape: Shape, length: Millis, dir: &Path) -> io::Result<Report> {
     std::fs::create_dir_all(dir)?;
     // They are built now if need be, before anybody's time runs.
     binaries()?;
-    let plan = Plan::draw(seed, SHAPE, length);
+    let plan = Plan::draw(seed, shape, length);
     let (inputs, mut received) = mpsc::unbounded_channel();
-    let mut world = World::start(seed, dir, inputs).await?;
+    let mut world = World::start(seed, shape, dir, inputs).await?;
     world.report.steps = plan.steps.len();
     let began = world.wait_until_ready(&mut received).await?;
     let recovered_at = began.after(plan.length).after(RECOVERY);
@@ -160,19 +162,24 @@
 }
 
 impl World {
-    async fn start(seed: u64, dir: &Path, inputs: UnboundedSender<Input>) -> io::Result<Self> {
+    async fn start(
+        seed: u64,
+        shape: Shape,
+        dir: &Path,
+        inputs: UnboundedSender<Input>,
+    ) -> io::Result<Self> {
         let (store, address) = Store::start().await;
         let mut links = Vec::new();
-        for node in SHAPE.nodes() {
+        for node in shape.nodes() {
             links.push((node, Link::start(address).await?));
         }
         let link = |node| {
             let found = links.iter().find(|(of, _)| *of == node);
             found.map_or(address, |(_, link)| link.address)
         };
-        let fleet = Fleet::new(dir, SHAPE, link)?;
+        let fleet = Fleet::new(dir, shape, link)?;
         let mut hosts = Vec::new();
-        for target in 0..SHAPE.targets {
+        for target in 0..shape.targets {
             let socket = listen(fleet.target(target)).await?;
             receive(&socket, &inputs, move |bytes| {
                 Input::ToTarget(target, bytes)
@@ -180,7 +187,7 @@
             hosts.push(TargetHost::new(target, socket, &fleet));
         }
         let mut callers = Vec::new();
-        for caller in 0..CALLERS {
+        for caller in 0..shape.targets * CALLERS {
             let socket = listen(fleet.caller(caller)).await?;
             receive(&socket, &inputs, move |bytes| {
                 Input::ToCaller(caller, bytes)
@@ -197,12 +204,13 @@
             broken: Vec::new(),
         };
         let mut world = Self {
+            shape,
             started: Instant::now(),
             rng: SmallRng::seed_from_u64(seed ^ 1),
             fleet,
             links,
             store,
-            router: Router::new(SHAPE.balancers),
+            router: Router::new(shape.balancers),
             hosts,
             callers,
             judge: Judge::default(),
@@ -217,10 +225,10 @@
             report,
         };
         world.configure(Millis::ZERO);
-        for node in SHAPE.nodes() {
+        for node in shape.nodes() {
             world.fleet.start(node)?;
         }
-        for target in 0..SHAPE.targets {
+        for target in 0..shape.targets {
             world.start_target(Millis::ZERO, target);
         }
         Ok(world)
@@ -399,7 +407,7 @@
 
     fn probe(&mut self, now: Millis) {
         self.next_probe = now.after(PROBE);
-        for balancer in 0..SHAPE.balancers {
+        for balancer in 0..self.shape.balancers {
             let (at, inputs) = (self.fleet.probe(balancer), self.inputs.clone());
             tokio::spawn(async move {
                 let is_ready = is_ready(at).await;
--- a/crates/soak/tests/ends.rs
+++ b/crates/soak/tests/ends.rs
@@ -23,7 +23,7 @@
 
 fn flow() -> FlowId {
     FlowId {
-        caller: "127.0.3.1:20000".parse().expect("an address"),
+        caller: "127.3.0.1:20000".parse().expect("an address"),
         service: "198.18.0.1:8001".parse().expect("an address"),
     }
 }
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -1,7 +1,7 @@
 //! One short seed against the real programs. Longer runs are started by hand (`docs/SOAK.md`).
 
 use citronhollow_core::clock::Millis;
-use citronhollow_soak::run::play;
+use citronhollow_soak::run::{SHAPE, play};
 
 /// Seed of the run that CI plays. Its plan has restarts of both kinds of processes, a change of the
 /// configuration and a store that refuses calls.
@@ -13,7 +13,7 @@
 async fn promises_hold_under_a_short_plan() {
     let name = format!("citronhollow-soak-short-{}", std::process::id());
     let dir = std::env::temp_dir().join(name);
-    let report = play(SEED, LENGTH, &dir).await.expect("a run");
+    let report = play(SEED, SHAPE, LENGTH, &dir).await.expect("a run");
     assert!(
         report.broken.is_empty(),
         "{report:#?}\nlogs: {}",
