Judge resets and recovery in the soak only while it runs undisturbed itself

Cause: a run that is held up for 400 ms counts as a disturbance of everything (docs/SOAK.md), but two checks did not look at it: on a machine without time, an agent that got none for 2 s looks lost, and a caller is not served. Found by reading, no run shows it.

Nothing changes in runs without one.

--- a/crates/soak/src/run/callers.rs
+++ b/crates/soak/src/run/callers.rs
@@ -173,6 +173,7 @@
         let holder = self.hosts.iter().position(|host| host.holds(&flow));
         if let Some(target) = holder
             && !self.hosts[target].seemed_lost(now)
+            && self.judge.calm.was_calm(now, &[])
         {
             let what = format!("target {target} holds {flow:?}, which is reset");
             self.judge.note(now, Promise::NoReset, what);
@@ -180,7 +181,8 @@
     }
 
     pub(super) fn judge_recovery(&mut self, now: Millis, number: usize, what: &str) {
-        if self.recovered_at.is_some_and(|at| now >= at) {
+        let is_judged = self.recovered_at.is_some_and(|at| now >= at);
+        if is_judged && self.judge.calm.was_calm(now, &[]) {
             let route = ROUTES[self.callers[number].route].0;
             let what = format!("caller {number} of {route} {what}");
             self.judge.note(now, Promise::Recovery, what);
