--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -64,13 +64,29 @@
 const ANNOUNCE_AGAIN: Millis = Millis(400);
 
 /// The routes: one whose service changes with every configuration, and one for each service.
-const ROUTES: [(&str, u16, bool); 3] = [
-    ("board", 8_001, true),
-    ("card", 8_002, false),
-    ("sheet", 8_003, true),
+const ROUTES: [SampleRoute; 3] = [
+    SampleRoute::new("board", 8_001, true),
+    SampleRoute::new("card", 8_002, false),
+    SampleRoute::new("sheet", 8_003, true),
 ];
 const CHANGING: usize = 0;
 
+struct SampleRoute {
+    name: &'static str,
+    port: u16,
+    may_repeat: bool,
+}
+
+impl SampleRoute {
+    const fn new(name: &'static str, port: u16, may_repeat: bool) -> Self {
+        Self {
+            name,
+            port,
+            may_repeat,
+        }
+    }
+}
+
 /// What a run has shown.
 #[derive(Debug)]
 pub struct Report {
@@ -82,7 +98,7 @@
     pub opened: u64,
     /// Requests that were answered.
     pub answered: u64,
-    /// Flows that were given up, and flows that were reset.
+    /// Flows whose caller gave up.
     pub given_up: u64,
     /// Flows that were reset.
     pub resets: u64,
@@ -92,17 +108,22 @@
 
 /// What comes from outside the loop.
 enum Input {
+    /// A datagram at a target's socket, by the target's number.
     ToTarget(usize, Bytes),
+    /// A datagram at a caller's socket, by the caller's number.
     ToCaller(usize, Bytes),
+    /// A target's heartbeat has an answer, or none came in time.
     Beaten {
         target: usize,
         start: u32,
         state: TargetState,
         is_acknowledged: bool,
     },
+    /// A balancer's probe has an answer: whether it takes packets.
     Probed(usize, bool),
 }
 
+/// Everything of a run. One loop changes it, so that nothing in it is shared.
 struct World {
     shape: Shape,
     started: Instant,
@@ -114,9 +135,12 @@
     hosts: Vec<TargetHost>,
     callers: Vec<Caller>,
     judge: Judge,
+    /// Configurations written so far.
     version: usize,
     next_request: u64,
+    /// One datagram of callers in so many is lost, none if zero.
     loss: u32,
+    /// From when on every caller must be served.
     recovered_at: Option<Millis>,
     inputs: UnboundedSender<Input>,
     next_look: Millis,
@@ -348,16 +372,15 @@
         self.version += 1;
         let service = self.version % SERVICES.len();
         let routes = ROUTES.iter().enumerate().map(|(number, route)| {
-            let (name, port, is_idempotent) = *route;
             let service = if number == CHANGING {
                 service
             } else {
                 fixed_service(number)
             };
             Route {
-                name: String::from(name),
-                address: service_address(port),
-                is_idempotent,
+                name: String::from(route.name),
+                address: service_address(route.port),
+                is_idempotent: route.may_repeat,
                 service: String::from(SERVICES[service]),
             }
         });
--- a/crates/soak/src/run/callers.rs
+++ b/crates/soak/src/run/callers.rs
@@ -38,6 +38,7 @@
 }
 
 impl World {
+    /// Opens, repeats, asks or gives up, whatever is due.
     pub(super) fn look_after_caller(&mut self, now: Millis, number: usize) {
         let caller = &mut self.callers[number];
         let Some(exchange) = &mut caller.exchange else {
@@ -67,7 +68,7 @@
         caller.left = self.rng.random_range(1..=REQUESTS);
         let flow = FlowId {
             caller: SocketAddr::new(self.fleet.caller(number).ip(), caller.next_port),
-            service: service_address(ROUTES[caller.route].1),
+            service: service_address(ROUTES[caller.route].port),
         };
         let exchange = Exchange::new(now, flow, self.rng.random());
         let opening = exchange.opening();
@@ -78,6 +79,7 @@
         self.route(number, &opening);
     }
 
+    /// Sends the next request, or closes a flow that had all of its requests.
     pub(super) fn ask(&mut self, now: Millis, number: usize) {
         let caller = &mut self.callers[number];
         let Some(exchange) = &mut caller.exchange else {
@@ -89,7 +91,7 @@
             caller.left -= 1;
             let request = Request {
                 id: self.next_request,
-                may_repeat: ROUTES[caller.route].2,
+                may_repeat: ROUTES[caller.route].may_repeat,
             };
             self.next_request += 1;
             exchange.ask(now, request)
@@ -183,7 +185,7 @@
     pub(super) fn judge_recovery(&mut self, now: Millis, number: usize, what: &str) {
         let is_judged = self.recovered_at.is_some_and(|at| now >= at);
         if is_judged && self.judge.calm.was_calm(now, &[]) {
-            let route = ROUTES[self.callers[number].route].0;
+            let route = ROUTES[self.callers[number].route].name;
             let what = format!("caller {number} of {route} {what}");
             self.judge.note(now, Promise::Recovery, what);
         }
--- a/crates/soak/src/run/targets.rs
+++ b/crates/soak/src/run/targets.rs
@@ -82,7 +82,7 @@
         if route == CHANGING {
             self.judge.on_opened(now, opened);
         } else if fixed_service(route) != opened.service {
-            let what = format!("a flow of {} comes to target {target}", ROUTES[route].0);
+            let what = format!("a flow of {} comes to target {target}", ROUTES[route].name);
             self.judge.note(now, Promise::Service, what);
         }
     }
