Take the header's length from the adapter, and say plainly what a test's field holds

Read in the whole change: the benchmark against relays had its own copy of the packet header's length, which the adapter has; a comment in the tests' world was contract wording. No behaviour and no check changes, no product code.

--- a/crates/core/tests/pass_through/world.rs
+++ b/crates/core/tests/pass_through/world.rs
@@ -58,7 +58,7 @@
     queue: VecDeque<Message>,
     /// Where each open flow is held.
     pub held: HashMap<FlowId, u16>,
-    /// Flows that a caller was told to be over.
+    /// Flows whose caller was reset.
     pub reset: HashSet<FlowId>,
     /// Flows that were reset though their target held them.
     pub wrongly_reset: Vec<FlowId>,
--- a/crates/soak/examples/relay.rs
+++ b/crates/soak/examples/relay.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use citronhollow_adapter::packet::HEADER_LEN;
 use citronhollow_core::clock::Millis;
 use citronhollow_core::flow::{FlowId, Segment};
 use citronhollow_core::members::TargetState;
@@ -25,7 +26,6 @@
 
 /// Sizes of packets, in bytes with their header.
 const SIZES: [usize; 2] = [64, 1_200];
-const HEADER_LEN: usize = 31;
 
 /// Length of one measurement.
 const SPAN: Duration = Duration::from_secs(2);
