--- a/crates/agent/src/pass_through/traffic.rs
+++ b/crates/agent/src/pass_through/traffic.rs
@@ -341,8 +341,15 @@
             return;
         };
         let group = GroupId(forward.group);
+        let class = pass_through::class_from_message(&forward);
         match packet::from_caller(forward.packet) {
-            Ok(caller) => self.on_caller(now, from, offer, group, caller.packet),
+            Ok(caller) => {
+                if let Some(class) = class {
+                    let service = caller.packet.flow.service;
+                    self.agent.set_class(now, service, class);
+                }
+                self.on_caller(now, from, offer, group, caller.packet);
+            }
             Err(err) => log::warn!("peer: packet from {from} dropped: {err}"),
         }
     }
@@ -379,11 +386,13 @@
             AgentAction::ToCaller { flow, bytes } => {
                 self.send_packet(&bytes, self.caller_addr(flow.caller));
             }
-            AgentAction::Reject { to, bytes, .. } => {
-                self.peers.send(
-                    &Envelope::from(pass_through::reject(self.target_id, bytes)),
-                    to,
-                );
+            AgentAction::Reject {
+                to,
+                rejected,
+                bytes,
+            } => {
+                let reject = pass_through::reject(self.target_id, rejected, bytes);
+                self.peers.send(&Envelope::from(reject), to);
             }
             AgentAction::Reply { to, flow, holding } => {
                 let reply = pass_through::reply(self.target_id, &flow, holding);
@@ -411,10 +420,14 @@
 fn decision_of(action: &AgentAction<Bytes>) -> Option<Decision> {
     let decision = match action {
         AgentAction::Deliver { .. } | AgentAction::ToCaller { .. } => return None,
-        AgentAction::Reject { to, reason, bytes } => {
+        AgentAction::Reject {
+            to,
+            rejected,
+            bytes,
+        } => {
             let caller = packet::from_caller(bytes.clone()).ok()?;
             let decision = Decision::new(Event::FlowGivenBack).flow(caller.packet.flow);
-            decision.peer(*to).reason(reason)
+            decision.peer(*to).reason(&rejected.reason)
         }
         AgentAction::Reply { to, flow, holding } => Decision::new(Event::FlowAnswered)
             .flow(*flow)
--- a/crates/agent/src/traffic/wire.rs
+++ b/crates/agent/src/traffic/wire.rs
@@ -63,6 +63,7 @@
         trace: packet.trace,
         relay: relay.into(),
         sender: me.0,
+        class: None,
         offer: 0,
         group: 0,
     }
--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -73,6 +73,7 @@
         new_flows_per_s: None,
         new_flows_per_s_per_caller: None,
         spill: citronhollow_core::config::Spill::Normal,
+        requests: citronhollow_core::config::RequestClass::default(),
     };
     let pool = Pool {
         name: String::from("match-desk"),
@@ -238,6 +239,7 @@
             relay: Relay::Balancer.into(),
             sender: 0,
             offer: 0,
+            class: None,
             group: 0,
         };
         self.send_body(to, Body::Forward(forward));
--- a/crates/balancer/examples/control_cost.rs
+++ b/crates/balancer/examples/control_cost.rs
@@ -57,6 +57,7 @@
         new_flows_per_s: Some(u32::try_from(number).unwrap_or(0)),
         new_flows_per_s_per_caller: None,
         spill: citronhollow_core::config::Spill::Normal,
+        requests: citronhollow_core::config::RequestClass::default(),
     };
     let pool = |it: u32| Pool {
         name: format!("pool-{it}"),
--- a/crates/balancer/examples/forwarding.rs
+++ b/crates/balancer/examples/forwarding.rs
@@ -161,6 +161,7 @@
         new_flows_per_s: None,
         new_flows_per_s_per_caller: None,
         spill: citronhollow_core::config::Spill::Normal,
+        requests: citronhollow_core::config::RequestClass::default(),
     };
     let pool = Pool {
         name: String::from("match-desk"),
--- a/crates/balancer/examples/platform_calls.rs
+++ b/crates/balancer/examples/platform_calls.rs
@@ -91,6 +91,7 @@
         new_flows_per_s: None,
         new_flows_per_s_per_caller: None,
         spill: citronhollow_core::config::Spill::Normal,
+        requests: citronhollow_core::config::RequestClass::default(),
     });
     Documents {
         services: services.collect(),
--- a/crates/balancer/src/pass_through/traffic.rs
+++ b/crates/balancer/src/pass_through/traffic.rs
@@ -291,12 +291,18 @@
                     self.balancer.on_report(now, report);
                 }
             }
-            Some(Body::Reject(reject)) => match packet::from_caller(reject.packet) {
-                Ok(caller) => self.decide(|balancer, out| {
-                    balancer.on_reject(now, TargetId(reject.target), caller.packet, out);
-                }),
-                Err(err) => log::warn!("peer: packet from {from} dropped: {err}"),
-            },
+            Some(Body::Reject(reject)) => {
+                let (target, rejected) = (
+                    TargetId(reject.target),
+                    pass_through::rejected_from_message(&reject),
+                );
+                match packet::from_caller(reject.packet) {
+                    Ok(caller) => self.decide(|balancer, out| {
+                        balancer.on_reject(now, target, rejected, caller.packet, out);
+                    }),
+                    Err(err) => log::warn!("peer: packet from {from} dropped: {err}"),
+                }
+            }
             Some(Body::Reply(reply)) => {
                 let flow = pass_through::flow_from_message(&reply.caller, &reply.service);
                 let holding = pass_through::holding_from_message(&reply);
@@ -389,9 +395,10 @@
                 to,
                 offer,
                 group,
+                class,
                 bytes,
             } => {
-                let message = pass_through::offer_to_message(offer, group);
+                let message = pass_through::offer_to_message(offer, group, class);
                 self.peers.send_forward(&message, &bytes, to);
             }
             BalancerAction::Ask { to, flow } => {
@@ -426,7 +433,7 @@
             to, offer, bytes, ..
         } => {
             let event = match offer {
-                Offer::New => decisions::Event::FlowOffered,
+                Offer::New | Offer::IfIdle => decisions::Event::FlowOffered,
                 Offer::Trial => decisions::Event::FlowTried,
                 Offer::Held => return None,
             };
--- a/crates/balancer/tests/fleet/mod.rs
+++ b/crates/balancer/tests/fleet/mod.rs
@@ -58,6 +58,7 @@
                 new_flows_per_s: None,
                 new_flows_per_s_per_caller: None,
                 spill: citronhollow_core::config::Spill::Normal,
+                requests: citronhollow_core::config::RequestClass::default(),
             }],
             pools: vec![Pool {
                 name: String::from("desk"),
--- a/crates/balancer/tests/node.rs
+++ b/crates/balancer/tests/node.rs
@@ -26,6 +26,7 @@
         new_flows_per_s: None,
         new_flows_per_s_per_caller: None,
         spill: citronhollow_core::config::Spill::Normal,
+        requests: citronhollow_core::config::RequestClass::default(),
     }
 }
 
--- a/crates/core/examples/choice.rs
+++ b/crates/core/examples/choice.rs
@@ -106,6 +106,7 @@
         new_flows_per_s: None,
         new_flows_per_s_per_caller: None,
         spill: citronhollow_core::config::Spill::Normal,
+        requests: citronhollow_core::config::RequestClass::default(),
     }
 }
 
--- a/crates/core/examples/pass_through_cost.rs
+++ b/crates/core/examples/pass_through_cost.rs
@@ -8,7 +8,7 @@
 use std::time::Instant;
 
 use citronhollow_core::clock::Millis;
-use citronhollow_core::config::{Documents, Pool, Refusal, Revision, Service, Spill};
+use citronhollow_core::config::{Documents, Pool, Refusal, RequestClass, Revision, Service, Spill};
 use citronhollow_core::flow::{FlowId, Segment};
 use citronhollow_core::id::{DomainId, GroupId, InstanceId, TargetId};
 use citronhollow_core::members::TargetState;
@@ -49,6 +49,7 @@
                 new_flows_per_s: None,
                 new_flows_per_s_per_caller: None,
                 spill: Spill::Normal,
+                requests: RequestClass::default(),
             }],
             pools: vec![Pool {
                 name: name.clone(),
--- a/crates/core/src/config/check.rs
+++ b/crates/core/src/config/check.rs
@@ -9,7 +9,9 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use super::documents::{Documents, Pool, Rule, Service};
+use crate::clock::Millis;
+
+use super::documents::{Documents, Pool, RequestClass, Rule, Service};
 use super::problem::{CheckError, DocumentKind, DocumentRef, Problem};
 
 mod addresses;
@@ -28,6 +30,10 @@
 pub const MAX_GROUPS: usize = 64;
 /// Largest value of a limit.
 pub const MAX_LIMIT: u32 = 10_000_000;
+/// Longest objective or time limit of a request.
+pub const MAX_REQUEST_TIME: Millis = Millis::from_secs(600);
+/// Largest number of a priority, the least urgent one.
+pub const MAX_PRIORITY: u8 = 9;
 /// Most that the rules of one service may add up to.
 pub const MAX_RULES_PERCENT: u32 = 100;
 
@@ -111,6 +117,37 @@
         };
         add("new_flows_per_s_per_caller", problem);
     }
+    for (field, problem) in class_problems(&service.requests) {
+        add(field, problem);
+    }
+}
+
+/// What is wrong with the expectations of a service's callers, each with its field.
+#[must_use]
+pub fn class_problems(class: &RequestClass) -> Vec<(&'static str, Problem)> {
+    let RequestClass {
+        objective_ms,
+        time_limit_ms,
+        priority,
+    } = *class;
+    let is_in_range = |time: Millis| (Millis(1)..=MAX_REQUEST_TIME).contains(&time);
+    let mut problems = Vec::new();
+    if !is_in_range(objective_ms) {
+        problems.push(("requests.objective_ms", Problem::BadTime(objective_ms)));
+    }
+    if !is_in_range(time_limit_ms) {
+        problems.push(("requests.time_limit_ms", Problem::BadTime(time_limit_ms)));
+    } else if time_limit_ms < objective_ms {
+        let problem = Problem::ObjectiveAboveTimeLimit {
+            objective: objective_ms,
+            time_limit: time_limit_ms,
+        };
+        problems.push(("requests.objective_ms", problem));
+    }
+    if priority > MAX_PRIORITY {
+        problems.push(("requests.priority", Problem::BadPriority(priority)));
+    }
+    problems
 }
 
 fn check_pool(pool: &Pool, findings: &mut Findings) {
--- a/crates/core/src/config/documents.rs
+++ b/crates/core/src/config/documents.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::clock::Millis;
 use crate::id::{GroupId, ServiceId};
 
 /// How a refused flow is answered.
@@ -32,6 +33,32 @@
     Late,
 }
 
+/// What the callers of a service expect of each request.
+///
+/// Only pass-through delivery asks: it decides by these which request goes first, how long one may wait
+/// and when it is refused.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RequestClass {
+    /// Time within which an answer is of full use, in ms.
+    pub objective_ms: Millis,
+    /// Time after which an answer is of no use, in ms.
+    pub time_limit_ms: Millis,
+    /// Urgency, 0 for the most urgent.
+    pub priority: u8,
+}
+
+impl Default for RequestClass {
+    /// A person notices longer waits than the objective, and gives up after the time limit.
+    fn default() -> Self {
+        Self {
+            objective_ms: Millis(250),
+            time_limit_ms: Millis::from_secs(2),
+            priority: 5,
+        }
+    }
+}
+
 /// A name that callers reach at one or more addresses.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -54,6 +81,9 @@
     /// How readily new flows leave the caller's failure domain. Only pass-through delivery asks.
     #[serde(default)]
     pub spill: Spill,
+    /// What callers expect of a request.
+    #[serde(default)]
+    pub requests: RequestClass,
 }
 
 /// A set of targets, named by the groups that they announce.
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -10,8 +10,8 @@
 mod share;
 mod slice;
 
-pub use check::{HeldAddress, check, check_names, colliding};
-pub use documents::{Documents, Pool, Refusal, Revision, Rule, Service, Spill};
+pub use check::{HeldAddress, MAX_PRIORITY, check, check_names, class_problems, colliding};
+pub use documents::{Documents, Pool, Refusal, RequestClass, Revision, Rule, Service, Spill};
 pub use plan::{Action, Change, plan};
 pub use problem::{CheckError, DocumentKind, DocumentRef, Problem};
 pub use share::Share;
--- a/crates/core/src/config/problem.rs
+++ b/crates/core/src/config/problem.rs
@@ -5,7 +5,9 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use super::check::{MAX_LIMIT, MAX_NAME_LEN, MAX_RULES_PERCENT};
+use crate::clock::Millis;
+
+use super::check::{MAX_LIMIT, MAX_NAME_LEN, MAX_PRIORITY, MAX_REQUEST_TIME, MAX_RULES_PERCENT};
 
 /// Kind of a document.
 #[derive(
@@ -135,6 +137,20 @@
         /// Limit of the service.
         service: u32,
     },
+    /// An objective or a time limit is out of its range.
+    #[display("{_0} is outside of 1 ms to {MAX_REQUEST_TIME}")]
+    BadTime(Millis),
+    /// Requests would be given up before they are late.
+    #[display("the objective of {objective} is above the time limit of {time_limit}")]
+    ObjectiveAboveTimeLimit {
+        /// The objective.
+        objective: Millis,
+        /// The time limit.
+        time_limit: Millis,
+    },
+    /// A priority is out of its range.
+    #[display("priority {_0} is outside of 0 to {MAX_PRIORITY}")]
+    BadPriority(u8),
 }
 
 impl Problem {
@@ -170,6 +186,13 @@
             Self::CallerLimitAboveService { .. } => {
                 String::from("lower the caller's limit or raise the service's")
             }
+            Self::BadTime(_) => {
+                format!("give 1 to {}, or leave the field out", MAX_REQUEST_TIME.0)
+            }
+            Self::ObjectiveAboveTimeLimit { .. } => {
+                String::from("lower the objective or raise the time limit")
+            }
+            Self::BadPriority(_) => format!("give 0 for the most urgent to {MAX_PRIORITY}"),
         }
     }
 }
--- a/crates/core/src/flows/services.rs
+++ b/crates/core/src/flows/services.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use crate::config::{Pool, Revision, Rule, Service, Share, Spill};
+use crate::config::{Pool, RequestClass, Revision, Rule, Service, Share, Spill};
 use crate::flow::FlowId;
 use crate::id::{GroupId, ServiceId};
 
@@ -36,6 +36,7 @@
     rules: Vec<RuleView>,
     new_flows: NewFlowLimits,
     spill: Spill,
+    requests: RequestClass,
 }
 
 /// Services by address.
@@ -107,6 +108,11 @@
         self.view(service).spill
     }
 
+    /// What callers expect of the service's requests.
+    pub(crate) fn requests(&self, service: ServiceKey) -> RequestClass {
+        self.view(service).requests
+    }
+
     /// Whether a service with this identity exists.
     pub(crate) fn has(&self, id: ServiceId) -> bool {
         self.views.iter().any(|view| view.id == id)
@@ -136,6 +142,7 @@
                 per_s_per_caller: service.new_flows_per_s_per_caller,
             },
             spill: service.spill,
+            requests: service.requests,
         });
     }
 
--- a/crates/core/src/pass_through.rs
+++ b/crates/core/src/pass_through.rs
@@ -26,4 +26,4 @@
 pub use balancer::{Balancer, BalancerAction, BalancerLimits};
 pub use contacts::Contacts;
 pub use fleet::{FAR_INTERVAL, Report};
-pub use packet::{DropReason, Holding, Offer, Packet, RejectReason, Reset, ResetReason};
+pub use packet::{DropReason, Holding, Offer, Packet, RejectReason, Rejected, Reset, ResetReason};
--- a/crates/core/src/pass_through/agent.rs
+++ b/crates/core/src/pass_through/agent.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 
 use crate::clock::Millis;
+use crate::config::RequestClass;
 use crate::flow::FlowId;
 use crate::id::{DomainId, GroupId, InstanceId, TargetId};
 use crate::members::TargetState;
@@ -26,7 +27,7 @@
 use unknown::ABSENT_LIFE;
 
 use super::conn::{Conn, Stage};
-use super::packet::{DropReason, Holding, Offer, Packet, RejectReason, Reset};
+use super::packet::{DropReason, Holding, Offer, Packet, RejectReason, Rejected, Reset};
 
 /// Time in which the target answers an opening packet. A target that does not is not offered more.
 const ANSWER_WITHIN: Millis = Millis(150);
@@ -34,6 +35,9 @@
 /// Time for which a flow that ended at both ends is remembered, for repeated packets of the end.
 const ENDED_LIFE: Millis = Millis::from_secs(5);
 
+/// Services whose callers' expectations are remembered.
+const CLASSES_MAX: usize = 4_096;
+
 /// Bounds of one agent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct AgentLimits {
@@ -64,8 +68,8 @@
     Reject {
         /// The balancer.
         to: SocketAddr,
-        /// Why.
-        reason: RejectReason,
+        /// Why, and when there is room again.
+        rejected: Rejected,
         /// The packet.
         bytes: B,
     },
@@ -156,6 +160,8 @@
     offered: Vec<(Millis, FlowId)>,
     /// Opening packets for which the target has no room, the newest last.
     waiting: Vec<Opening<B>>,
+    /// What callers of the services expect, as balancers said with the last opening packet.
+    classes: Recent<SocketAddr, RequestClass>,
     trials: HashMap<FlowId, Trial>,
     /// Flows that the target returned, with the time of it.
     absent: Recent<FlowId, Millis>,
@@ -199,6 +205,7 @@
             offers: HashMap::new(),
             offered: Vec::new(),
             waiting: Vec::new(),
+            classes: Recent::new(CLASSES_MAX),
             trials: HashMap::new(),
             absent: Recent::new(limits.flows),
             last_heartbeat: None,
@@ -220,6 +227,11 @@
         }
     }
 
+    /// A balancer says what the callers of a service expect.
+    pub fn set_class(&mut self, now: Millis, service: SocketAddr, class: RequestClass) {
+        self.classes.insert(now, service, class);
+    }
+
     /// Decides about a caller's packet that a balancer sent.
     pub fn on_packet(
         &mut self,
@@ -238,7 +250,7 @@
                 let bytes = packet.bytes;
                 out.push(AgentAction::Deliver { bytes });
             } else {
-                self.on_opening(now, balancer, group, packet, out);
+                self.on_opening(now, balancer, offer, group, packet, out);
             }
             return;
         }
@@ -363,6 +375,7 @@
         &mut self,
         now: Millis,
         balancer: SocketAddr,
+        offer: Offer,
         group: GroupId,
         packet: Packet<B>,
         out: &mut Vec<AgentAction<B>>,
@@ -376,7 +389,7 @@
                 balancer,
                 packet,
             };
-            self.admit(now, opening, out);
+            self.admit(now, offer, opening, out);
         } else {
             reject(balancer, RejectReason::NotReady, packet.bytes, out);
         }
@@ -492,7 +505,12 @@
 }
 
 fn reject<B>(to: SocketAddr, reason: RejectReason, bytes: B, out: &mut Vec<AgentAction<B>>) {
-    out.push(AgentAction::Reject { to, reason, bytes });
+    let rejected = Rejected::from(reason);
+    out.push(AgentAction::Reject {
+        to,
+        rejected,
+        bytes,
+    });
 }
 
 fn drop_ended<B>(flow: FlowId, out: &mut Vec<AgentAction<B>>) {
--- a/crates/core/src/pass_through/agent/admission.rs
+++ b/crates/core/src/pass_through/agent/admission.rs
@@ -14,7 +14,7 @@
 use crate::members::TargetState;
 
 use super::super::conn::Conn;
-use super::super::packet::{Holding, Packet, ROOM_WAIT, RejectReason};
+use super::super::packet::{Holding, Offer, Packet, RejectReason, Rejected, room_wait};
 use super::{Agent, AgentAction, reject};
 
 /// Time that a request may wait at the target: half of the shortest latency objective of the users'
@@ -51,21 +51,33 @@
 }
 
 impl<B: Clone> Agent<B> {
-    /// Offers a new flow to the target, or keeps its opening packet until there is room.
+    /// Offers a new flow to the target, or keeps its opening packet until there is room. If other targets
+    /// may be idle, it is given back instead.
     pub(super) fn admit(
         &mut self,
         now: Millis,
+        offer: Offer,
         opening: Opening<B>,
         out: &mut Vec<AgentAction<B>>,
     ) {
         let flow = opening.packet.flow;
         self.waiting.retain(|waiting| waiting.packet.flow != flow);
-        if self.has_room(now) {
+        let has_room = if offer == Offer::IfIdle {
+            self.is_idle_for(now)
+        } else {
+            self.has_room(now)
+        };
+        if has_room {
             self.offer(now, opening, out);
             return;
         }
+        if offer == Offer::IfIdle {
+            self.give_back_full(now, opening, out);
+            return;
+        }
         if self.waiting.len() >= WAITING_MAX {
-            give_back(self.waiting.remove(0), RejectReason::Full, out);
+            let oldest = self.waiting.remove(0);
+            self.give_back_full(now, oldest, out);
         }
         let (to, holding) = (opening.balancer, Holding::Waiting);
         out.push(AgentAction::Reply { to, flow, holding });
@@ -92,14 +104,46 @@
         } else {
             RejectReason::NotReady
         };
+        let classes = &self.classes;
         let is_over = |waiting: &mut Opening<B>| {
-            reason == RejectReason::NotReady || now.since(waiting.since) >= ROOM_WAIT
+            let class = classes.get(&waiting.packet.flow.service);
+            let patience = room_wait(&class.copied().unwrap_or_default());
+            reason == RejectReason::NotReady || now.since(waiting.since) >= patience
         };
-        for opening in self.waiting.extract_if(.., is_over) {
-            give_back(opening, reason, out);
+        let over: Vec<_> = self.waiting.extract_if(.., is_over).collect();
+        for opening in over {
+            if reason == RejectReason::Full {
+                self.give_back_full(now, opening, out);
+            } else {
+                reject(opening.balancer, reason, opening.packet.bytes, out);
+            }
         }
     }
 
+    /// Gives an opening packet back with the time after which there is room.
+    fn give_back_full(&self, now: Millis, opening: Opening<B>, out: &mut Vec<AgentAction<B>>) {
+        let rejected = Rejected {
+            reason: RejectReason::Full,
+            room_after: self.room_after(now),
+        };
+        out.push(AgentAction::Reject {
+            to: opening.balancer,
+            rejected,
+            bytes: opening.packet.bytes,
+        });
+    }
+
+    /// Expected time until the target can begin with one request more.
+    fn room_after(&self, now: Millis) -> Millis {
+        let Some((_, heartbeat)) = self.last_heartbeat else {
+            return Millis::ZERO;
+        };
+        let slots = u64::from(heartbeat.slots.max(1));
+        let ahead = u64::from(self.pending()) + u64::from(self.awaited(now));
+        let over = (ahead + 1).saturating_sub(slots);
+        Millis(self.work_micros * over / slots / 1_000)
+    }
+
     pub(super) fn takes_new_flows(&self, now: Millis) -> bool {
         matches!(self.state(now), TargetState::Ready | TargetState::Starting)
     }
@@ -110,17 +154,34 @@
         self.busy.saturating_add(waiting)
     }
 
-    fn has_room(&mut self, now: Millis) -> bool {
+    /// Flows that were offered a moment ago, whose first request may still come.
+    fn awaited(&self, now: Millis) -> u32 {
+        let awaited = self
+            .offered
+            .iter()
+            .filter(|offered| self.is_awaited(now, offered));
+        u32::try_from(awaited.count()).unwrap_or(u32::MAX)
+    }
+
+    fn is_awaited(&self, now: Millis, (since, flow): &(Millis, FlowId)) -> bool {
+        let conn = self.conns.get(flow);
+        now.since(*since) < FIRST_REQUEST_WITHIN && conn.is_some_and(Conn::awaits_request)
+    }
+
+    /// Whether a slot of the target is free and nobody waits for it.
+    fn is_idle_for(&self, now: Millis) -> bool {
         let Some((_, heartbeat)) = self.last_heartbeat else {
             return true;
         };
-        let conns = &self.conns;
-        let is_awaited = |(since, flow): &(Millis, FlowId)| {
-            let conn = conns.get(flow);
-            now.since(*since) < FIRST_REQUEST_WITHIN && conn.is_some_and(Conn::awaits_request)
+        let taken = self.busy.saturating_add(self.awaited(now));
+        self.waiting.is_empty() && taken < u32::from(heartbeat.slots)
+    }
+
+    fn has_room(&self, now: Millis) -> bool {
+        let Some((_, heartbeat)) = self.last_heartbeat else {
+            return true;
         };
-        self.offered.retain(is_awaited);
-        let awaited = u32::try_from(self.offered.len()).unwrap_or(u32::MAX);
+        let awaited = self.awaited(now);
         let is_stalled = awaited == 0 && now.since(self.last_packet) >= STALLED;
         self.busy.saturating_add(awaited) < self.room(heartbeat.slots) || is_stalled
     }
@@ -170,11 +231,10 @@
             self.on_gone(now, &evicted);
         }
         self.offers.insert(flow, bytes.clone());
-        self.offered.push((now, flow));
+        let mut offered = std::mem::take(&mut self.offered);
+        offered.retain(|offered| self.is_awaited(now, offered));
+        offered.push((now, flow));
+        self.offered = offered;
         out.push(AgentAction::Deliver { bytes });
     }
 }
-
-fn give_back<B>(opening: Opening<B>, reason: RejectReason, out: &mut Vec<AgentAction<B>>) {
-    reject(opening.balancer, reason, opening.packet.bytes, out);
-}
--- a/crates/core/src/pass_through/agent/unknown.rs
+++ b/crates/core/src/pass_through/agent/unknown.rs
@@ -32,7 +32,7 @@
         packet: Packet<B>,
         out: &mut Vec<AgentAction<B>>,
     ) {
-        if self.is_absent(now, &packet.flow) || offer == Offer::New {
+        if self.is_absent(now, &packet.flow) || offer.opens() {
             reject(balancer, RejectReason::NotHeld, packet.bytes, out);
             return;
         }
--- a/crates/core/src/pass_through/balancer.rs
+++ b/crates/core/src/pass_through/balancer.rs
@@ -11,7 +11,7 @@
 use rand::rngs::SmallRng;
 
 use crate::clock::Millis;
-use crate::config::Revision;
+use crate::config::{RequestClass, Revision};
 use crate::flow::FlowId;
 use crate::flows::services::Services;
 use crate::id::{DomainId, GroupId, TargetId};
@@ -22,12 +22,14 @@
 mod opening;
 
 use super::fleet::{Fleet, Member, Report, TargetKey};
-use super::packet::{DropReason, Holding, Offer, Packet, ROOM_WAIT, Reset};
+use super::packet::{
+    DropReason, Holding, Offer, Packet, RejectReason, Rejected, Reset, ResetReason, room_wait,
+};
 use super::search::Search;
 use ongoing::DENIAL_LIFE;
 
 /// Targets that a new flow is offered to before it is refused.
-const MAX_OFFERS: usize = 4;
+const MAX_OFFERS: usize = 8;
 
 /// Time after the start in which reports of all targets come, if it is not known which targets
 /// there are. Until then a balancer refuses nothing for want of a target and takes no flow to be
@@ -67,6 +69,8 @@
         offer: Offer,
         /// The group that the packet is meant for.
         group: GroupId,
+        /// What the caller of a new flow expects.
+        class: Option<RequestClass>,
         /// The packet.
         bytes: B,
     },
@@ -103,6 +107,8 @@
     held_from: Option<Millis>,
     /// The opening packet waits at the agent until then.
     waits_until: Option<Millis>,
+    /// The target may keep the opening packet until it has room.
+    may_wait: bool,
     tried: [Option<TargetKey>; MAX_OFFERS],
 }
 
@@ -268,20 +274,31 @@
         &mut self,
         now: Millis,
         from: TargetId,
+        rejected: Rejected,
         packet: Packet<B>,
         out: &mut Vec<BalancerAction<B>>,
     ) {
         let Some(target) = self.fleet.key_of(from) else {
             return;
         };
+        let is_full = rejected.reason == RejectReason::Full;
+        if is_full {
+            let member = self.fleet.member_mut(target);
+            member.room_at = Some(now.after(rejected.room_after));
+        }
         let entry = self.flows.get(&packet.flow).copied();
         // A machine that replaced another one at its address answers in its place.
         let is_current = entry.is_some_and(|entry| {
             entry.target == target || self.fleet.agent(entry.target) == self.fleet.agent(target)
         });
         if packet.segment.opens() {
-            if let Some(entry) = entry.filter(|_| is_current) {
-                self.offer_elsewhere(now, entry, packet, out);
+            match entry.filter(|_| is_current) {
+                // The target was to keep the packet if its caller could be served in time.
+                Some(entry) if entry.may_wait && is_full => {
+                    self.refuse(&packet, ResetReason::Rejected, out);
+                }
+                Some(entry) => self.offer_elsewhere(now, entry, packet, out),
+                None => {}
             }
             return;
         }
@@ -294,7 +311,7 @@
             self.flows.remove(&packet.flow);
         }
         match self.flows.get(&packet.flow).copied() {
-            Some(entry) => self.forward(&entry, Offer::Held, packet.bytes, out),
+            Some(entry) => self.forward(&entry, Offer::Held, &packet.flow, packet.bytes, out),
             None => self.search(now, packet, Some(target), out),
         }
     }
@@ -316,10 +333,13 @@
             self.flows.remove(&flow);
         }
         if holding == Holding::Waiting {
+            let service = self.services.at(flow.service);
+            let class = service.map(|service| self.services.requests(service));
+            let class = class.unwrap_or_default();
             if let Some(entry) = self.flows.get_mut(&flow)
                 && entry.target == target
             {
-                entry.waits_until = Some(now.after(ROOM_WAIT));
+                entry.waits_until = Some(now.after(room_wait(&class)));
             }
             return;
         }
@@ -354,15 +374,29 @@
         self.fleet.forget_silent(now, life);
     }
 
-    fn forward(&self, entry: &Entry, offer: Offer, bytes: B, out: &mut Vec<BalancerAction<B>>) {
+    fn forward(
+        &self,
+        entry: &Entry,
+        offer: Offer,
+        flow: &FlowId,
+        bytes: B,
+        out: &mut Vec<BalancerAction<B>>,
+    ) {
         let report = &self.fleet.get(entry.target).report;
         out.push(BalancerAction::Forward {
             to: report.agent,
             offer,
             group: report.group,
+            class: self.class_for(offer, flow),
             bytes,
         });
     }
+
+    /// What an agent is told of the flow's requests. It keeps that for the flow's later packets.
+    fn class_for(&self, offer: Offer, flow: &FlowId) -> Option<RequestClass> {
+        let service = self.services.at(flow.service).filter(|_| offer.opens())?;
+        Some(self.services.requests(service))
+    }
 }
 
 impl Entry {
@@ -371,6 +405,15 @@
         self.held_from.is_some_and(|from| member.reported >= from)
     }
 
+    /// How the opening packet is offered.
+    const fn offer(&self) -> Offer {
+        if self.may_wait {
+            Offer::New
+        } else {
+            Offer::IfIdle
+        }
+    }
+
     /// A flow that was offered to nobody yet.
     fn opening<B>(now: Millis, packet: &Packet<B>) -> Self {
         Self {
@@ -389,6 +432,7 @@
             caller_ack: None,
             held_from: Some(now),
             waits_until: None,
+            may_wait: false,
             tried: [None; MAX_OFFERS],
         }
     }
--- a/crates/core/src/pass_through/balancer/ongoing.rs
+++ b/crates/core/src/pass_through/balancer/ongoing.rs
@@ -94,7 +94,7 @@
                 entry.held_from.get_or_insert(now.after(GIVEN_BACK_WITHIN));
             }
             self.flows.touch(now, &packet.flow);
-            self.forward(&entry, Offer::Held, packet.bytes, out);
+            self.forward(&entry, Offer::Held, &packet.flow, packet.bytes, out);
         } else {
             self.flows.remove(&packet.flow);
             self.search(now, packet, None, out);
@@ -159,7 +159,7 @@
                 let candidates: Vec<_> = search.candidates().collect();
                 for target in candidates {
                     let entry = Entry::found(now, target);
-                    self.forward(&entry, Offer::Trial, packet.clone(), out);
+                    self.forward(&entry, Offer::Trial, &flow, packet.clone(), out);
                 }
             }
             Progress::AskFar => {
@@ -229,7 +229,7 @@
         self.flows.insert(now, flow, entry);
         // The holder may have seen the first packet as a trial, and drops the copy of it.
         for bytes in std::iter::once(search.first).chain(search.later) {
-            self.forward(&entry, Offer::Held, bytes, out);
+            self.forward(&entry, Offer::Held, &flow, bytes, out);
         }
     }
 }
--- a/crates/core/src/pass_through/balancer/opening.rs
+++ b/crates/core/src/pass_through/balancer/opening.rs
@@ -9,7 +9,7 @@
 use crate::flows::services::ServiceKey;
 
 use super::super::fleet::TargetKey;
-use super::super::packet::{DropReason, Offer, Packet, Reset, ResetReason};
+use super::super::packet::{DropReason, Packet, Reset, ResetReason};
 use super::super::steering::{self, SILENT_AFTER, Wish};
 use super::{Balancer, BalancerAction, Entry, drop_for};
 
@@ -21,6 +21,10 @@
 /// 1,400 ms after its first packet, and would not learn of an answer that comes later.
 const OPENING_LIFE: Millis = Millis(1_200);
 
+/// Targets that are asked for a free slot by an offer. With four of five slots taken, half of the targets of
+/// two slots have none, and four in a row have none for one flow in twenty.
+const IDLE_OFFERS: usize = 4;
+
 /// Opening packets that wait at most.
 const OPENINGS_MAX: usize = 1_024;
 
@@ -70,7 +74,7 @@
             } else if repeats > 0 {
                 self.offer_elsewhere(now, entry, packet, out);
             } else {
-                self.forward(&entry, Offer::New, packet.bytes, out);
+                self.forward(&entry, entry.offer(), &packet.flow, packet.bytes, out);
             }
             return;
         }
@@ -118,14 +122,15 @@
             self.on_unknown_service(&packet, repeats, out);
             return;
         };
-        match self.choose(now, service, &packet.flow, &entry.tried) {
-            Some(target) => {
+        match self.choose(now, service, &packet.flow, &entry) {
+            Some((target, may_wait)) => {
                 self.fleet.member_mut(target).given += 1;
                 entry.target = target;
+                entry.may_wait = may_wait;
                 entry.waits_until = None;
                 entry.held_from = None;
                 self.flows.insert(now, packet.flow, entry);
-                self.forward(&entry, Offer::New, packet.bytes, out);
+                self.forward(&entry, entry.offer(), &packet.flow, packet.bytes, out);
             }
             None if !self.is_settled(now) => self.wait(since, packet, out),
             None if entry.tried[0].is_some() => self.refuse(&packet, ResetReason::Rejected, out),
@@ -133,23 +138,48 @@
         }
     }
 
-    pub(super) fn choose(
+    /// The target to be offered a new flow next, and whether the opening packet may wait there.
+    ///
+    /// Reports are too old to say who has a free slot now, so a few targets are asked by the offer itself,
+    /// and those without one give it back at once. Where none of them has a free slot, the packet waits
+    /// at the one that will have room first.
+    fn choose(
         &mut self,
         now: Millis,
         service: ServiceKey,
         flow: &FlowId,
-        tried: &[Option<TargetKey>],
-    ) -> Option<TargetKey> {
+        entry: &Entry,
+    ) -> Option<(TargetKey, bool)> {
         let services = &self.services;
         let pool = services.pool_for(service, flow);
-        let tried: Vec<_> = tried.iter().flatten().copied().collect();
-        let wish = Wish {
+        let tried: Vec<_> = entry.tried.iter().flatten().copied().collect();
+        let mut wish = Wish {
             groups: &|group| services.contains(pool, group),
             domain: self.domain,
             spill: services.spill(service),
             tried: &tried,
+            only_with_room: true,
         };
-        steering::choose(now, &self.fleet, &wish, &mut self.rng)
+        if tried.len() < IDLE_OFFERS
+            && let Some(target) = steering::choose(now, &self.fleet, &wish, &mut self.rng)
+        {
+            return Some((target, false));
+        }
+        let fleet = &self.fleet;
+        let (full, useless): (Vec<_>, Vec<_>) = tried
+            .iter()
+            .copied()
+            .partition(|target| fleet.get(*target).room_at.is_some());
+        let soonest = full
+            .into_iter()
+            .filter(|target| steering::takes_flows(now, fleet.get(*target)))
+            .min_by_key(|target| fleet.get(*target).room_at);
+        let target = soonest.or_else(|| {
+            wish.tried = &useless;
+            wish.only_with_room = false;
+            steering::choose(now, fleet, &wish, &mut self.rng)
+        });
+        Some((target?, true))
     }
 
     /// Refuses a new flow. Nothing of it has run, because no target has taken it.
--- a/crates/core/src/pass_through/fleet.rs
+++ b/crates/core/src/pass_through/fleet.rs
@@ -73,6 +73,8 @@
     patience_milli: u64,
     /// Flows given to the target since then.
     pub(super) given: u32,
+    /// When the target is expected to have room, as it said since then when it gave a flow back.
+    pub(super) room_at: Option<Millis>,
     /// Another start of the agent, and the last report of it.
     other_start: Option<(u64, u64)>,
     /// The target was taken to be lost since then.
@@ -237,6 +239,7 @@
             seen,
             reported: seen,
             given: 0,
+            room_at: None,
             other_start: None,
             is_lost: false,
             is_forgotten: false,
--- a/crates/core/src/pass_through/packet.rs
+++ b/crates/core/src/pass_through/packet.rs
@@ -4,11 +4,18 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Millis;
+use crate::config::RequestClass;
 use crate::flow::{FlowId, Segment};
 
-/// Time for which an opening packet waits for room at an agent. Every target has reported its load
-/// since then, so that the balancer knows better where room is.
-pub(super) const ROOM_WAIT: Millis = Millis(600);
+/// Longest wait of an opening packet for room at an agent. Callers give up 1,400 ms after the first copy,
+/// and the handshake has to be over by then.
+const ROOM_WAIT_MAX: Millis = Millis(1_000);
+
+/// Time for which an opening packet may wait for room at an agent: half of what its caller has. The other
+/// half is for the request itself, or for another try.
+pub(super) fn room_wait(class: &RequestClass) -> Millis {
+    Millis(class.time_limit_ms.0 / 2).min(ROOM_WAIT_MAX)
+}
 
 /// A packet to decide about. `B` is the packet's bytes, opaque here.
 #[derive(Clone, Debug)]
@@ -25,7 +32,9 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Offer {
-    /// The packet opens a flow: take or reject it.
+    /// The packet opens a flow: take it if a slot of the target is free, or reject it at once.
+    IfIdle,
+    /// The packet opens a flow: take it, keep it until there is room, or reject it.
     New,
     /// The target holds the flow, as far as the balancer knows.
     Held,
@@ -33,6 +42,14 @@
     Trial,
 }
 
+impl Offer {
+    /// Whether the packet opens a flow.
+    #[must_use]
+    pub const fn opens(self) -> bool {
+        matches!(self, Self::IfIdle | Self::New)
+    }
+}
+
 /// What an agent knows of a flow.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -67,11 +84,29 @@
     /// The target does not hold the flow.
     #[display("not held")]
     NotHeld,
-    /// The target had no room for as long as the packet may wait.
+    /// The target has no room, or had none for as long as the packet may wait.
     #[display("full")]
     Full,
 }
 
+/// A packet that an agent gave back.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Rejected {
+    /// Why.
+    pub reason: RejectReason,
+    /// Time after which the target is expected to have room, zero if that was not the reason.
+    pub room_after: Millis,
+}
+
+impl From<RejectReason> for Rejected {
+    fn from(reason: RejectReason) -> Self {
+        Self {
+            reason,
+            room_after: Millis::ZERO,
+        }
+    }
+}
+
 /// Why a caller is reset.
 #[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -130,6 +165,9 @@
     /// A copy of an opening packet that waits for room at an agent.
     #[display("opening packet waits for room")]
     Waiting,
+    /// A request on an open flow that cannot be answered in time while every target is full.
+    #[display("every target is full")]
+    Overload,
     /// A reset or an end of a flow that is unknown here. Nobody waits for an answer.
     #[display("flow has ended")]
     Ended,
--- a/crates/core/src/pass_through/steering.rs
+++ b/crates/core/src/pass_through/steering.rs
@@ -52,12 +52,18 @@
 /// choose the same target then.
 const JITTER_MILLI: u64 = 40;
 
+/// The same once a target has given the flow back. Reports then say little about who has a free slot, and
+/// the balancers would go on meeting at the targets that were reported best.
+const RETRY_JITTER_MILLI: u64 = FULL_MILLI;
+
 /// What to choose by.
 pub(super) struct Wish<'a> {
     pub(super) groups: &'a dyn Fn(GroupId) -> bool,
     pub(super) domain: DomainId,
     pub(super) spill: Spill,
     pub(super) tried: &'a [TargetKey],
+    /// Leaves out targets that have said that they have no room for now.
+    pub(super) only_with_room: bool,
 }
 
 /// The best target, none if no target of the groups may take the flow.
@@ -71,15 +77,21 @@
         .iter()
         .filter(|(_, member)| (wish.groups)(member.report.group))
         .collect();
+    let jitter = if wish.tried.is_empty() {
+        JITTER_MILLI
+    } else {
+        RETRY_JITTER_MILLI
+    };
     let flow_milli = mean_flow_milli(members.iter().map(|(_, member)| *member));
     members
         .into_iter()
         .filter(|(key, _)| !wish.tried.contains(key))
+        .filter(|(_, member)| !wish.only_with_room || !is_full(now, member))
         .filter_map(|(key, member)| {
             let rank = rank(now, member)?;
-            let mut score = load_milli(member, flow_milli) + rng.random_range(0..JITTER_MILLI);
+            let mut score = load_milli(member, flow_milli) + rng.random_range(0..jitter);
             if member.report.domain != wish.domain {
-                score += margin_milli(wish.spill);
+                score += margin_milli(wish.spill).max(jitter);
             }
             Some(((rank, score), key))
         })
@@ -87,6 +99,16 @@
         .map(|(_, key)| key)
 }
 
+/// Whether the target has said that it has no room yet.
+fn is_full(now: Millis, member: &Member) -> bool {
+    member.room_at.is_some_and(|room_at| now < room_at)
+}
+
+/// Whether the target may be given flows.
+pub(super) fn takes_flows(now: Millis, member: &Member) -> bool {
+    rank(now, member).is_some()
+}
+
 /// Order of preference before any load, none for a target that must not be given flows.
 fn rank(now: Millis, member: &Member) -> Option<u8> {
     let is_heard = member.is_in_touch(now, SILENT_AFTER) && !member.report.is_stopping;
--- a/crates/core/tests/pass_through/agent.rs
+++ b/crates/core/tests/pass_through/agent.rs
@@ -93,7 +93,7 @@
 
 fn rejected(actions: &Actions) -> Option<RejectReason> {
     actions.iter().find_map(|action| match action {
-        AgentAction::Reject { reason, .. } => Some(*reason),
+        AgentAction::Reject { rejected, .. } => Some(rejected.reason),
         _ => None,
     })
 }
@@ -512,6 +512,16 @@
         assert_eq!(agent.report(SOON).busy, 1);
     };
 
+    flow_for_a_free_slot_is_given_back_at_once_when_all_are_taken => {
+        let mut agent = agent(START);
+        for number in 1..=2 {
+            let actions = from_caller(&mut agent, START, Offer::IfIdle, flow(number), syn());
+            assert!(is_delivered(&actions));
+        }
+        let actions = from_caller(&mut agent, START, Offer::IfIdle, flow(3), syn());
+        assert_eq!(rejected(&actions), Some(RejectReason::Full));
+    };
+
     new_flow_waits_while_the_target_has_two_requests_a_slot => {
         let mut agent = agent(START);
         fill(&mut agent);
--- a/crates/core/tests/pass_through/balancer.rs
+++ b/crates/core/tests/pass_through/balancer.rs
@@ -3,11 +3,13 @@
 use std::net::SocketAddr;
 
 use citronhollow_core::clock::Millis;
+use citronhollow_core::config::RequestClass;
 use citronhollow_core::flow::Segment;
 use citronhollow_core::id::GroupId;
 use citronhollow_core::members::TargetState;
 use citronhollow_core::pass_through::{
-    Balancer, BalancerAction, DropReason, Holding, Offer, Reset, ResetReason,
+    Balancer, BalancerAction, DropReason, Holding, Offer, RejectReason, Rejected, Reset,
+    ResetReason,
 };
 
 use crate::fixture::{
@@ -51,11 +53,31 @@
 }
 
 fn reject(balancer: &mut Balancer<Bytes>, now: Millis, from: u16, segment: Segment) -> Actions {
+    let rejected = Rejected::from(RejectReason::NotHeld);
+    reject_for(balancer, now, from, rejected, segment)
+}
+
+fn reject_for(
+    balancer: &mut Balancer<Bytes>,
+    now: Millis,
+    from: u16,
+    rejected: Rejected,
+    segment: Segment,
+) -> Actions {
     let mut out = Vec::new();
-    balancer.on_reject(now, target_id(from), packet(flow(1), segment), &mut out);
+    let packet = packet(flow(1), segment);
+    balancer.on_reject(now, target_id(from), rejected, packet, &mut out);
     out
 }
 
+/// A target without room for as long.
+fn full(room_after: u64) -> Rejected {
+    Rejected {
+        reason: RejectReason::Full,
+        room_after: Millis(room_after),
+    }
+}
+
 fn forwarded(actions: &Actions) -> Vec<(SocketAddr, Offer)> {
     let forward = |action: &BalancerAction<Bytes>| match action {
         BalancerAction::Forward { to, offer, .. } => Some((*to, *offer)),
@@ -81,7 +103,7 @@
 /// Number of the target that an opening packet was offered to.
 fn offered_to(actions: &Actions) -> u16 {
     match forwarded(actions).as_slice() {
-        [(to, Offer::New)] => to.port(),
+        [(to, Offer::IfIdle | Offer::New)] => to.port(),
         other => panic!("{other:?}"),
     }
 }
@@ -142,6 +164,54 @@
         assert_eq!(resets(&reject(&mut balancer, SETTLED, second, syn())).len(), 1);
     };
 
+    opening_is_offered_to_a_free_slot_first => {
+        let mut balancer = with_targets(SETTLED);
+        let first = send(&mut balancer, SETTLED, 1, syn());
+        assert!(matches!(forwarded(&first)[..], [(_, Offer::IfIdle)]));
+        let second = reject_for(&mut balancer, SETTLED, offered_to(&first), full(20), syn());
+        assert!(matches!(forwarded(&second)[..], [(_, Offer::IfIdle)]));
+        assert_ne!(offered_to(&first), offered_to(&second));
+    };
+
+    opening_waits_at_the_target_that_has_room_first_once_none_is_idle => {
+        let mut balancer = with_targets(SETTLED);
+        let first = offered_to(&send(&mut balancer, SETTLED, 1, syn()));
+        let second = offered_to(&reject_for(&mut balancer, SETTLED, first, full(20), syn()));
+        let third = reject_for(&mut balancer, SETTLED, second, full(90), syn());
+        assert_eq!(forwarded(&third), [(agent_addr(first), Offer::New)]);
+    };
+
+    opening_that_no_target_can_keep_is_refused_at_once => {
+        let mut balancer = with_targets(SETTLED);
+        let first = offered_to(&send(&mut balancer, SETTLED, 1, syn()));
+        let second = offered_to(&reject_for(&mut balancer, SETTLED, first, full(20), syn()));
+        let third = offered_to(&reject_for(&mut balancer, SETTLED, second, full(90), syn()));
+        let refused = reject_for(&mut balancer, SETTLED, third, full(900), syn());
+        assert_eq!(resets(&refused).len(), 1);
+    };
+
+    target_without_room_is_not_asked_again_before_it_has_some => {
+        let mut balancer = with_targets(SETTLED);
+        let first = offered_to(&send(&mut balancer, SETTLED, 1, syn()));
+        reject_for(&mut balancer, SETTLED, first, full(100), syn());
+        for number in 2..20 {
+            assert_ne!(offered_to(&send(&mut balancer, SETTLED, number, syn())), first);
+        }
+    };
+
+    agent_is_told_what_callers_of_the_service_expect => {
+        let mut balancer = with_targets(SETTLED);
+        let mut next = revision(2);
+        let class = RequestClass { priority: 1, ..RequestClass::default() };
+        next.documents.services[0].requests = class;
+        balancer.set_revision(&next);
+        let out = send(&mut balancer, SETTLED, 1, syn());
+        let [BalancerAction::Forward { class: told, .. }] = out[..] else {
+            panic!("{out:?}");
+        };
+        assert_eq!(told, Some(class));
+    };
+
     repeated_opening_packet_is_offered_elsewhere => {
         let mut balancer = with_targets(START);
         let first = offered_to(&send(&mut balancer, START, 1, syn()));
@@ -567,7 +637,8 @@
         reply(&mut balancer, START, to, Holding::Waiting);
         let copy = repeat(&mut balancer, START.after(Millis(200)), 1, syn(), 1);
         assert_eq!(copy, [BalancerAction::Drop { flow: flow(1), reason: DropReason::Waiting }]);
-        let late = START.after(Millis(650));
+        // Half of the time limit of the service's requests.
+        let late = START.after(Millis(RequestClass::default().time_limit_ms.0 / 2 + 50));
         balancer.on_report(late, report(1, 2));
         balancer.on_report(late, report(2, 2));
         assert_ne!(offered_to(&repeat(&mut balancer, late, 1, syn(), 2)), to, "it waited for long");
--- a/crates/core/tests/pass_through/fixture.rs
+++ b/crates/core/tests/pass_through/fixture.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 
 use citronhollow_core::clock::Millis;
-use citronhollow_core::config::{Documents, Pool, Refusal, Revision, Rule, Service, Spill};
+use citronhollow_core::config::{
+    Documents, Pool, Refusal, RequestClass, Revision, Rule, Service, Spill,
+};
 use citronhollow_core::flow::{FlowId, Segment};
 use citronhollow_core::id::{DomainId, GroupId, InstanceId, TargetId};
 use citronhollow_core::members::TargetState;
@@ -220,6 +222,7 @@
         new_flows_per_s: None,
         new_flows_per_s_per_caller: None,
         spill: Spill::Normal,
+        requests: RequestClass::default(),
     };
     let pool = |name: &str, group: &str| Pool {
         name: String::from(name),
--- a/crates/core/tests/pass_through/world.rs
+++ b/crates/core/tests/pass_through/world.rs
@@ -11,7 +11,7 @@
 use citronhollow_core::id::GroupId;
 use citronhollow_core::members::TargetState;
 use citronhollow_core::pass_through::{
-    Agent, AgentAction, Balancer, BalancerAction, Holding, Offer, Packet,
+    Agent, AgentAction, Balancer, BalancerAction, Holding, Offer, Packet, Rejected,
 };
 
 use crate::fixture::{
@@ -36,7 +36,7 @@
 }
 
 enum ToBalancer {
-    Reject(Packet<Bytes>),
+    Reject(Rejected, Packet<Bytes>),
     Reply(FlowId, Holding),
 }
 
@@ -237,7 +237,9 @@
         let (now, target) = (self.now, target_id(from));
         let mut out = Vec::new();
         match message {
-            ToBalancer::Reject(packet) => balancer.on_reject(now, target, packet, &mut out),
+            ToBalancer::Reject(rejected, packet) => {
+                balancer.on_reject(now, target, rejected, packet, &mut out);
+            }
             ToBalancer::Reply(flow, holding) => {
                 balancer.on_reply(now, target, flow, holding, &mut out);
             }
@@ -253,6 +255,7 @@
                     offer,
                     group,
                     bytes,
+                    ..
                 } => {
                     let packet = packet(bytes.0, bytes.1);
                     let message = ToAgent::Packet(offer, group, packet);
@@ -275,8 +278,12 @@
             match action {
                 AgentAction::Deliver { bytes } => self.at_target(from, bytes),
                 AgentAction::ToCaller { .. } | AgentAction::Drop { .. } => {}
-                AgentAction::Reject { to, bytes, .. } => {
-                    let message = ToBalancer::Reject(packet(bytes.0, bytes.1));
+                AgentAction::Reject {
+                    to,
+                    rejected,
+                    bytes,
+                } => {
+                    let message = ToBalancer::Reject(rejected, packet(bytes.0, bytes.1));
                     self.send_to_balancer(from, to, message);
                 }
                 AgentAction::Reply { to, flow, holding } => {
--- a/crates/core/tests/publisher/main.rs
+++ b/crates/core/tests/publisher/main.rs
@@ -32,6 +32,7 @@
         new_flows_per_s: None,
         new_flows_per_s_per_caller: None,
         spill: citronhollow_core::config::Spill::Normal,
+        requests: citronhollow_core::config::RequestClass::default(),
     })
 }
 
--- a/crates/core/tests/rumour.rs
+++ b/crates/core/tests/rumour.rs
@@ -303,6 +303,7 @@
                     new_flows_per_s: None,
                     new_flows_per_s_per_caller: None,
                     spill: citronhollow_core::config::Spill::Normal,
+                    requests: citronhollow_core::config::RequestClass::default(),
                 })
                 .collect(),
             pools: pools
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -14,7 +14,9 @@
     MembersRequest, PoolReply, PoolRequest, RevisionReply, RevisionRequest, Rumour, Target,
     TargetVerdict, Version,
 };
-pub use pass_through::{Greeting, Offer, Reject, TargetReport, TargetReports};
+pub use pass_through::{
+    Greeting, Offer, Reject, RejectReason, RequestClass, TargetReport, TargetReports,
+};
 pub(crate) use traffic::PACKET_TAG;
 pub use traffic::{Drain, Forward, Holding, Load, Question, Relay, Reply};
 
--- a/crates/peer/src/message/pass_through.rs
+++ b/crates/peer/src/message/pass_through.rs
@@ -16,6 +16,38 @@
     Held = 1,
     /// The target may hold the flow.
     Trial = 2,
+    /// It opens a flow, if a slot of the target is free.
+    IfIdle = 3,
+}
+
+/// Why a packet is given back.
+#[derive(Clone, Copy, Debug, Enumeration, Eq, PartialEq)]
+#[repr(i32)]
+pub enum RejectReason {
+    /// The target does not hold the flow.
+    NotHeld = 0,
+    /// The target is of another group.
+    WrongGroup = 1,
+    /// The target is leaving or not ready.
+    NotReady = 2,
+    /// The target returned the packet.
+    Returned = 3,
+    /// The target has no room.
+    Full = 4,
+}
+
+/// What callers of a flow's service expect of a request.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct RequestClass {
+    /// Time within which an answer is of full use, in ms.
+    #[prost(uint64, tag = "1")]
+    pub objective_ms: u64,
+    /// Time after which an answer is of no use, in ms.
+    #[prost(uint64, tag = "2")]
+    pub time_limit_ms: u64,
+    /// Urgency, 0 for the most urgent.
+    #[prost(uint32, tag = "3")]
+    pub priority: u32,
 }
 
 /// An agent gives a packet back.
@@ -27,6 +59,12 @@
     /// The packet.
     #[prost(bytes = "bytes", tag = "2")]
     pub packet: Bytes,
+    /// Why.
+    #[prost(enumeration = "RejectReason", tag = "3")]
+    pub reason: i32,
+    /// Time after which the target is expected to have room, in ms.
+    #[prost(uint64, tag = "4")]
+    pub room_after_ms: u64,
 }
 
 /// What an agent reports of its target.
--- a/crates/peer/src/message/traffic.rs
+++ b/crates/peer/src/message/traffic.rs
@@ -45,6 +45,9 @@
     /// The group that a packet of pass-through delivery is meant for.
     #[prost(fixed64, tag = "9")]
     pub group: u64,
+    /// What the caller of a new flow expects, none for a flow that is open.
+    #[prost(message, optional, tag = "10")]
+    pub class: Option<super::RequestClass>,
     /// The IP packet as the fabric delivered it. Its tag is the highest, so that it is encoded last
     /// and the frame's tag can leave out the end of it.
     #[prost(bytes = "bytes", tag = "15")]
--- a/crates/peer/src/pass_through.rs
+++ b/crates/peer/src/pass_through.rs
@@ -4,9 +4,10 @@
 
 use bytes::Bytes;
 use citronhollow_core::clock::Millis;
+use citronhollow_core::config::{MAX_PRIORITY, RequestClass};
 use citronhollow_core::flow::FlowId;
 use citronhollow_core::id::{DomainId, GroupId, TargetId};
-use citronhollow_core::pass_through::{Holding, Offer, Report};
+use citronhollow_core::pass_through::{Holding, Offer, RejectReason, Rejected, Report};
 
 use crate::addr::{AddrError, addr_from_bytes, addr_to_bytes};
 use crate::members::{RecordError, state_from_number, state_to_number};
@@ -14,8 +15,9 @@
 
 /// The message that brings a packet to an agent, without the packet.
 #[must_use]
-pub fn offer_to_message(offer: Offer, group: GroupId) -> Forward {
+pub fn offer_to_message(offer: Offer, group: GroupId, class: Option<RequestClass>) -> Forward {
     let offer = match offer {
+        Offer::IfIdle => message::Offer::IfIdle,
         Offer::New => message::Offer::New,
         Offer::Held => message::Offer::Held,
         Offer::Trial => message::Offer::Trial,
@@ -23,6 +25,11 @@
     Forward {
         offer: offer.into(),
         group: group.0,
+        class: class.map(|class| message::RequestClass {
+            objective_ms: class.objective_ms.0,
+            time_limit_ms: class.time_limit_ms.0,
+            priority: u32::from(class.priority),
+        }),
         ..Forward::default()
     }
 }
@@ -31,6 +38,7 @@
 #[must_use]
 pub fn offer_from_message(forward: &Forward) -> Option<Offer> {
     match message::Offer::try_from(forward.offer) {
+        Ok(message::Offer::IfIdle) => Some(Offer::IfIdle),
         Ok(message::Offer::New) => Some(Offer::New),
         Ok(message::Offer::Held) => Some(Offer::Held),
         Ok(message::Offer::Trial) => Some(Offer::Trial),
@@ -38,15 +46,52 @@
     }
 }
 
+/// What the caller of a new flow expects, none for a flow that is open.
+#[must_use]
+pub fn class_from_message(forward: &Forward) -> Option<RequestClass> {
+    let class = forward.class?;
+    Some(RequestClass {
+        objective_ms: Millis(class.objective_ms),
+        time_limit_ms: Millis(class.time_limit_ms),
+        priority: u8::try_from(class.priority).unwrap_or(MAX_PRIORITY),
+    })
+}
+
 /// The message that gives a packet back.
 #[must_use]
-pub fn reject(target: TargetId, packet: Bytes) -> Body {
+pub fn reject(target: TargetId, rejected: Rejected, packet: Bytes) -> Body {
+    let reason = match rejected.reason {
+        RejectReason::NotHeld => message::RejectReason::NotHeld,
+        RejectReason::WrongGroup => message::RejectReason::WrongGroup,
+        RejectReason::NotReady => message::RejectReason::NotReady,
+        RejectReason::Returned => message::RejectReason::Returned,
+        RejectReason::Full => message::RejectReason::Full,
+    };
     Body::Reject(Reject {
         target: target.0,
         packet,
+        reason: reason.into(),
+        room_after_ms: rejected.room_after.0,
     })
 }
 
+/// Why a packet was given back. A reason that this version does not know is taken for the one that
+/// proves nothing of the flow.
+#[must_use]
+pub fn rejected_from_message(reject: &Reject) -> Rejected {
+    let reason = match message::RejectReason::try_from(reject.reason) {
+        Ok(message::RejectReason::NotHeld) => RejectReason::NotHeld,
+        Ok(message::RejectReason::WrongGroup) => RejectReason::WrongGroup,
+        Ok(message::RejectReason::Returned) => RejectReason::Returned,
+        Ok(message::RejectReason::Full) => RejectReason::Full,
+        Ok(message::RejectReason::NotReady) | Err(_) => RejectReason::NotReady,
+    };
+    Rejected {
+        reason,
+        room_after: Millis(reject.room_after_ms),
+    }
+}
+
 /// The message that asks for a flow.
 #[must_use]
 pub fn question(flow: &FlowId) -> Body {
--- a/crates/peer/tests/codec.rs
+++ b/crates/peer/tests/codec.rs
@@ -35,6 +35,7 @@
         sender: u64::MAX,
         offer: 0,
         group: 0,
+        class: None,
     }))
 }
 
--- a/crates/peer/tests/seal.rs
+++ b/crates/peer/tests/seal.rs
@@ -22,6 +22,7 @@
         sender: 3,
         offer: 0,
         group: 0,
+        class: None,
         packet: Bytes::copy_from_slice(packet),
     }
 }
--- a/crates/testkit/src/sample.rs
+++ b/crates/testkit/src/sample.rs
@@ -27,6 +27,7 @@
         new_flows_per_s: None,
         new_flows_per_s_per_caller: None,
         spill: citronhollow_core::config::Spill::Normal,
+        requests: citronhollow_core::config::RequestClass::default(),
     };
     let pool = Pool {
         name: String::from(NAME),
