Schedule requests of open and new flows together while a pool is crowded

Cause: admission saw opening packets only.

Change: while balancers find no free slot in the pool, requests on open flows wait at the agent too. Those that can still be in time go before late ones, more urgent before less urgent (each third place is for a less urgent one), the newest first. Once a pool is crowded for longer than a caller's patience, an opening waits a quarter of its objective and is then refused, a request on an open flow that would be late is dropped, since nothing but its target may refuse it, and a long-lived flow is taken only if the measured requests of its service leave room. In a pool with room nothing changes.

two_kinds plays the pattern without network: urgent requests in time 0 of 100 before, 85 and more now.

--- a/crates/core/src/pass_through/agent.rs
+++ b/crates/core/src/pass_through/agent.rs
@@ -16,12 +16,14 @@
 use crate::recent::Recent;
 
 mod admission;
+mod demand;
 mod health;
 mod list;
 mod target;
 mod unknown;
 
-use admission::Opening;
+use admission::{Crowding, Opening, Waiting};
+use demand::Demand;
 use health::Health;
 pub use list::{FlowList, ListedFlow};
 use unknown::ABSENT_LIFE;
@@ -158,8 +160,13 @@
     offers: HashMap<FlowId, B>,
     /// Flows that were offered a moment ago, whose first request may still come.
     offered: Vec<(Millis, FlowId)>,
-    /// Opening packets for which the target has no room, the newest last.
-    waiting: Vec<Opening<B>>,
+    /// Opening packets and requests for which the target has no room.
+    waiting: Vec<Waiting<B>>,
+    /// Requests let in from the wait since one of a less urgent class, while some of these waited.
+    urgent_run: u32,
+    /// Since when flows have found no free slot in the pool.
+    crowding: Option<Crowding>,
+    demand: Demand,
     /// What callers of the services expect, as balancers said with the last opening packet.
     classes: Recent<SocketAddr, RequestClass>,
     trials: HashMap<FlowId, Trial>,
@@ -205,6 +212,9 @@
             offers: HashMap::new(),
             offered: Vec::new(),
             waiting: Vec::new(),
+            urgent_run: 0,
+            crowding: None,
+            demand: Demand::default(),
             classes: Recent::new(CLASSES_MAX),
             trials: HashMap::new(),
             absent: Recent::new(limits.flows),
@@ -256,7 +266,7 @@
         }
         match known {
             Some(conn) if !conn.is_foreign(&packet.segment) => {
-                self.deliver(now, balancer, packet, out);
+                self.schedule(now, &conn, balancer, packet, out);
             }
             Some(_) => reject(balancer, RejectReason::NotHeld, packet.bytes, out),
             None if self.ended.contains(&packet.flow) => {
@@ -361,7 +371,7 @@
         self.health.on_tick(now, began);
         self.end_trials(now, out);
         self.withdraw_offers(now, out);
-        self.give_waiting_back(now, out);
+        self.end_waits(now, out);
         self.admit_waiting(now, out);
         while let Some((_, conn)) = self.conns.pop_unused(now, self.limits.flow_life) {
             self.on_gone(now, &conn);
@@ -383,12 +393,7 @@
         if group != self.place.group {
             reject(balancer, RejectReason::WrongGroup, packet.bytes, out);
         } else if self.takes_new_flows(now) {
-            let since = now;
-            let opening = Opening {
-                since,
-                balancer,
-                packet,
-            };
+            let opening = Opening { balancer, packet };
             self.admit(now, offer, opening, out);
         } else {
             reject(balancer, RejectReason::NotReady, packet.bytes, out);
@@ -479,7 +484,7 @@
         }
         self.busy = self.busy + u32::from(is_busy) - u32::from(was_busy);
         if let Some((since, ahead)) = answered {
-            self.learn_work(now.since(since), ahead);
+            self.learn_work(flow.service, now.since(since), ahead);
             self.health.on_end(now, true);
         }
         if has_ended {
@@ -493,6 +498,7 @@
     fn forget(&mut self, now: Millis, flow: &FlowId) {
         self.ended.remove(flow);
         self.offers.remove(flow);
+        self.waiting.retain(|waiting| !waiting.is_of(flow));
         if let Some(conn) = self.conns.remove(flow) {
             self.on_gone(now, &conn);
         }
@@ -514,6 +520,9 @@
 }
 
 fn drop_ended<B>(flow: FlowId, out: &mut Vec<AgentAction<B>>) {
-    let reason = DropReason::Ended;
+    drop_for(flow, DropReason::Ended, out);
+}
+
+fn drop_for<B>(flow: FlowId, reason: DropReason, out: &mut Vec<AgentAction<B>>) {
     out.push(AgentAction::Drop { flow, reason });
 }
--- a/crates/core/src/pass_through/agent/admission.rs
+++ b/crates/core/src/pass_through/agent/admission.rs
@@ -1,26 +1,35 @@
-//! When a new flow is given to the target, and when its opening packet waits.
+//! When a request is given to the target, and which one goes first.
 //!
-//! After a loss of many machines all callers come back at once, with more requests than targets can
-//! work on within seconds. A target queues only a few requests and sheds the rest, which costs
-//! callers a try each, and whoever comes later stands behind the whole backlog. So an agent gives its
-//! target no more than keeps it at work, and keeps the other opening packets back for a moment. The
-//! newest goes first: its caller has waited for the least time and can still be served well, while
-//! those who came before are late in any case.
+//! A target works on a few requests at once, queues some and sheds the rest. Whoever comes later stands
+//! behind the whole queue, however urgent, so an agent gives its target no more than keeps it at work and
+//! keeps the others back for a moment. Of those that wait, the ones that can still be answered in time go
+//! before those that cannot, the more urgent before the less urgent, and the newest first: its caller has
+//! waited for the least time, while those before it are the next to be late.
+//!
+//! Opening packets wait whenever there is no room. Requests on open flows wait only while the pool is
+//! crowded, that is while balancers find no free slot elsewhere: they cannot go to another target, and in
+//! a pool with room the target itself sheds best what it cannot do.
+//!
+//! A rush, as after a loss of many machines, is over soon and what waits is served late. A pool that
+//! stays crowded for longer than a caller's patience is overloaded. Then nobody is kept who cannot be
+//! served in time: an opening packet is given back at once, a request on an open flow is dropped, since
+//! nothing but its target may refuse it, and no more long-lived flows are taken than the target can serve.
 
 use std::net::SocketAddr;
 
 use crate::clock::Millis;
+use crate::config::RequestClass;
 use crate::flow::FlowId;
 use crate::members::TargetState;
 
 use super::super::conn::Conn;
-use super::super::packet::{Holding, Offer, Packet, RejectReason, Rejected, room_wait};
-use super::{Agent, AgentAction, reject};
+use super::super::packet::{DropReason, Holding, Offer, Packet, RejectReason, Rejected, room_wait};
+use super::demand::mean;
+use super::{Agent, AgentAction, drop_for, reject};
 
-/// Time that a request may wait at the target: half of the shortest latency objective of the users'
-/// requests, 120 ms. Where work is short, this is also more than a handshake takes, so that no slot
-/// is idle while callers wait here.
-const QUEUE_TIME: Millis = Millis(60);
+/// Part of the shortest objective of the target's callers for which a request may stand in the target's
+/// own queue, where nothing overtakes it.
+const QUEUE_PART: u64 = 4;
 
 /// Requests for each slot that a target is given in any case: one at work and one that is next.
 const REQUESTS_PER_SLOT_MIN: u64 = 2;
@@ -28,9 +37,6 @@
 /// Requests for each slot that a target is given at most. Targets queue few more and shed the rest.
 const REQUESTS_PER_SLOT_MAX: u64 = 4;
 
-/// Weight of the mean of the work so far against one more request.
-const WORK_WEIGHT: u64 = 15;
-
 /// Time in which the first request of a new flow comes: the handshake's round trip between failure
 /// domains, and a turn of a slow processor at each end.
 const FIRST_REQUEST_WITHIN: Millis = Millis(100);
@@ -39,20 +45,68 @@
 /// work on. A count that is wrong then costs callers a wait and not the target.
 const STALLED: Millis = Millis::from_secs(1);
 
-/// Opening packets that wait at most. The oldest is given back for a newer one.
+/// What waits at most. The oldest opening packet is given back for a newer one.
 const WAITING_MAX: usize = 1_024;
 
+/// Packets of one flow that wait at most, as many as a caller may have on the way.
+const WAITING_PACKETS_MAX: usize = 16;
+
+/// Time without a flow that found no free slot anywhere, after which a pool is crowded no more.
+const CALM_AFTER: Millis = Millis(500);
+
+/// Longest patience of callers after which a crowded pool counts as overloaded, and not in a rush.
+const RUSH_MAX: Millis = Millis::from_secs(2);
+
+/// Part of its objective for which an opening packet waits in an overloaded pool. What the newest overtake
+/// for that long is not served soon, and its caller still has the time for another try.
+const OVERLOAD_WAIT_PART: u64 = 4;
+
+/// Of so many requests that are let in from the wait, one is of a less urgent class that waits as well.
+const LESSER_SHARE: u32 = 3;
+
+/// Part of what a service can have up to which an overloaded target takes more of its long-lived flows, in
+/// thousandths. Requests come at random, and above this most of them would wait.
+const FILLED_MILLI: u64 = 850;
+
 /// An opening packet that a balancer sent.
 #[derive(Debug)]
 pub(super) struct Opening<B> {
-    pub(super) since: Millis,
     pub(super) balancer: SocketAddr,
     pub(super) packet: Packet<B>,
 }
 
+/// Something that waits for the target.
+#[derive(Debug)]
+pub(super) struct Waiting<B> {
+    since: Millis,
+    class: RequestClass,
+    flow: FlowId,
+    work: Work<B>,
+}
+
+#[derive(Debug)]
+enum Work<B> {
+    Opening(Opening<B>),
+    /// A request on an open flow: its packets in their order, with the balancers that sent them.
+    Request(Vec<(SocketAddr, Packet<B>)>),
+}
+
+impl<B> Waiting<B> {
+    pub(super) fn is_of(&self, flow: &FlowId) -> bool {
+        self.flow == *flow
+    }
+}
+
+/// How long no free slot has been found in the pool.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Crowding {
+    since: Millis,
+    last: Millis,
+}
+
 impl<B: Clone> Agent<B> {
-    /// Offers a new flow to the target, or keeps its opening packet until there is room. If other targets
-    /// may be idle, it is given back instead.
+    /// Offers a new flow to the target, or keeps its opening packet until there is room. If another target
+    /// may have a free slot, or this one cannot serve the caller in time, it is given back instead.
     pub(super) fn admit(
         &mut self,
         now: Millis,
@@ -61,70 +115,228 @@
         out: &mut Vec<AgentAction<B>>,
     ) {
         let flow = opening.packet.flow;
-        self.waiting.retain(|waiting| waiting.packet.flow != flow);
-        let has_room = if offer == Offer::IfIdle {
-            self.is_idle_for(now)
-        } else {
-            self.has_room(now)
-        };
-        if has_room {
-            self.offer(now, opening, out);
+        self.waiting.retain(|waiting| waiting.flow != flow);
+        let class = self.class_of(&flow);
+        if offer == Offer::IfIdle {
+            if self.has_free_slot(now) {
+                self.offer(now, opening, out);
+            } else {
+                self.give_back_full(now, &class, opening, out);
+            }
             return;
         }
-        if offer == Offer::IfIdle {
-            self.give_back_full(now, opening, out);
+        let is_overloaded = self.is_overloaded(now, &class);
+        let is_filled = is_overloaded && self.is_filled(now, &flow, &class);
+        if !is_filled && self.has_room(now) {
+            self.offer(now, opening, out);
             return;
         }
-        if self.waiting.len() >= WAITING_MAX {
-            let oldest = self.waiting.remove(0);
-            self.give_back_full(now, oldest, out);
+        self.note_crowding(now);
+        if is_filled || (is_overloaded && !self.is_in_time(now, now, &class)) {
+            self.give_back_full(now, &class, opening, out);
+            return;
         }
+        self.make_room_to_wait(now, out);
         let (to, holding) = (opening.balancer, Holding::Waiting);
         out.push(AgentAction::Reply { to, flow, holding });
-        self.waiting.push(opening);
+        self.waiting.push(Waiting {
+            since: now,
+            class,
+            flow,
+            work: Work::Opening(opening),
+        });
+    }
+
+    /// Gives a caller's packet on an open flow to the target, unless it begins or belongs to a request that
+    /// has to wait.
+    pub(super) fn schedule(
+        &mut self,
+        now: Millis,
+        conn: &Conn,
+        balancer: SocketAddr,
+        packet: Packet<B>,
+        out: &mut Vec<AgentAction<B>>,
+    ) {
+        let flow = packet.flow;
+        if let Some(waiting) = self.waiting.iter_mut().find(|waiting| waiting.flow == flow) {
+            if packet.segment.rst {
+                self.waiting.retain(|waiting| waiting.flow != flow);
+                self.deliver(now, balancer, packet, out);
+            } else if let Work::Request(packets) = &mut waiting.work {
+                let is_copy = |(_, known): &(SocketAddr, Packet<B>)| {
+                    known.segment.seq == packet.segment.seq
+                        && known.segment.payload == packet.segment.payload
+                };
+                if packets.len() < WAITING_PACKETS_MAX && !packets.iter().any(is_copy) {
+                    packets.push((balancer, packet));
+                }
+            }
+            return;
+        }
+        if !conn.begins_request(&packet.segment) {
+            self.deliver(now, balancer, packet, out);
+            return;
+        }
+        let is_copy = conn.was_dropped(&packet.segment);
+        if !is_copy {
+            let interval = conn.last_request.map(|last| now.since(last));
+            self.demand.on_request(now, flow.service, interval);
+            if let Some(conn) = self.conns.get_mut(&flow) {
+                conn.last_request = Some(now);
+            }
+        }
+        let is_expected =
+            self.offered.iter().any(|offered| offered.1 == flow) && conn.awaits_request();
+        if is_expected || !self.is_crowded(now) || self.has_room(now) {
+            self.deliver(now, balancer, packet, out);
+            return;
+        }
+        let class = self.class_of(&flow);
+        if self.is_overloaded(now, &class) && (is_copy || !self.is_in_time(now, now, &class)) {
+            self.drop_request(&flow, &packet, out);
+            return;
+        }
+        self.make_room_to_wait(now, out);
+        self.waiting.push(Waiting {
+            since: now,
+            class,
+            flow,
+            work: Work::Request(vec![(balancer, packet)]),
+        });
     }
 
-    /// Offers flows that wait while there is room, the newest first. A target that has announced that
-    /// it leaves is offered none: the next tick gives them back.
+    /// Lets in what waits while there is room. A target that has announced that it leaves is offered no new
+    /// flow: the next tick gives them back.
     pub(super) fn admit_waiting(&mut self, now: Millis, out: &mut Vec<AgentAction<B>>) {
         if !self.takes_new_flows(now) {
             return;
         }
-        while !self.waiting.is_empty() && self.has_room(now) {
-            if let Some(newest) = self.waiting.pop() {
-                self.offer(now, newest, out);
-            }
+        while self.has_room(now) {
+            let Some(next) = self.next_waiting(now) else {
+                return;
+            };
+            let next = self.waiting.swap_remove(next);
+            self.let_in(now, next, out);
         }
     }
 
-    /// Gives back what has waited for long, and everything once the target takes no new flows.
-    pub(super) fn give_waiting_back(&mut self, now: Millis, out: &mut Vec<AgentAction<B>>) {
-        let reason = if self.takes_new_flows(now) && !self.is_stopping {
-            RejectReason::Full
-        } else {
-            RejectReason::NotReady
-        };
-        let classes = &self.classes;
-        let is_over = |waiting: &mut Opening<B>| {
-            let class = classes.get(&waiting.packet.flow.service);
-            let patience = room_wait(&class.copied().unwrap_or_default());
-            reason == RejectReason::NotReady || now.since(waiting.since) >= patience
-        };
-        let over: Vec<_> = self.waiting.extract_if(.., is_over).collect();
-        for opening in over {
-            if reason == RejectReason::Full {
-                self.give_back_full(now, opening, out);
+    /// Ends the wait of what has waited for long, and of everything once the target takes no new flows.
+    pub(super) fn end_waits(&mut self, now: Millis, out: &mut Vec<AgentAction<B>>) {
+        let is_leaving = !self.takes_new_flows(now) || self.is_stopping;
+        let mut index = 0;
+        while index < self.waiting.len() {
+            if is_leaving || self.is_wait_over(now, &self.waiting[index]) {
+                let over = self.waiting.swap_remove(index);
+                self.end_wait(now, is_leaving, over, out);
             } else {
+                index += 1;
+            }
+        }
+    }
+
+    fn is_wait_over(&self, now: Millis, waiting: &Waiting<B>) -> bool {
+        let is_late = !self.is_in_time(now, waiting.since, &waiting.class);
+        match waiting.work {
+            Work::Opening(_) => {
+                let waited = now.since(waiting.since);
+                let patience = if self.is_overloaded(now, &waiting.class) {
+                    Millis(waiting.class.objective_ms.0 / OVERLOAD_WAIT_PART)
+                } else {
+                    room_wait(&waiting.class)
+                };
+                waited >= patience || (is_late && self.is_overloaded(now, &waiting.class))
+            }
+            Work::Request(_) => is_late || !self.is_crowded(now),
+        }
+    }
+
+    fn end_wait(
+        &mut self,
+        now: Millis,
+        is_leaving: bool,
+        over: Waiting<B>,
+        out: &mut Vec<AgentAction<B>>,
+    ) {
+        let is_overloaded = self.is_overloaded(now, &over.class);
+        match over.work {
+            Work::Opening(opening) if is_leaving => {
+                let reason = RejectReason::NotReady;
                 reject(opening.balancer, reason, opening.packet.bytes, out);
             }
+            Work::Opening(opening) => self.give_back_full(now, &over.class, opening, out),
+            Work::Request(packets) if is_overloaded && !is_leaving => {
+                for (_, packet) in packets {
+                    self.drop_request(&over.flow, &packet, out);
+                }
+            }
+            Work::Request(_) => self.let_in(now, over, out),
+        }
+    }
+
+    fn let_in(&mut self, now: Millis, waiting: Waiting<B>, out: &mut Vec<AgentAction<B>>) {
+        match waiting.work {
+            Work::Opening(opening) => self.offer(now, opening, out),
+            Work::Request(packets) => {
+                for (balancer, packet) in packets {
+                    self.deliver(now, balancer, packet, out);
+                }
+            }
+        }
+    }
+
+    /// Which of those that wait goes first. A less urgent class has its share as well.
+    fn next_waiting(&mut self, now: Millis) -> Option<usize> {
+        let order = |waiting: &Waiting<B>| {
+            let is_late = !self.is_in_time(now, waiting.since, &waiting.class);
+            (
+                is_late,
+                waiting.class.priority,
+                std::cmp::Reverse(waiting.since),
+            )
+        };
+        let waiting = || self.waiting.iter().enumerate();
+        let (first, most_urgent) = waiting().min_by_key(|(_, waiting)| order(waiting))?;
+        let is_lesser = |waiting: &Waiting<B>| {
+            waiting.class.priority > most_urgent.class.priority && !order(waiting).0
+        };
+        let lesser = waiting()
+            .filter(|(_, waiting)| is_lesser(waiting))
+            .min_by_key(|(_, waiting)| order(waiting))
+            .map(|(index, _)| index);
+        let Some(lesser) = lesser else {
+            return Some(first);
+        };
+        self.urgent_run += 1;
+        if self.urgent_run < LESSER_SHARE {
+            return Some(first);
+        }
+        self.urgent_run = 0;
+        Some(lesser)
+    }
+
+    /// Gives the oldest opening packet back if too many wait.
+    fn make_room_to_wait(&mut self, now: Millis, out: &mut Vec<AgentAction<B>>) {
+        if self.waiting.len() < WAITING_MAX {
+            return;
+        }
+        let oldest = (0..self.waiting.len()).min_by_key(|index| self.waiting[*index].since);
+        if let Some(oldest) = oldest {
+            let oldest = self.waiting.swap_remove(oldest);
+            self.end_wait(now, false, oldest, out);
         }
     }
 
     /// Gives an opening packet back with the time after which there is room.
-    fn give_back_full(&self, now: Millis, opening: Opening<B>, out: &mut Vec<AgentAction<B>>) {
+    fn give_back_full(
+        &self,
+        now: Millis,
+        class: &RequestClass,
+        opening: Opening<B>,
+        out: &mut Vec<AgentAction<B>>,
+    ) {
         let rejected = Rejected {
             reason: RejectReason::Full,
-            room_after: self.room_after(now),
+            room_after: self.room_after(now, class),
         };
         out.push(AgentAction::Reject {
             to: opening.balancer,
@@ -133,22 +345,88 @@
         });
     }
 
-    /// Expected time until the target can begin with one request more.
-    fn room_after(&self, now: Millis) -> Millis {
+    fn drop_request(&mut self, flow: &FlowId, packet: &Packet<B>, out: &mut Vec<AgentAction<B>>) {
+        if let Some(conn) = self.conns.get_mut(flow) {
+            conn.on_dropped(&packet.segment);
+        }
+        drop_for(*flow, DropReason::Overload, out);
+    }
+
+    /// Expected time until the target can begin with one more request of the class.
+    fn room_after(&self, now: Millis, class: &RequestClass) -> Millis {
         let Some((_, heartbeat)) = self.last_heartbeat else {
             return Millis::ZERO;
         };
+        let goes_first = |waiting: &&Waiting<B>| waiting.class.priority <= class.priority;
+        let waiting = self.waiting.iter().filter(goes_first).count() as u64;
+        let ahead = u64::from(self.busy) + u64::from(self.awaited(now)) + waiting;
         let slots = u64::from(heartbeat.slots.max(1));
-        let ahead = u64::from(self.pending()) + u64::from(self.awaited(now));
         let over = (ahead + 1).saturating_sub(slots);
         Millis(self.work_micros * over / slots / 1_000)
     }
 
+    /// Whether a request that came at `since` can be answered within its objective, behind what the target
+    /// was given before it.
+    fn is_in_time(&self, now: Millis, since: Millis, class: &RequestClass) -> bool {
+        let given = self.busy.saturating_add(self.awaited(now));
+        now.since(since).after(self.expected_work(given)) < class.objective_ms
+    }
+
+    /// Whether the target's open flows leave no room for one more that is long-lived.
+    fn is_filled(&self, now: Millis, flow: &FlowId, class: &RequestClass) -> bool {
+        let service = &flow.service;
+        let expected = self.demand.expected_milli(now, service);
+        let load = self.demand.load_milli(now, |other| other == service) + expected;
+        self.demand.is_long_lived(now, service)
+            && load >= self.share_milli(now, class) * FILLED_MILLI / 1_000
+    }
+
+    /// Slots that services of the class can have, in thousandths. More urgent services have what they ask
+    /// for before it, but for a share that each has.
+    fn share_milli(&self, now: Millis, class: &RequestClass) -> u64 {
+        let slots = self
+            .last_heartbeat
+            .map_or(1, |(_, heartbeat)| heartbeat.slots);
+        let slots = u64::from(slots) * 1_000;
+        let is_more_urgent = |service: &SocketAddr| {
+            let known = self.classes.get(service);
+            known.is_some_and(|known| known.priority < class.priority)
+        };
+        let urgent = self.demand.load_milli(now, is_more_urgent);
+        slots
+            .saturating_sub(urgent)
+            .max(slots / u64::from(LESSER_SHARE))
+    }
+
+    fn note_crowding(&mut self, now: Millis) {
+        let since = self.crowding.filter(|_| self.is_crowded(now));
+        let since = since.map_or(now, |crowding| crowding.since);
+        self.crowding = Some(Crowding { since, last: now });
+    }
+
+    /// Whether balancers find no free slot in the pool, since they ask this target to keep flows that it has
+    /// no room for.
+    fn is_crowded(&self, now: Millis) -> bool {
+        let crowding = self.crowding;
+        crowding.is_some_and(|crowding| now.since(crowding.last) < CALM_AFTER)
+    }
+
+    /// Whether the pool has been crowded for longer than a caller waits.
+    fn is_overloaded(&self, now: Millis, class: &RequestClass) -> bool {
+        let patience = class.time_limit_ms.min(RUSH_MAX);
+        let is_long = |crowding: Crowding| now.since(crowding.since) >= patience;
+        self.is_crowded(now) && self.crowding.is_some_and(is_long)
+    }
+
+    fn class_of(&self, flow: &FlowId) -> RequestClass {
+        self.classes.get(&flow.service).copied().unwrap_or_default()
+    }
+
     pub(super) fn takes_new_flows(&self, now: Millis) -> bool {
         matches!(self.state(now), TargetState::Ready | TargetState::Starting)
     }
 
-    /// Requests in progress, and flows that wait for the target.
+    /// Requests in progress, and what waits for the target.
     pub(super) fn pending(&self) -> u32 {
         let waiting = u32::try_from(self.waiting.len()).unwrap_or(u32::MAX);
         self.busy.saturating_add(waiting)
@@ -156,11 +434,9 @@
 
     /// Flows that were offered a moment ago, whose first request may still come.
     fn awaited(&self, now: Millis) -> u32 {
-        let awaited = self
-            .offered
-            .iter()
-            .filter(|offered| self.is_awaited(now, offered));
-        u32::try_from(awaited.count()).unwrap_or(u32::MAX)
+        let is_awaited = |offered: &&(Millis, FlowId)| self.is_awaited(now, offered);
+        let awaited = self.offered.iter().filter(is_awaited).count();
+        u32::try_from(awaited).unwrap_or(u32::MAX)
     }
 
     fn is_awaited(&self, now: Millis, (since, flow): &(Millis, FlowId)) -> bool {
@@ -169,7 +445,7 @@
     }
 
     /// Whether a slot of the target is free and nobody waits for it.
-    fn is_idle_for(&self, now: Millis) -> bool {
+    fn has_free_slot(&self, now: Millis) -> bool {
         let Some((_, heartbeat)) = self.last_heartbeat else {
             return true;
         };
@@ -189,25 +465,27 @@
     /// Requests that the target may have at once.
     fn room(&self, slots: u16) -> u32 {
         let slots = u64::from(slots);
-        let queue = (slots * QUEUE_TIME.0 * 1_000).checked_div(self.work_micros);
+        let objectives = self.classes.newest_first();
+        let objectives = objectives.map(|(_, class)| class.objective_ms);
+        let shortest = objectives
+            .min()
+            .unwrap_or(RequestClass::default().objective_ms);
+        let queue = (slots * shortest.0 / QUEUE_PART * 1_000).checked_div(self.work_micros);
         let room = queue.map_or(slots, |queue| slots + queue);
         let (least, most) = (slots * REQUESTS_PER_SLOT_MIN, slots * REQUESTS_PER_SLOT_MAX);
         u32::try_from(room.clamp(least, most)).unwrap_or(u32::MAX)
     }
 
-    /// Takes the time of one request into the mean, without the wait behind the `ahead` requests that
+    /// Takes the time of one request into the means, without the wait behind the `ahead` requests that
     /// the target had when it came.
-    pub(super) fn learn_work(&mut self, took: Millis, ahead: u32) {
+    pub(super) fn learn_work(&mut self, service: SocketAddr, took: Millis, ahead: u32) {
         let Some((_, heartbeat)) = self.last_heartbeat else {
             return;
         };
         let slots = u64::from(heartbeat.slots);
         let work = took.0 * 1_000 * slots / slots.max(u64::from(ahead) + 1);
-        self.work_micros = if self.work_micros == 0 {
-            work
-        } else {
-            (self.work_micros * WORK_WEIGHT + work) / (WORK_WEIGHT + 1)
-        };
+        self.work_micros = mean(self.work_micros, work);
+        self.demand.on_answer(service, work);
     }
 
     /// Time in which a request should be answered that comes behind `ahead` others.
@@ -230,6 +508,7 @@
         if let Some((_, evicted)) = self.conns.insert(now, flow, conn) {
             self.on_gone(now, &evicted);
         }
+        self.demand.on_flow(now, flow.service);
         self.offers.insert(flow, bytes.clone());
         let mut offered = std::mem::take(&mut self.offered);
         offered.retain(|offered| self.is_awaited(now, offered));
--- a/crates/core/src/pass_through/conn.rs
+++ b/crates/core/src/pass_through/conn.rs
@@ -32,8 +32,12 @@
     pub(super) is_busy: bool,
     /// When that request came, and how many others the target had then.
     pub(super) request: Option<(Millis, u32)>,
+    /// When the caller sent a request last.
+    pub(super) last_request: Option<Millis>,
     /// End of what the caller sent so far.
     caller_end: Option<u32>,
+    /// End of a request that was dropped.
+    dropped_end: Option<u32>,
     /// What the caller acknowledged last.
     caller_ack: Option<u32>,
     /// End of what the target sent last.
@@ -54,7 +58,9 @@
             balancer,
             is_busy: false,
             request: None,
+            last_request: None,
             caller_end: None,
+            dropped_end: None,
             caller_ack: None,
             target_end: None,
             answered: None,
@@ -101,20 +107,36 @@
         if self.stage == Stage::Answered && segment.ack {
             self.stage = Stage::Open;
         }
-        let end = segment.seq.wrapping_add(segment.payload);
-        // An agent that was started again knows a repeated request only by its answer.
-        let known = [self.caller_end, self.answered];
-        let is_new = known
-            .into_iter()
-            .flatten()
-            .all(|known| is_after(end, known));
-        if segment.payload > 0 && is_new {
-            self.caller_end = Some(end);
+        if self.is_new(segment) {
+            self.caller_end = Some(end_of(segment));
             self.is_busy = !self.target_ended;
         }
         self.caller_ended |= segment.fin;
     }
 
+    /// Whether the packet begins a request that the target has not seen.
+    pub(super) fn begins_request(&self, segment: &Segment) -> bool {
+        !self.is_busy && !segment.rst && self.is_new(segment)
+    }
+
+    /// A packet of the caller is not given to the target.
+    pub(super) const fn on_dropped(&mut self, segment: &Segment) {
+        self.dropped_end = Some(end_of(segment));
+    }
+
+    /// Whether a copy of the packet was not given to the target.
+    pub(super) fn was_dropped(&self, segment: &Segment) -> bool {
+        self.dropped_end == Some(end_of(segment))
+    }
+
+    /// Whether the packet carries data that was not seen before.
+    fn is_new(&self, segment: &Segment) -> bool {
+        // An agent that was started again knows a repeated request only by its answer.
+        let known = [self.caller_end, self.answered].into_iter().flatten();
+        let end = end_of(segment);
+        segment.payload > 0 && known.into_iter().all(|known| is_after(end, known))
+    }
+
     /// The target's packet goes to the caller.
     pub(super) const fn on_target(&mut self, segment: &Segment) {
         self.target_end = Some(segment.seq.wrapping_add(segment.payload));
@@ -134,6 +156,10 @@
     }
 }
 
+const fn end_of(segment: &Segment) -> u32 {
+    segment.seq.wrapping_add(segment.payload)
+}
+
 /// Whether sequence number `a` comes after `b`, across the wrap-around.
 const fn is_after(a: u32, b: u32) -> bool {
     a.wrapping_sub(b).cast_signed() > 0
--- a/crates/core/tests/pass_through/main.rs
+++ b/crates/core/tests/pass_through/main.rs
@@ -14,4 +14,5 @@
 mod load;
 mod properties;
 mod rush;
+mod two_kinds;
 mod world;
