Follow the store's era, and write again what a copy lost

Cause: after the store comes back from a copy, revisions are given out again, entries and lists of flows are gone or older, and nothing read Store-Era. A watcher that was cut off got no 410 for a number that belongs to another change, an entry could be removed by a revision of another object, and a list that lacks a process counted as complete.

Change: the one client knows the era of each answer and drops answers of an earlier one. Places to watch from and listed revisions carry their era and say nothing in another. A rise is one event: entries are written again within 1.5 s by chance, lists of flows at the next look, what was counted against unheard processes is forgotten, and balancers doubt lists for three seconds, so that no flow is reset by one that lacks its holder. Entries name the era in which they were written: one that a copy brought back does not make a list complete. Balancers name the era in their greetings, so that agents look sooner. Decision log: store_restored. No call more without a rise: the era comes with answers that come anyway, and a process writes its first entry after the first answer to another call, or 50 ms.

--- a/crates/agent/src/pass_through/control.rs
+++ b/crates/agent/src/pass_through/control.rs
@@ -8,6 +8,7 @@
 use citronhollow_core::pass_through::FlowList;
 use citronhollow_operator::listener;
 use citronhollow_platform::Client;
+use citronhollow_platform::era;
 use citronhollow_platform::presence::{self, Presence};
 use citronhollow_platform::retry::Pause;
 use tokio::net::TcpListener;
@@ -127,14 +128,31 @@
 }
 
 /// Keeps this agent's entry at the platform for as long as the process runs.
-pub(super) async fn keep_entry(client: Client, own: Entry, is_listed: watch::Sender<bool>) {
+///
+/// The platform may come back from a copy that lacks the entry. That is seen by the era of its answers, and
+/// sooner by the era that balancers name, `heard_era`, since they call it more often.
+pub(super) async fn keep_entry(
+    client: Client,
+    own: Entry,
+    is_listed: watch::Sender<bool>,
+    mut heard_era: watch::Receiver<u64>,
+) {
     let mut presence = Presence::default();
     let mut pause = Pause::default();
     let mut interval = LIST_INTERVAL;
+    let mut was_written = false;
+    presence::wait_until_answered(client.eras()).await;
+    let mut eras = client.eras().subscribe();
     loop {
         if presence.is_due() {
-            match store::add(&client, Entries::Agents, &own).await {
+            let written = if was_written {
+                store::rewrite(&client, Entries::Agents, &own).await
+            } else {
+                store::add(&client, Entries::Agents, &own).await
+            };
+            match written {
                 Ok(()) => {
+                    was_written = true;
                     presence.on_written();
                     is_listed.send_replace(true);
                     pause.reset();
@@ -146,11 +164,23 @@
                 }
             }
         }
-        sleep(interval).await;
+        tokio::select! {
+            () = sleep(interval) => {}
+            () = later_era(&mut heard_era, &client) => {}
+            era = era::rise(&mut eras) => {
+                log::warn!("platform: it came back from a copy, era {era}");
+                is_listed.send_replace(false);
+                presence.on_rise();
+                sleep(presence::rewrite_pause()).await;
+                continue;
+            }
+        }
         interval = LIST_INTERVAL_UNSURE;
-        match store::list(&client, Entries::Agents, true).await {
+        match store::list_revised(&client, Entries::Agents, true).await {
             Ok(found) => {
-                let is_listed = found.contains(&own);
+                let is_listed = found
+                    .iter()
+                    .any(|listed| listed.entry == own && listed.is_current());
                 presence.on_listed(is_listed);
                 if is_listed {
                     interval = LIST_INTERVAL;
@@ -161,13 +191,32 @@
     }
 }
 
+/// Waits until a balancer names a later era than the platform has named here.
+async fn later_era(heard: &mut watch::Receiver<u64>, client: &Client) {
+    loop {
+        if heard.changed().await.is_err() {
+            std::future::pending::<()>().await;
+        }
+        let known = client.eras().latest().map_or(0, u64::from);
+        if *heard.borrow_and_update() > known {
+            return;
+        }
+    }
+}
+
 /// Keeps the target's list of flows at the platform, after the last one was read.
 pub(super) async fn keep_flows(client: Client, name: String, commands: UnboundedSender<Command>) {
     inherit_flows(&client, &name, &commands).await;
     let mut written = FlowList::default();
     let mut written_at = Instant::now();
+    let mut written_in = client.eras().latest();
     loop {
         sleep(FLOW_LIST_INTERVAL).await;
+        // The platform came back from a copy, which has an earlier list.
+        if client.eras().latest() != written_in {
+            written_in = client.eras().latest();
+            written = FlowList::default();
+        }
         let (listed, list) = oneshot::channel();
         if commands.send(Command::ListFlows(listed)).is_err() {
             return;
--- a/crates/agent/src/pass_through/run.rs
+++ b/crates/agent/src/pass_through/run.rs
@@ -44,6 +44,7 @@
         reload::hangup()?
     };
     let (commands, commands_rx) = mpsc::unbounded_channel();
+    let (heard_era, heard_era_rx) = watch::channel(0);
     let registry = Registry::new();
     let decisions = DecisionLog::start(&settings.name, &registry, std::io::stdout());
     let thread = {
@@ -52,14 +53,14 @@
         let (decisions, registry) = (decisions.clone(), registry.clone());
         worker::spawn_traffic(
             "target_listen, peer_listen",
-            move || Traffic::bind(&settings, keys, (decisions, &registry)),
+            move || Traffic::bind(&settings, keys, heard_era, (decisions, &registry)),
             move |traffic| traffic.run(commands_rx),
         )?
     };
     let outcome = runtime.block_on(control(
         (path, hangup),
         checked,
-        commands.clone(),
+        (commands.clone(), heard_era_rx),
         (decisions, registry),
     ));
     // The thread may have ended already, and then needs no command.
@@ -74,7 +75,7 @@
 async fn control(
     (path, hangup): (&str, Signal),
     checked: &Checked,
-    commands: mpsc::UnboundedSender<Command>,
+    (commands, heard_era): (mpsc::UnboundedSender<Command>, watch::Receiver<u64>),
     (mut decisions, registry): (DecisionLog, Registry),
 ) -> Result<(), Failure> {
     let settings = checked.settings();
@@ -95,6 +96,7 @@
     tokio::spawn(control::serve_target(heartbeats, group, commands.clone()));
     let client = Client::new(ClientConfig {
         deadline: CALL_LIMIT,
+        era_header: Some(store::ERA_HEADER),
         ..ClientConfig::new(settings.platform)
     });
     // Nobody receives this only while the process ends.
@@ -109,7 +111,12 @@
         name: settings.name.clone(),
         address: settings.peer_listen,
     };
-    let entry = tokio::spawn(control::keep_entry(client.clone(), own, is_listed));
+    let entry = tokio::spawn(control::keep_entry(
+        client.clone(),
+        own,
+        is_listed,
+        heard_era,
+    ));
     let name = settings.name.clone();
     let flows = tokio::spawn(control::keep_flows(client.clone(), name, commands.clone()));
     log::info!("agent: {} is at work", settings.name);
--- a/crates/agent/src/pass_through/traffic.rs
+++ b/crates/agent/src/pass_through/traffic.rs
@@ -17,7 +17,7 @@
 use citronhollow_peer::{Body, Envelope, Keyring, addr_from_bytes, pass_through};
 use prometheus::{IntGauge, Registry};
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::link::Command;
@@ -57,6 +57,8 @@
     /// Reports for each one to all balancers, as the last of those said. Balancers judge its silence by it.
     far_every: u32,
     domain: DomainId,
+    /// The latest era of the platform's data that a balancer has named.
+    heard_era: watch::Sender<u64>,
     was_failing: bool,
     leaving: Option<(Millis, oneshot::Sender<TargetState>)>,
     actions: Vec<AgentAction<Bytes>>,
@@ -92,6 +94,7 @@
     pub(super) fn bind(
         settings: &Settings,
         keys: Keyring,
+        heard_era: watch::Sender<u64>,
         (decisions, registry): (DecisionLog, &Registry),
     ) -> io::Result<Self> {
         let limits = AgentLimits {
@@ -119,6 +122,7 @@
             near_reports: 0,
             far_every: Contacts::default().reports_for_each_far_one(place.domain),
             domain: place.domain,
+            heard_era,
             was_failing: false,
             leaving: None,
             actions: Vec::new(),
@@ -322,6 +326,11 @@
             Some(Body::Greeting(greeting)) => match addr_from_bytes(&greeting.balancer) {
                 Ok(balancer) => {
                     let domain = DomainId(greeting.domain);
+                    self.heard_era.send_if_modified(|heard| {
+                        let is_later = greeting.store_era > *heard;
+                        *heard = greeting.store_era.max(*heard);
+                        is_later
+                    });
                     if self.contacts.on_greeting(now, balancer, domain) {
                         self.introduce(now, balancer);
                     }
--- a/crates/balancer/src/pass_through/control.rs
+++ b/crates/balancer/src/pass_through/control.rs
@@ -14,13 +14,14 @@
 use citronhollow_operator::decisions::{self, Decision, DecisionLog};
 use citronhollow_peer::message::{RevisionReply, RevisionRequest};
 use citronhollow_peer::{Body, Keyring, exchange};
+use citronhollow_platform::era;
 use citronhollow_platform::presence::{self, Presence};
 use citronhollow_platform::retry::Pause;
 use citronhollow_platform::{Client, PlatformError};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::{oneshot, watch};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::link::{Command, Event};
 
@@ -115,6 +116,19 @@
         }
     }
 
+    /// Notes each return of the platform from a copy, for as long as the process runs.
+    pub(super) async fn follow_eras(mut self) {
+        let mut eras = self.client.eras().subscribe();
+        loop {
+            let era = era::rise(&mut eras).await;
+            log::warn!("platform: it came back from a copy, era {era}");
+            let decision = Decision::new(decisions::Event::StoreRestored);
+            self.decisions.write(decision.reason(&era));
+            self.is_listed.send_replace(false);
+            let _ = self.commands.send(Command::DoubtLists);
+        }
+    }
+
     /// Keeps this balancer's entry at the platform and greets the others.
     pub(super) async fn follow_balancers(self) {
         let own = Entry {
@@ -123,10 +137,19 @@
         };
         let mut presence = Presence::default();
         let mut may_be_stale = false;
+        let mut was_written = false;
+        presence::wait_until_answered(self.client.eras()).await;
+        let mut eras = self.client.eras().subscribe();
         loop {
             if presence.is_due() {
-                match store::add(&self.client, Entries::Balancers, &own).await {
+                let written = if was_written {
+                    store::rewrite(&self.client, Entries::Balancers, &own).await
+                } else {
+                    store::add(&self.client, Entries::Balancers, &own).await
+                };
+                match written {
                     Ok(()) => {
+                        was_written = true;
                         presence.on_written();
                         self.is_listed.send_replace(true);
                     }
@@ -134,20 +157,27 @@
                 }
             }
             let mut interval = LIST_INTERVAL_UNSURE;
-            match store::list(&self.client, Entries::Balancers, may_be_stale).await {
+            match store::list_revised(&self.client, Entries::Balancers, may_be_stale).await {
                 Ok(found) => {
                     may_be_stale = true;
-                    let is_listed = found.contains(&own);
+                    let is_listed = found
+                        .iter()
+                        .any(|listed| listed.entry == own && listed.is_current());
                     presence.on_listed(is_listed);
                     if is_listed {
                         interval = LIST_INTERVAL;
                     }
-                    let addrs = found.into_iter().map(|entry| entry.address).collect();
-                    let _ = self.commands.send(Command::Balancers(addrs));
+                    let addrs = found.into_iter().map(|listed| listed.entry.address);
+                    let _ = self.commands.send(Command::Balancers(addrs.collect()));
                 }
                 Err(err) => log::warn!("platform: balancers not listed: {err}"),
             }
-            sleep(interval).await;
+            if let Ok(era) = timeout(interval, era::rise(&mut eras)).await {
+                log::info!("platform: own entry is written again for era {era}");
+                presence.on_rise();
+                may_be_stale = false;
+                sleep(presence::rewrite_pause()).await;
+            }
         }
     }
 
@@ -162,13 +192,15 @@
         presence::wait_until_listed(&self.is_listed).await;
         loop {
             let is_listed = *self.is_listed.borrow();
-            let wait = match store::list(&self.client, Entries::Agents, may_be_stale).await {
+            let listed = store::list_revised(&self.client, Entries::Agents, may_be_stale).await;
+            let wait = match listed {
                 Ok(found) => {
+                    let is_whole = found.iter().all(Listed::is_current);
                     let listed = found
                         .into_iter()
-                        .map(|entry| (TargetId::of(&entry.name), entry.address))
+                        .map(|Listed { entry, .. }| (TargetId::of(&entry.name), entry.address))
                         .collect();
-                    let is_complete = is_listed && !may_be_stale;
+                    let is_complete = is_listed && !may_be_stale && is_whole;
                     may_be_stale = is_listed;
                     let command = Command::Agents {
                         listed,
@@ -191,8 +223,17 @@
     pub(super) async fn remove_abandoned(self) {
         let mut kinds =
             [Entries::Balancers, Entries::Agents].map(|kind| (kind, Abandoned::default()));
+        let mut eras = self.client.eras().subscribe();
         loop {
-            sleep(ABANDONED_INTERVAL.into()).await;
+            if timeout(ABANDONED_INTERVAL.into(), era::rise(&mut eras))
+                .await
+                .is_ok()
+            {
+                for (_, abandoned) in &mut kinds {
+                    abandoned.clear();
+                }
+                continue;
+            }
             let (heard, answer) = oneshot::channel();
             let command = Command::Heard(ABANDONED_INTERVAL, heard);
             // The traffic thread is gone only while the process ends.
--- a/crates/balancer/src/pass_through/link.rs
+++ b/crates/balancer/src/pass_through/link.rs
@@ -25,6 +25,8 @@
         /// The list was read after the start.
         is_complete: bool,
     },
+    /// The platform has come back from a copy, so that its lists may lack somebody.
+    DoubtLists,
     /// Answered with the addresses of the processes that were heard within the time.
     Heard(Millis, oneshot::Sender<Option<HashSet<SocketAddr>>>),
     /// The process ends.
@@ -50,6 +52,8 @@
     pub is_ready: AtomicBool,
     /// When the last packet of a caller came, in ms since the start.
     last_packet: AtomicU64,
+    /// Era of the platform's data, zero for none.
+    pub store_era: AtomicU64,
 }
 
 impl Shared {
--- a/crates/balancer/src/pass_through/run.rs
+++ b/crates/balancer/src/pass_through/run.rs
@@ -142,6 +142,7 @@
         address: settings.platform,
         deadline: CALL_LIMIT,
         watch_margin: WATCH_MARGIN,
+        era_header: Some(store::ERA_HEADER),
     });
     let control = Control {
         name: settings.name.clone(),
@@ -160,6 +161,8 @@
     tokio::spawn(control.clone().follow_config());
     tokio::spawn(control.clone().follow_agents());
     tokio::spawn(control.clone().remove_abandoned());
+    tokio::spawn(control.clone().follow_eras());
+    tokio::spawn(show_era(client.clone(), Arc::clone(shared)));
     let entry = tokio::spawn(control.follow_balancers());
     log::info!("balancer: {} is at work", settings.name);
     decisions.write(Decision::new(Event::ProcessStarted));
@@ -177,6 +180,15 @@
     Ok(())
 }
 
+/// Lets the traffic thread name the era of the platform's data in its greetings.
+async fn show_era(client: Client, shared: Arc<Shared>) {
+    let mut eras = client.eras().subscribe();
+    while eras.changed().await.is_ok() {
+        let era = eras.borrow_and_update().map_or(0, u64::from);
+        shared.store_era.store(era, Ordering::Relaxed);
+    }
+}
+
 /// Forwards until the fabric has turned to others.
 async fn leave(settings: &Settings, started: Instant, shared: &Shared, client: &Client) {
     let grace = Duration::from(settings.grace_s.millis()).saturating_sub(LAST_STEPS);
--- a/crates/balancer/src/pass_through/traffic.rs
+++ b/crates/balancer/src/pass_through/traffic.rs
@@ -166,6 +166,7 @@
                 listed,
                 is_complete,
             } => self.on_listed(&listed, is_complete),
+            Command::DoubtLists => self.balancer.doubt_lists(self.now()),
             Command::Heard(age, heard) => {
                 // Whoever asked may have given up.
                 let _ = heard.send(self.heard(age));
@@ -259,6 +260,7 @@
             wants_reports,
             others: others.into_iter().map(addr_to_bytes).collect(),
             domain: self.domain.0,
+            store_era: self.shared.store_era.load(Ordering::Relaxed),
         }))
     }
 
--- a/crates/core/src/pass_through/balancer.rs
+++ b/crates/core/src/pass_through/balancer.rs
@@ -133,6 +133,8 @@
     openings: Vec<(Millis, Packet<B>)>,
     /// Targets that the platform lists and that have not reported yet, none before it was read.
     missing: Option<HashSet<TargetId>>,
+    /// Since when lists of the platform may lack a target: the start, or its return from a copy.
+    doubted: Millis,
     rng: SmallRng,
 }
 
@@ -155,6 +157,7 @@
             denials: HashMap::new(),
             openings: Vec::new(),
             missing: None,
+            doubted: now,
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -224,6 +227,13 @@
         self.missing = Some(missing.collect());
     }
 
+    /// The platform has come back from a copy: agents and balancers that started a moment ago may not find
+    /// one another by its lists. A list that was read before proves nothing any more.
+    pub fn doubt_lists(&mut self, now: Millis) {
+        self.missing = None;
+        self.doubted = now;
+    }
+
     /// Addresses of the agents that were heard within `age`, none if that is less than half of them:
     /// this balancer may be cut off then.
     #[must_use]
@@ -238,7 +248,7 @@
     /// Whether all targets are known that may hold a flow.
     fn is_settled(&self, now: Millis) -> bool {
         let is_complete = self.missing.as_ref().is_some_and(HashSet::is_empty);
-        is_complete || now.since(self.started) >= SETTLE
+        is_complete || now.since(self.doubted) >= SETTLE
     }
 
     /// Reports of all targets that are not known to be gone.
--- a/crates/operator/src/decisions.rs
+++ b/crates/operator/src/decisions.rs
@@ -49,6 +49,9 @@
     /// The platform's store answers again.
     #[display("store_back")]
     StoreBack,
+    /// The platform's store came back from a copy. What it was given since is lost there.
+    #[display("store_restored")]
+    StoreRestored,
     /// The target's state changed.
     #[display("target_state")]
     TargetState,
--- a/crates/peer/src/message/pass_through.rs
+++ b/crates/peer/src/message/pass_through.rs
@@ -143,4 +143,7 @@
     /// Failure domain of the sender.
     #[prost(fixed64, tag = "5")]
     pub domain: u64,
+    /// Era of the platform's data as the sender knows it, zero for none.
+    #[prost(uint64, tag = "6")]
+    pub store_era: u64,
 }
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -2,19 +2,21 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use citronhollow_core::clock::Millis;
 use citronhollow_core::publisher::{Listing, Object};
-use log::debug;
+use log::{debug, warn};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use volo_http::body::BodyConversion;
 use volo_http::client::Client as HttpClient;
-use volo_http::http::{Method, StatusCode, header};
+use volo_http::http::{HeaderMap, Method, StatusCode, header};
 
 use crate::counters::{CallCounters, CallKind};
+use crate::era::{Era, Eras};
 use crate::error::PlatformError;
 use crate::protocol::{Changes, MAX_VALUE_BYTES, Mismatch, WatchQuery, Written};
 use crate::retry::{self, RetryBudget};
@@ -28,6 +30,8 @@
     pub deadline: Millis,
     /// Time that a watch gets on top of its waiting time.
     pub watch_margin: Millis,
+    /// Header by which the service names the era of its data, none if it has none.
+    pub era_header: Option<&'static str>,
 }
 
 impl ClientConfig {
@@ -38,6 +42,7 @@
             address,
             deadline: Millis::from_secs(2),
             watch_margin: Millis::from_secs(1),
+            era_header: None,
         }
     }
 }
@@ -49,6 +54,9 @@
     http: HttpClient,
     counters: Arc<CallCounters>,
     budget: Arc<RetryBudget>,
+    eras: Arc<Eras>,
+    /// The log has a line on an answer without an era that can be read.
+    has_warned: Arc<AtomicBool>,
 }
 
 const OK: u16 = StatusCode::OK.as_u16();
@@ -74,6 +82,8 @@
     pub status: u16,
     /// The body.
     pub body: Vec<u8>,
+    /// Era of the service's data, none if it names none.
+    pub era: Option<Era>,
 }
 
 impl Client {
@@ -85,6 +95,8 @@
             http: HttpClient::default(),
             counters: Arc::default(),
             budget: Arc::default(),
+            eras: Arc::default(),
+            has_warned: Arc::default(),
         }
     }
 
@@ -94,6 +106,12 @@
         &self.counters
     }
 
+    /// Eras that this client and its clones have seen.
+    #[must_use]
+    pub fn eras(&self) -> &Eras {
+        &self.eras
+    }
+
     /// Reads one object, none if it does not exist.
     ///
     /// # Errors
@@ -275,6 +293,10 @@
             .await
             .map_err(|_| lost())?
             .ok_or_else(lost)?;
+        if !self.eras.on_answer(reply.era) {
+            debug!("platform: an answer of an earlier era is dropped");
+            return Err(lost());
+        }
         match reply.status {
             TOO_MANY_REQUESTS | SERVICE_UNAVAILABLE => {
                 Err(PlatformError::NotRun { call: req.name() })
@@ -296,8 +318,22 @@
         let body = req.body.map(<[u8]>::to_vec).unwrap_or_default();
         let response = http.data(body).send().await.ok()?;
         let status = response.status().as_u16();
+        let era = self.era_of(response.headers());
         let body = response.into_body().into_vec().await.ok()?;
-        Some(Reply { status, body })
+        Some(Reply { status, body, era })
+    }
+
+    /// The era that an answer names. One without it is taken as it was before there were eras.
+    fn era_of(&self, headers: &HeaderMap) -> Option<Era> {
+        let name = self.cfg.era_header?;
+        let value = headers.get(name).and_then(|value| value.to_str().ok());
+        let era = value.and_then(|text| text.trim().parse().ok()).map(Era);
+        if era.is_none() && !self.has_warned.swap(true, Ordering::Relaxed) {
+            warn!(
+                "platform: answers have no {name} that can be read, a return from a copy is not seen"
+            );
+        }
+        era
     }
 }
 
--- a/crates/platform/src/presence.rs
+++ b/crates/platform/src/presence.rs
@@ -9,6 +9,8 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
+use crate::era::Eras;
+
 /// Longest wait for the own entry before the entries of others are listed: some round trips. While
 /// the service is slow, knowing the others matters more.
 const LISTED_WITHIN: Duration = Duration::from_millis(50);
@@ -35,6 +37,11 @@
         self.missed >= MISSED_MAX
     }
 
+    /// The service has come back from a copy, which may lack the entry.
+    pub const fn on_rise(&mut self) {
+        self.missed = MISSED_MAX;
+    }
+
     /// The entry was written.
     pub const fn on_written(&mut self) {
         self.missed = 0;
@@ -50,6 +57,22 @@
     }
 }
 
+/// Longest pause before an entry is written again after the service came back from a copy.
+const REWRITE_WITHIN_MS: u64 = 1_500;
+
+/// A pause by chance before the entry is written again, so that a large fleet does not arrive at once.
+#[must_use]
+pub fn rewrite_pause() -> Duration {
+    Duration::from_millis(rand::random_range(0..REWRITE_WITHIN_MS))
+}
+
+/// Waits a moment for the first answer to another call. The entry of a process names the era in which it was
+/// written.
+pub async fn wait_until_answered(eras: &Eras) {
+    // Without an answer in time, the entry is written again once the era is known.
+    let _ = timeout(LISTED_WITHIN, eras.first_answer()).await;
+}
+
 /// Waits a moment until the entry of this process is written.
 ///
 /// A process that lists the others only after its own entry was written is seen by each process
