--- a/crates/core/tests/pass_through/two_kinds.rs
+++ b/crates/core/tests/pass_through/two_kinds.rs
@@ -155,7 +155,7 @@
         self.ports += 1;
         let flow = flow_to(self.ports, call.kind);
         self.calls.insert(flow, (call, self.now));
-        self.from_caller(flow, syn());
+        self.send(flow, syn());
     }
 
     fn request(&mut self, flow: FlowId) {
@@ -166,10 +166,10 @@
             ..ack(TARGET_ISN)
         };
         *seq += 100;
-        self.from_caller(flow, segment);
+        self.send(flow, segment);
     }
 
-    fn from_caller(&mut self, flow: FlowId, segment: Segment) {
+    fn send(&mut self, flow: FlowId, segment: Segment) {
         let mut out = Vec::new();
         let packet = packet(flow, segment);
         self.balancer.on_packet(self.now, packet, 0, &mut out);
@@ -230,7 +230,7 @@
     fn at_target(&mut self, number: u16, flow: FlowId, segment: &Segment) {
         if segment.opens() {
             self.taken.insert(flow, number);
-            self.from_target(number, flow, syn_ack(TARGET_ISN));
+            self.target_sends(number, flow, syn_ack(TARGET_ISN));
             if self.calls.contains_key(&flow) {
                 self.request(flow);
             }
@@ -242,7 +242,7 @@
         }
     }
 
-    fn from_target(&mut self, number: u16, flow: FlowId, segment: Segment) {
+    fn target_sends(&mut self, number: u16, flow: FlowId, segment: Segment) {
         let mut out = Vec::new();
         let agent = &mut self.targets[usize::from(number)].agent;
         agent.on_target_packet(self.now, packet(flow, segment), &mut out);
@@ -258,7 +258,7 @@
             payload: 500,
             ..Segment::default()
         };
-        self.from_target(number, flow, segment);
+        self.target_sends(number, flow, segment);
     }
 
     fn on_answered(&mut self, flow: FlowId) {
