Close four ways in which neighbours' failures could happen here

Cause and change, each with a test that failed first: - A second copy of an answer of the store, sent late on a connection that is used again, was taken for the answer to the next call (late_copy_of_an_answer_is_nobody_elses). Calls have a connection each now. - An agent that stops still took new flows, and could end between a flow's handshake and its request (agent_that_stops_takes_no_new_flow, agent_that_stops_waits_for_the_request_of_a_flow_...). - A machine that was only silent had the callers of its requests reset after 2 s. One that must not be repeated is left alone now, since its caller could do nothing with the reset and its answer would be lost (request_that_must_not_be_repeated_outlives_the_silence_of_its_machine, and ..._of_its_target). Services say whether their requests may be repeated. Shown not to happen, with a test: an answer of the store that breaks off is no answer; a target that left gets no flow after a restart of its agent.

The test service may be repeated now, which is what the four cases of lost machines were about; they keep their assertions.

--- a/crates/agent/src/pass_through/traffic.rs
+++ b/crates/agent/src/pass_through/traffic.rs
@@ -221,7 +221,7 @@
             self.contacts.forget_silent(now);
             self.report_load(now);
         }
-        let is_idle = self.agent.is_idle();
+        let is_idle = self.agent.is_idle(now);
         if let Some((since, left)) = self.leaving.take() {
             let waited = now.since(since);
             if waited < NOTICE {
--- a/crates/core/src/config/check.rs
+++ b/crates/core/src/config/check.rs
@@ -129,6 +129,7 @@
         objective_ms,
         time_limit_ms,
         priority,
+        ..
     } = *class;
     let is_in_range = |time: Millis| (Millis(1)..=MAX_REQUEST_TIME).contains(&time);
     let mut problems = Vec::new();
--- a/crates/core/src/config/documents.rs
+++ b/crates/core/src/config/documents.rs
@@ -46,6 +46,8 @@
     pub time_limit_ms: Millis,
     /// Urgency, 0 for the most urgent.
     pub priority: u8,
+    /// A request may be run twice, so that its caller may try again when it got no answer.
+    pub is_repeatable: bool,
 }
 
 impl Default for RequestClass {
@@ -55,6 +57,7 @@
             objective_ms: Millis(250),
             time_limit_ms: Millis::from_secs(2),
             priority: 5,
+            is_repeatable: false,
         }
     }
 }
--- a/crates/core/src/pass_through/agent.rs
+++ b/crates/core/src/pass_through/agent.rs
@@ -362,9 +362,11 @@
         let before = self.state(now);
         self.measure(now);
         self.notice_pause(now);
-        if self.is_gone(now) {
+        if self.goodbye.is_some() && self.is_gone(now) {
             self.goodbye = None;
             self.reset_flows(now, now, out);
+        } else if self.is_gone(now) {
+            self.reset_silent_flows(now, out);
         }
         let conns = &self.conns;
         let began = |flow: &FlowId| conns.get(flow)?.request.map(|(since, _)| since);
@@ -392,7 +394,7 @@
     ) {
         if group != self.place.group {
             reject(balancer, RejectReason::WrongGroup, packet.bytes, out);
-        } else if self.takes_new_flows(now) {
+        } else if self.takes_new_flows(now) && !self.is_stopping {
             let opening = Opening { balancer, packet };
             self.admit(now, offer, opening, out);
         } else {
--- a/crates/core/src/pass_through/agent/admission.rs
+++ b/crates/core/src/pass_through/agent/admission.rs
@@ -235,19 +235,17 @@
     }
 
     fn is_wait_over(&self, now: Millis, waiting: &Waiting<B>) -> bool {
-        let is_late = !self.is_in_time(now, waiting.since, &waiting.class);
-        match waiting.work {
-            Work::Opening(_) => {
-                let waited = now.since(waiting.since);
-                let patience = if self.is_overloaded(now, &waiting.class) {
-                    Millis(waiting.class.objective_ms.0 / OVERLOAD_WAIT_PART)
-                } else {
-                    room_wait(&waiting.class)
-                };
-                waited >= patience || (is_late && self.is_overloaded(now, &waiting.class))
-            }
-            Work::Request(_) => is_late || !self.is_crowded(now),
+        let Waiting { since, class, .. } = waiting;
+        let is_overloaded = self.is_overloaded(now, class);
+        if is_overloaded && !self.is_in_time(now, *since, class) {
+            return true;
         }
+        let patience = match waiting.work {
+            Work::Opening(_) if is_overloaded => Millis(class.objective_ms.0 / OVERLOAD_WAIT_PART),
+            Work::Request(_) if !self.is_crowded(now) => Millis::ZERO,
+            _ => room_wait(class),
+        };
+        now.since(*since) >= patience
     }
 
     fn end_wait(
@@ -433,7 +431,7 @@
     }
 
     /// Flows that were offered a moment ago, whose first request may still come.
-    fn awaited(&self, now: Millis) -> u32 {
+    pub(super) fn awaited(&self, now: Millis) -> u32 {
         let is_awaited = |offered: &&(Millis, FlowId)| self.is_awaited(now, offered);
         let awaited = self.offered.iter().filter(is_awaited).count();
         u32::try_from(awaited).unwrap_or(u32::MAX)
--- a/crates/core/src/pass_through/agent/target.rs
+++ b/crates/core/src/pass_through/agent/target.rs
@@ -1,6 +1,9 @@
 //! What the agent knows of its target: its state, its load, and when it has ended.
 
+use std::collections::HashSet;
+
 use crate::clock::Millis;
+use crate::flow::FlowId;
 use crate::id::InstanceId;
 use crate::members::TargetState;
 
@@ -82,11 +85,12 @@
         true
     }
 
-    /// Whether nothing is left to do for the target: it has no request in progress, or it is gone
-    /// and its flows are reset.
+    /// Whether nothing is left to do for the target: it has no request in progress, and none is on its way
+    /// on a flow that it was just offered, or it is gone and its flows are reset.
     #[must_use]
-    pub const fn is_idle(&self) -> bool {
-        self.busy == 0 && self.waiting.is_empty() && self.goodbye.is_none()
+    pub fn is_idle(&self, now: Millis) -> bool {
+        let is_quiet = self.busy == 0 && self.awaited(now) == 0 && self.waiting.is_empty();
+        is_quiet && self.goodbye.is_none()
     }
 
     /// What balancers are to know.
@@ -167,11 +171,31 @@
 
     /// Resets the callers of all flows that began before `end`.
     pub(super) fn reset_flows(&mut self, now: Millis, end: Millis, out: &mut Vec<AgentAction<B>>) {
-        let is_before = |conn: &Conn| conn.since < end && conn.stage != Stage::Offered;
+        self.reset_flows_if(now, |_, conn| conn.since < end, out);
+    }
+
+    /// Resets the callers of a target that is silent and may have ended. One that is only silent may go on
+    /// with what it works on, so a request that must not be repeated is left alone: its caller could do
+    /// nothing with the reset, and its answer would be lost.
+    pub(super) fn reset_silent_flows(&mut self, now: Millis, out: &mut Vec<AgentAction<B>>) {
+        let classes = self.classes.newest_first();
+        let repeatable = classes.filter(|(_, class)| class.is_repeatable);
+        let repeatable: HashSet<_> = repeatable.map(|(service, _)| *service).collect();
+        let may_reset =
+            |flow: &FlowId, conn: &Conn| !conn.is_busy || repeatable.contains(&flow.service);
+        self.reset_flows_if(now, may_reset, out);
+    }
+
+    fn reset_flows_if(
+        &mut self,
+        now: Millis,
+        is_meant: impl Fn(&FlowId, &Conn) -> bool,
+        out: &mut Vec<AgentAction<B>>,
+    ) {
         let flows: Vec<_> = self
             .conns
             .newest_first()
-            .filter(|(_, conn)| is_before(conn))
+            .filter(|(flow, conn)| conn.stage != Stage::Offered && is_meant(flow, conn))
             .map(|(flow, conn)| (*flow, *conn))
             .collect();
         for (flow, conn) in flows {
--- a/crates/core/src/pass_through/balancer.rs
+++ b/crates/core/src/pass_through/balancer.rs
@@ -102,6 +102,8 @@
     caller_isn: Option<u32>,
     /// What the caller acknowledged last.
     caller_ack: Option<u32>,
+    /// The caller's last packet carried data, so that it may wait for an answer.
+    may_await_answer: bool,
     /// A report of the agent from then on shows that its target holds the flow, none while the flow was
     /// only offered. Another target may have been quicker to answer another copy of the opening packet.
     held_from: Option<Millis>,
@@ -440,6 +442,7 @@
             since: now,
             caller_isn: None,
             caller_ack: None,
+            may_await_answer: false,
             held_from: Some(now),
             waits_until: None,
             may_wait: false,
--- a/crates/core/src/pass_through/balancer/ongoing.rs
+++ b/crates/core/src/pass_through/balancer/ongoing.rs
@@ -34,6 +34,9 @@
     /// next request would be lost. A flow that was only offered there may be held by another target, and
     /// is looked for with its next packet.
     ///
+    /// A machine may be only silent and go on with its work, so a request that must not be repeated is left
+    /// alone: its caller could do nothing with the reset, and its answer would be lost.
+    ///
     /// A balancer that hears from few targets may itself be cut off, and concludes nothing.
     pub(super) fn reset_lost_flows(&mut self, now: Millis, out: &mut Vec<BalancerAction<B>>) {
         let lost = self.fleet.take_lost(now, LOST_AFTER, GONE_AFTER);
@@ -47,6 +50,9 @@
             .map(|(flow, entry)| (*flow, *entry))
             .collect();
         for (flow, entry) in flows {
+            if entry.may_await_answer && !self.is_repeatable(&flow) {
+                continue;
+            }
             self.flows.remove(&flow);
             let is_held = entry.is_held(self.fleet.get(entry.target));
             if let Some(seq) = entry.caller_ack.filter(|_| is_held) {
@@ -56,6 +62,11 @@
         }
     }
 
+    fn is_repeatable(&self, flow: &FlowId) -> bool {
+        let service = self.services.at(flow.service);
+        service.is_some_and(|service| self.services.requests(service).is_repeatable)
+    }
+
     pub(super) fn on_ongoing(
         &mut self,
         now: Millis,
@@ -91,6 +102,7 @@
                 && packet.segment.ack
             {
                 entry.caller_ack = Some(packet.segment.ack_seq);
+                entry.may_await_answer = packet.segment.payload > 0;
                 entry.held_from.get_or_insert(now.after(GIVEN_BACK_WITHIN));
             }
             self.flows.touch(now, &packet.flow);
@@ -225,7 +237,8 @@
         let Some(search) = self.searches.remove(&flow) else {
             return;
         };
-        let entry = Entry::found(now, target);
+        let mut entry = Entry::found(now, target);
+        entry.may_await_answer = search.segment.payload > 0;
         self.flows.insert(now, flow, entry);
         // The holder may have seen the first packet as a trial, and drops the copy of it.
         for bytes in std::iter::once(search.first).chain(search.later) {
--- a/crates/core/tests/pass_through/two_kinds.rs
+++ b/crates/core/tests/pass_through/two_kinds.rs
@@ -363,6 +363,7 @@
             objective_ms: Millis(objective),
             time_limit_ms: Millis(TIME_LIMIT),
             priority,
+            is_repeatable: port == FEED,
         },
         ..next.documents.services[0].clone()
     };
--- a/crates/peer/src/message/pass_through.rs
+++ b/crates/peer/src/message/pass_through.rs
@@ -48,6 +48,9 @@
     /// Urgency, 0 for the most urgent.
     #[prost(uint32, tag = "3")]
     pub priority: u32,
+    /// A request may be run twice.
+    #[prost(bool, tag = "4")]
+    pub is_repeatable: bool,
 }
 
 /// An agent gives a packet back.
--- a/crates/peer/src/pass_through.rs
+++ b/crates/peer/src/pass_through.rs
@@ -29,6 +29,7 @@
             objective_ms: class.objective_ms.0,
             time_limit_ms: class.time_limit_ms.0,
             priority: u32::from(class.priority),
+            is_repeatable: class.is_repeatable,
         }),
         ..Forward::default()
     }
@@ -54,6 +55,7 @@
         objective_ms: Millis(class.objective_ms),
         time_limit_ms: Millis(class.time_limit_ms),
         priority: u8::try_from(class.priority).unwrap_or(MAX_PRIORITY),
+        is_repeatable: class.is_repeatable,
     })
 }
 
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -308,7 +308,10 @@
 
     async fn exchange(&self, req: &Request<'_>) -> Option<Reply> {
         let uri = format!("http://{}{}", self.cfg.address, req.path);
-        let mut http = self.http.request(req.method(), uri);
+        // On a connection that is used again, a late copy of an earlier answer would be taken for the
+        // answer to this call. Calls are few, and a connection is cheap beside one.
+        let http = self.http.request(req.method(), uri);
+        let mut http = http.header(header::CONNECTION, "close");
         if let Some(version) = req.if_version {
             http = http.header(header::IF_MATCH, version.to_string());
         }
