--- a/crates/agent/src/pass_through/traffic.rs
+++ b/crates/agent/src/pass_through/traffic.rs
@@ -351,8 +351,10 @@
         };
         let group = GroupId(forward.group);
         let class = pass_through::class_from_message(&forward);
+        let age = Millis(forward.age_ms);
         match packet::from_caller(forward.packet) {
-            Ok(caller) => {
+            Ok(mut caller) => {
+                caller.packet.age = age;
                 if let Some(class) = class {
                     let service = caller.packet.flow.service;
                     self.agent.set_class(now, service, class);
--- a/crates/agent/src/traffic/wire.rs
+++ b/crates/agent/src/traffic/wire.rs
@@ -64,6 +64,7 @@
         relay: relay.into(),
         sender: me.0,
         class: None,
+        age_ms: 0,
         offer: 0,
         group: 0,
     }
--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -240,6 +240,7 @@
             sender: 0,
             offer: 0,
             class: None,
+            age_ms: 0,
             group: 0,
         };
         self.send_body(to, Body::Forward(forward));
--- a/crates/balancer/src/pass_through/traffic.rs
+++ b/crates/balancer/src/pass_through/traffic.rs
@@ -398,9 +398,11 @@
                 offer,
                 group,
                 class,
+                age,
                 bytes,
             } => {
-                let message = pass_through::offer_to_message(offer, group, class);
+                let mut message = pass_through::offer_to_message(offer, group, class);
+                message.age_ms = age.0;
                 self.peers.send_forward(&message, &bytes, to);
             }
             BalancerAction::Ask { to, flow } => {
--- a/crates/core/examples/pass_through_cost.rs
+++ b/crates/core/examples/pass_through_cost.rs
@@ -105,6 +105,7 @@
         flow: flow(number),
         segment,
         bytes: number,
+        age: Millis::ZERO,
     }
 }
 
--- a/crates/core/src/pass_through/agent.rs
+++ b/crates/core/src/pass_through/agent.rs
@@ -289,6 +289,7 @@
             flow,
             segment,
             bytes,
+            ..
         } = packet;
         self.life = Life::Seen;
         self.last_packet = now;
--- a/crates/core/src/pass_through/agent/admission.rs
+++ b/crates/core/src/pass_through/agent/admission.rs
@@ -78,7 +78,10 @@
 /// Something that waits for the target.
 #[derive(Debug)]
 pub(super) struct Waiting<B> {
+    /// When its caller sent it.
     since: Millis,
+    /// When it came here.
+    arrived: Millis,
     class: RequestClass,
     flow: FlowId,
     work: Work<B>,
@@ -132,7 +135,8 @@
             return;
         }
         self.note_crowding(now);
-        if is_filled || (is_overloaded && !self.is_in_time(now, now, &class)) {
+        let since = Millis(now.0.saturating_sub(opening.packet.age.0));
+        if is_filled || (is_overloaded && !self.is_in_time(now, since, &class)) {
             self.give_back_full(now, &class, opening, out);
             return;
         }
@@ -140,7 +144,8 @@
         let (to, holding) = (opening.balancer, Holding::Waiting);
         out.push(AgentAction::Reply { to, flow, holding });
         self.waiting.push(Waiting {
-            since: now,
+            since,
+            arrived: now,
             class,
             flow,
             work: Work::Opening(opening),
@@ -199,6 +204,7 @@
         self.make_room_to_wait(now, out);
         self.waiting.push(Waiting {
             since: now,
+            arrived: now,
             class,
             flow,
             work: Work::Request(vec![(balancer, packet)]),
@@ -235,7 +241,12 @@
     }
 
     fn is_wait_over(&self, now: Millis, waiting: &Waiting<B>) -> bool {
-        let Waiting { since, class, .. } = waiting;
+        let Waiting {
+            since,
+            arrived,
+            class,
+            ..
+        } = waiting;
         let is_overloaded = self.is_overloaded(now, class);
         if is_overloaded && !self.is_in_time(now, *since, class) {
             return true;
@@ -245,7 +256,7 @@
             Work::Request(_) if !self.is_crowded(now) => Millis::ZERO,
             _ => room_wait(class),
         };
-        now.since(*since) >= patience
+        now.since(*arrived) >= patience
     }
 
     fn end_wait(
@@ -500,6 +511,7 @@
             flow,
             segment,
             bytes,
+            ..
         } = opening.packet;
         self.forget(now, &flow);
         let conn = Conn::offered(now, segment.seq, opening.balancer);
--- a/crates/core/src/pass_through/balancer.rs
+++ b/crates/core/src/pass_through/balancer.rs
@@ -45,6 +45,9 @@
 /// A gap between two ticks that shows that the process itself was paused.
 const PAUSE: Millis = Millis(600);
 
+/// How a packet is sent to the target that holds its flow.
+const HELD: (Offer, Millis) = (Offer::Held, Millis::ZERO);
+
 /// Bounds of one balancer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct BalancerLimits {
@@ -71,6 +74,8 @@
         group: GroupId,
         /// What the caller of a new flow expects.
         class: Option<RequestClass>,
+        /// Time since the caller of a new flow sent its first packet.
+        age: Millis,
         /// The packet.
         bytes: B,
     },
@@ -323,7 +328,7 @@
             self.flows.remove(&packet.flow);
         }
         match self.flows.get(&packet.flow).copied() {
-            Some(entry) => self.forward(&entry, Offer::Held, &packet.flow, packet.bytes, out),
+            Some(entry) => self.forward(&entry, HELD, &packet.flow, packet.bytes, out),
             None => self.search(now, packet, Some(target), out),
         }
     }
@@ -389,7 +394,7 @@
     fn forward(
         &self,
         entry: &Entry,
-        offer: Offer,
+        (offer, age): (Offer, Millis),
         flow: &FlowId,
         bytes: B,
         out: &mut Vec<BalancerAction<B>>,
@@ -400,6 +405,7 @@
             offer,
             group: report.group,
             class: self.class_for(offer, flow),
+            age,
             bytes,
         });
     }
@@ -417,13 +423,14 @@
         self.held_from.is_some_and(|from| member.reported >= from)
     }
 
-    /// How the opening packet is offered.
-    const fn offer(&self) -> Offer {
-        if self.may_wait {
+    /// How the opening packet is offered, and the time since its caller sent the first copy.
+    const fn offer(&self, now: Millis) -> (Offer, Millis) {
+        let offer = if self.may_wait {
             Offer::New
         } else {
             Offer::IfIdle
-        }
+        };
+        (offer, now.since(self.since))
     }
 
     /// A flow that was offered to nobody yet.
@@ -431,7 +438,10 @@
         Self {
             caller_isn: Some(packet.segment.seq),
             held_from: None,
-            ..Self::found(now, TargetKey::default())
+            ..Self::found(
+                Millis(now.0.saturating_sub(packet.age.0)),
+                TargetKey::default(),
+            )
         }
     }
 
--- a/crates/core/src/pass_through/balancer/ongoing.rs
+++ b/crates/core/src/pass_through/balancer/ongoing.rs
@@ -9,7 +9,7 @@
 use super::super::fleet::TargetKey;
 use super::super::packet::{DropReason, Offer, Packet, Reset, ResetReason};
 use super::super::search::{Progress, Search};
-use super::{Balancer, BalancerAction, Entry, drop_for};
+use super::{Balancer, BalancerAction, Entry, HELD, drop_for};
 
 /// A target whose agent is silent for this long without having said that it is being stopped has
 /// lost its machine or the way to it. Agents that crash are back sooner.
@@ -106,7 +106,7 @@
                 entry.held_from.get_or_insert(now.after(GIVEN_BACK_WITHIN));
             }
             self.flows.touch(now, &packet.flow);
-            self.forward(&entry, Offer::Held, &packet.flow, packet.bytes, out);
+            self.forward(&entry, HELD, &packet.flow, packet.bytes, out);
         } else {
             self.flows.remove(&packet.flow);
             self.search(now, packet, None, out);
@@ -171,7 +171,8 @@
                 let candidates: Vec<_> = search.candidates().collect();
                 for target in candidates {
                     let entry = Entry::found(now, target);
-                    self.forward(&entry, Offer::Trial, &flow, packet.clone(), out);
+                    let trial = (Offer::Trial, Millis::ZERO);
+                    self.forward(&entry, trial, &flow, packet.clone(), out);
                 }
             }
             Progress::AskFar => {
@@ -242,7 +243,7 @@
         self.flows.insert(now, flow, entry);
         // The holder may have seen the first packet as a trial, and drops the copy of it.
         for bytes in std::iter::once(search.first).chain(search.later) {
-            self.forward(&entry, Offer::Held, &flow, bytes, out);
+            self.forward(&entry, HELD, &flow, bytes, out);
         }
     }
 }
--- a/crates/core/src/pass_through/balancer/opening.rs
+++ b/crates/core/src/pass_through/balancer/opening.rs
@@ -74,7 +74,7 @@
             } else if repeats > 0 {
                 self.offer_elsewhere(now, entry, packet, out);
             } else {
-                self.forward(&entry, entry.offer(), &packet.flow, packet.bytes, out);
+                self.forward(&entry, entry.offer(now), &packet.flow, packet.bytes, out);
             }
             return;
         }
@@ -130,7 +130,7 @@
                 entry.waits_until = None;
                 entry.held_from = None;
                 self.flows.insert(now, packet.flow, entry);
-                self.forward(&entry, entry.offer(), &packet.flow, packet.bytes, out);
+                self.forward(&entry, entry.offer(now), &packet.flow, packet.bytes, out);
             }
             None if !self.is_settled(now) => self.wait(since, packet, out),
             None if entry.tried[0].is_some() => self.refuse(&packet, ResetReason::Rejected, out),
--- a/crates/core/src/pass_through/packet.rs
+++ b/crates/core/src/pass_through/packet.rs
@@ -26,6 +26,8 @@
     pub segment: Segment,
     /// The packet itself.
     pub bytes: B,
+    /// Time since the caller sent its first copy, as far as is known.
+    pub age: Millis,
 }
 
 /// Why a balancer sends a packet to an agent.
--- a/crates/core/tests/pass_through/agent.rs
+++ b/crates/core/tests/pass_through/agent.rs
@@ -6,7 +6,8 @@
 use citronhollow_core::id::GroupId;
 use citronhollow_core::members::TargetState;
 use citronhollow_core::pass_through::{
-    Agent, AgentAction, FlowList, Holding, ListedFlow, Offer, RejectReason, Reset, ResetReason,
+    Agent, AgentAction, FlowList, Holding, ListedFlow, Offer, Packet, RejectReason, Reset,
+    ResetReason,
 };
 
 use crate::fixture::{
@@ -552,6 +553,22 @@
         }
     };
 
+    // After a loss of many machines most opening packets are copies, whose callers are late in any case.
+    copy_of_an_opening_packet_waits_behind_one_that_was_just_sent => {
+        let mut agent = agent(START);
+        fill(&mut agent);
+        from_caller(&mut agent, START, Offer::New, flow(11), syn());
+        let copy = Packet { age: Millis(600), ..packet(flow(12), syn()) };
+        let later = START.after(Millis(1));
+        agent.on_packet(later, balancer_addr(1), Offer::New, group(), copy, &mut Vec::new());
+        let actions = from_target(&mut agent, SOON, flow(1), response());
+        let delivered = actions.iter().find_map(|action| match action {
+            AgentAction::Deliver { bytes } => Some(bytes.0),
+            _ => None,
+        });
+        assert_eq!(delivered, Some(flow(11)));
+    };
+
     flow_for_a_free_slot_is_given_back_at_once_when_all_are_taken => {
         let mut agent = agent(START);
         for number in 1..=2 {
--- a/crates/core/tests/pass_through/fixture.rs
+++ b/crates/core/tests/pass_through/fixture.rs
@@ -63,6 +63,7 @@
         flow,
         segment,
         bytes: (flow, segment),
+        age: Millis::ZERO,
     }
 }
 
--- a/crates/peer/src/message/traffic.rs
+++ b/crates/peer/src/message/traffic.rs
@@ -48,6 +48,9 @@
     /// What the caller of a new flow expects, none for a flow that is open.
     #[prost(message, optional, tag = "10")]
     pub class: Option<super::RequestClass>,
+    /// Time since the caller of a new flow sent its first packet, in ms.
+    #[prost(uint64, tag = "11")]
+    pub age_ms: u64,
     /// The IP packet as the fabric delivered it. Its tag is the highest, so that it is encoded last
     /// and the frame's tag can leave out the end of it.
     #[prost(bytes = "bytes", tag = "15")]
--- a/crates/peer/tests/codec.rs
+++ b/crates/peer/tests/codec.rs
@@ -36,6 +36,7 @@
         offer: 0,
         group: 0,
         class: None,
+        age_ms: 0,
     }))
 }
 
--- a/crates/peer/tests/seal.rs
+++ b/crates/peer/tests/seal.rs
@@ -23,6 +23,7 @@
         offer: 0,
         group: 0,
         class: None,
+        age_ms: 0,
         packet: Bytes::copy_from_slice(packet),
     }
 }
