List processes half as often, and check what callers expect

The lists at the store only find what was missed: processes make themselves known at their start, and a copy that lacks an entry is seen by the era now. Balancers list every 10 s instead of 5.

--- a/crates/balancer/src/pass_through/control.rs
+++ b/crates/balancer/src/pass_through/control.rs
@@ -38,7 +38,7 @@
 
 /// Time between two looks at the lists of balancers and agents. A process that starts makes itself
 /// known to all others, so the lists only find what was missed.
-const LIST_INTERVAL: Duration = Duration::from_secs(5);
+const LIST_INTERVAL: Duration = Duration::from_secs(10);
 
 /// The same while the platform does not answer or the own entry is missing: two looks make the entry
 /// again, within 2 s of the platform's return.
--- a/crates/core/tests/config.rs
+++ b/crates/core/tests/config.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use citronhollow_core::clock::Millis;
 use citronhollow_core::config::{
     Action, CheckError, DocumentKind, Documents, HeldAddress, Pool, Problem, Refusal, Revision,
     Rule, Service, check, colliding, plan,
@@ -197,6 +198,17 @@
         per_caller: 11, service: 10,
     }];
 
+    objective_of_zero: |set| set.services[0].requests.objective_ms = Millis::ZERO
+        => [Service "match-desk" "requests.objective_ms" Problem::BadTime(Millis::ZERO)];
+    time_limit_too_long: |set| set.services[0].requests.time_limit_ms = Millis::from_secs(601)
+        => [Service "match-desk" "requests.time_limit_ms" Problem::BadTime(Millis::from_secs(601))];
+    objective_above_the_time_limit: |set| set.services[0].requests.objective_ms = Millis(2_001)
+        => [Service "match-desk" "requests.objective_ms" Problem::ObjectiveAboveTimeLimit {
+            objective: Millis(2_001), time_limit: Millis(2_000),
+        }];
+    priority_above_the_least_urgent: |set| set.services[0].requests.priority = 10
+        => [Service "match-desk" "requests.priority" Problem::BadPriority(10)];
+
     every_error_at_once: |set| {
         set.services[0].pool = name("gone");
         set.services[1].addresses[0] = addr("10.1.0.1:443");
