--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -56,6 +56,10 @@
     StoreRefuses(bool),
     /// The store forgets its history.
     Compact,
+    /// A copy of the store's data is taken.
+    BackUp,
+    /// The store comes back from the copy, and the operator writes again what is in force.
+    Restore,
     /// The operator writes the next configuration.
     Configure,
     /// The target ends without a word.
@@ -101,6 +105,12 @@
 /// Troubles of the store.
 const STORE_MS: std::ops::Range<u64> = 500..LONGEST_MS;
 
+/// Age of the copy that the store comes back from.
+const COPY_AGE_MS: std::ops::Range<u64> = 200..3_500;
+
+/// Time for which the store is away before it comes back from a copy.
+const RESTORE_MS: std::ops::Range<u64> = 50..1_000;
+
 /// Quick steps of one kind in a row: restarts one after another, changes in quick succession.
 const SERIES: std::ops::Range<u64> = 2..5;
 
@@ -162,6 +172,7 @@
             }
             draft.draw(Millis(at));
         }
+        draft.draw_restore(seed, Millis(last));
         let mut steps = draft.steps;
         steps.sort_by_key(|(at, _)| *at);
         Self { steps, length }
@@ -261,6 +272,21 @@
         }
     }
 
+    /// In half of the plans the store goes away and comes back from a copy, at times twice. Drawn by numbers of
+    /// its own, so that the other steps of a seed are what they were before there was this one.
+    fn draw_restore(&mut self, seed: u64, last: Millis) {
+        let mut rng = SmallRng::seed_from_u64(!seed);
+        for _ in 0..rng.random_range(0..3_u32) {
+            let copied = rng.random_range(0..last.0.max(1));
+            let away = copied + rng.random_range(COPY_AGE_MS);
+            let back = away + rng.random_range(RESTORE_MS);
+            self.steps.push((Millis(copied), Action::BackUp));
+            self.steps.push((Millis(away), Action::StoreRefuses(true)));
+            self.steps.push((Millis(back), Action::Restore));
+            self.steps.push((Millis(back), Action::StoreRefuses(false)));
+        }
+    }
+
     fn kill(&mut self, at: Millis, node: Node) {
         let until = self.after(at, AWAY_MS);
         self.steps.push((at, Action::Kill(node)));
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -10,7 +10,7 @@
 use citronhollow_core::members::TargetState;
 use citronhollow_standin::config::{self, Route};
 use citronhollow_standin::server::is_ready;
-use citronhollow_standin::store::Store;
+use citronhollow_standin::store::{Backup, Store};
 use citronhollow_testkit::process::{Signal, binaries};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -131,6 +131,8 @@
     fleet: Fleet,
     links: Vec<(Node, Link)>,
     store: Store,
+    /// The last copy of the store's data.
+    backup: Backup,
     router: Router,
     hosts: Vec<TargetHost>,
     callers: Vec<Caller>,
@@ -234,6 +236,7 @@
             fleet,
             links,
             store,
+            backup: Backup::default(),
             router: Router::new(shape.balancers),
             hosts,
             callers,
@@ -335,6 +338,11 @@
                 self.judge.calm.hit(now, Part::Store);
                 self.store.compact();
             }
+            Action::BackUp => self.backup = self.store.backup(),
+            Action::Restore => {
+                self.store.restore(&self.backup);
+                self.write_routes();
+            }
             Action::Configure => self.configure(now),
             Action::CrashTarget(target) => self.hosts[target].end(),
             Action::StartTarget(target) => self.start_target(now, target),
@@ -370,6 +378,15 @@
     /// Writes the next version. The route that changes goes to the other service with each.
     fn configure(&mut self, now: Millis) {
         self.version += 1;
+        self.write_routes();
+        self.judge.on_version(Version {
+            since: now,
+            service: self.version % SERVICES.len(),
+        });
+    }
+
+    /// Writes the version that is in force.
+    fn write_routes(&self) {
         let service = self.version % SERVICES.len();
         let routes = ROUTES.iter().enumerate().map(|(number, route)| {
             let service = if number == CHANGING {
@@ -386,10 +403,6 @@
         });
         let routes: Vec<_> = routes.collect();
         config::write(&self.store, self.version as u64, &routes, &SERVICES);
-        self.judge.on_version(Version {
-            since: now,
-            service,
-        });
     }
 
     fn on_tick(&mut self, now: Millis) -> io::Result<()> {
