--- a/crates/core/src/pass_through/agent.rs
+++ b/crates/core/src/pass_through/agent.rs
@@ -19,13 +19,15 @@
 mod demand;
 mod health;
 mod list;
+mod overload;
 mod target;
 mod unknown;
 
-use admission::{Crowding, Opening, Waiting};
+use admission::{Opening, Waiting};
 use demand::Demand;
 use health::Health;
 pub use list::{FlowList, ListedFlow};
+use overload::Crowding;
 use unknown::ABSENT_LIFE;
 
 use super::conn::{Conn, Stage};
