Notice a rise of the store's era that came while nobody waited for it

Found on reading the change: each wait took the era at its beginning for known, so a rise that the task's own call had shown between two waits was never noticed there. Entries were still written again, by the lists that missed them, but lists were not doubted by agents and counts not cleared.

--- a/crates/agent/src/pass_through/control.rs
+++ b/crates/agent/src/pass_through/control.rs
@@ -8,7 +8,6 @@
 use citronhollow_core::pass_through::FlowList;
 use citronhollow_operator::listener;
 use citronhollow_platform::Client;
-use citronhollow_platform::era;
 use citronhollow_platform::presence::{self, Presence};
 use citronhollow_platform::retry::Pause;
 use tokio::net::TcpListener;
@@ -142,7 +141,7 @@
     let mut interval = LIST_INTERVAL;
     let mut was_written = false;
     presence::wait_until_answered(client.eras()).await;
-    let mut eras = client.eras().subscribe();
+    let mut rises = client.eras().rises();
     loop {
         if presence.is_due() {
             let written = if was_written {
@@ -167,7 +166,7 @@
         tokio::select! {
             () = sleep(interval) => {}
             () = later_era(&mut heard_era, &client) => {}
-            era = era::rise(&mut eras) => {
+            era = rises.next() => {
                 log::warn!("platform: it came back from a copy, era {era}");
                 is_listed.send_replace(false);
                 presence.on_rise();
--- a/crates/balancer/src/pass_through/control.rs
+++ b/crates/balancer/src/pass_through/control.rs
@@ -14,7 +14,6 @@
 use citronhollow_operator::decisions::{self, Decision, DecisionLog};
 use citronhollow_peer::message::{RevisionReply, RevisionRequest};
 use citronhollow_peer::{Body, Keyring, exchange};
-use citronhollow_platform::era;
 use citronhollow_platform::presence::{self, Presence};
 use citronhollow_platform::retry::Pause;
 use citronhollow_platform::{Client, PlatformError};
@@ -118,9 +117,9 @@
 
     /// Notes each return of the platform from a copy, for as long as the process runs.
     pub(super) async fn follow_eras(mut self) {
-        let mut eras = self.client.eras().subscribe();
+        let mut rises = self.client.eras().rises();
         loop {
-            let era = era::rise(&mut eras).await;
+            let era = rises.next().await;
             log::warn!("platform: it came back from a copy, era {era}");
             let decision = Decision::new(decisions::Event::StoreRestored);
             self.decisions.write(decision.reason(&era));
@@ -139,7 +138,7 @@
         let mut may_be_stale = false;
         let mut was_written = false;
         presence::wait_until_answered(self.client.eras()).await;
-        let mut eras = self.client.eras().subscribe();
+        let mut rises = self.client.eras().rises();
         loop {
             if presence.is_due() {
                 let written = if was_written {
@@ -172,7 +171,7 @@
                 }
                 Err(err) => log::warn!("platform: balancers not listed: {err}"),
             }
-            if let Ok(era) = timeout(interval, era::rise(&mut eras)).await {
+            if let Ok(era) = timeout(interval, rises.next()).await {
                 log::info!("platform: own entry is written again for era {era}");
                 presence.on_rise();
                 may_be_stale = false;
@@ -223,9 +222,9 @@
     pub(super) async fn remove_abandoned(self) {
         let mut kinds =
             [Entries::Balancers, Entries::Agents].map(|kind| (kind, Abandoned::default()));
-        let mut eras = self.client.eras().subscribe();
+        let mut rises = self.client.eras().rises();
         loop {
-            if timeout(ABANDONED_INTERVAL.into(), era::rise(&mut eras))
+            if timeout(ABANDONED_INTERVAL.into(), rises.next())
                 .await
                 .is_ok()
             {
--- a/crates/core/src/pass_through/balancer.rs
+++ b/crates/core/src/pass_through/balancer.rs
@@ -410,7 +410,7 @@
         });
     }
 
-    /// What an agent is told of the flow's requests. It keeps that for the flow's later packets.
+    /// Class of a new flow's requests. An agent keeps it for the later packets of the service.
     fn class_for(&self, offer: Offer, flow: &FlowId) -> Option<RequestClass> {
         let service = self.services.at(flow.service).filter(|_| offer.opens())?;
         Some(self.services.requests(service))
--- a/crates/platform/src/era.rs
+++ b/crates/platform/src/era.rs
@@ -52,6 +52,15 @@
         *self.latest.borrow()
     }
 
+    /// Rises from now on.
+    #[must_use]
+    pub fn rises(&self) -> Rises {
+        Rises {
+            eras: self.latest.subscribe(),
+            noticed: self.latest(),
+        }
+    }
+
     /// Changes of the latest era, from now on.
     #[must_use]
     pub fn subscribe(&self) -> watch::Receiver<Option<Era>> {
@@ -84,18 +93,31 @@
     }
 }
 
-/// Waits for the next rise of the era. The first era that is seen is none, since nothing was known before.
-///
-/// Never returns once the client is gone.
-pub async fn rise(eras: &mut watch::Receiver<Option<Era>>) -> Era {
-    loop {
-        let before = *eras.borrow_and_update();
-        if eras.changed().await.is_err() {
-            std::future::pending::<()>().await;
-        }
-        let now = *eras.borrow_and_update();
-        if let (Some(_), Some(now)) = (before, now) {
-            return now;
+/// Rises of the era, each noticed once by whoever keeps this.
+#[derive(Debug)]
+pub struct Rises {
+    eras: watch::Receiver<Option<Era>>,
+    /// The latest era that was noticed.
+    noticed: Option<Era>,
+}
+
+impl Rises {
+    /// Waits for the next rise. Rises that came since the last one, while nobody waited, are one. The first era
+    /// that is seen is none, since nothing was known before.
+    ///
+    /// Never returns once the client is gone.
+    pub async fn next(&mut self) -> Era {
+        loop {
+            let latest = *self.eras.borrow_and_update();
+            let before = std::mem::replace(&mut self.noticed, latest);
+            if let (Some(before), Some(latest)) = (before, latest)
+                && latest > before
+            {
+                return latest;
+            }
+            if self.eras.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
         }
     }
 }
