Split the scheduling of a request into its steps

The method had three jobs: packets of a request that waits, the count of what a service asks for, and the decision.

--- a/crates/core/src/pass_through/agent/admission.rs
+++ b/crates/core/src/pass_through/agent/admission.rs
@@ -146,19 +146,8 @@
         out: &mut Vec<AgentAction<B>>,
     ) {
         let flow = packet.flow;
-        if let Some(waiting) = self.waiting.iter_mut().find(|waiting| waiting.flow == flow) {
-            if packet.segment.rst {
-                self.waiting.retain(|waiting| waiting.flow != flow);
-                self.deliver(now, balancer, packet, out);
-            } else if let Work::Request(packets) = &mut waiting.work {
-                let is_copy = |(_, known): &(SocketAddr, Packet<B>)| {
-                    known.segment.seq == packet.segment.seq
-                        && known.segment.payload == packet.segment.payload
-                };
-                if packets.len() < WAITING_PACKETS_MAX && !packets.iter().any(is_copy) {
-                    packets.push((balancer, packet));
-                }
-            }
+        if self.waiting.iter().any(|waiting| waiting.flow == flow) {
+            self.join_waiting(now, balancer, packet, out);
             return;
         }
         if !conn.begins_request(&packet.segment) {
@@ -167,11 +156,7 @@
         }
         let is_copy = conn.was_dropped(&packet.segment);
         if !is_copy {
-            let interval = conn.last_request.map(|last| now.since(last));
-            self.demand.on_request(now, flow.service, interval);
-            if let Some(conn) = self.conns.get_mut(&flow) {
-                conn.last_request = Some(now);
-            }
+            self.count_request(now, &flow);
         }
         let is_expected =
             self.offered.iter().any(|offered| offered.1 == flow) && conn.awaits_request();
@@ -194,6 +179,47 @@
         });
     }
 
+    /// Keeps a packet of a flow whose request waits, behind those before it. A reset ends the wait.
+    fn join_waiting(
+        &mut self,
+        now: Millis,
+        balancer: SocketAddr,
+        packet: Packet<B>,
+        out: &mut Vec<AgentAction<B>>,
+    ) {
+        let flow = packet.flow;
+        if packet.segment.rst {
+            self.waiting.retain(|waiting| waiting.flow != flow);
+            self.deliver(now, balancer, packet, out);
+            return;
+        }
+        let waiting = self.waiting.iter_mut();
+        let mut requests = waiting.filter_map(|waiting| match &mut waiting.work {
+            Work::Request(packets) if waiting.flow == flow => Some(packets),
+            _ => None,
+        });
+        let Some(packets) = requests.next() else {
+            return;
+        };
+        let (seq, payload) = (packet.segment.seq, packet.segment.payload);
+        let is_copy = |(_, known): &(SocketAddr, Packet<B>)| {
+            known.segment.seq == seq && known.segment.payload == payload
+        };
+        if packets.len() < WAITING_PACKETS_MAX && !packets.iter().any(is_copy) {
+            packets.push((balancer, packet));
+        }
+    }
+
+    /// Takes a request on an open flow into what its service asks for.
+    fn count_request(&mut self, now: Millis, flow: &FlowId) {
+        let Some(conn) = self.conns.get_mut(flow) else {
+            return;
+        };
+        let last = conn.last_request.replace(now);
+        let interval = last.map(|last| now.since(last));
+        self.demand.on_request(now, flow.service, interval);
+    }
+
     /// Lets in what waits while there is room. A target that has announced that it leaves is offered no new
     /// flow: the next tick gives them back.
     pub(super) fn admit_waiting(&mut self, now: Millis, out: &mut Vec<AgentAction<B>>) {
