Watch for short while the store is away, and read anew at once when its history is gone

Cause, from the log of front-ahmedabad-2: the store is silent from 23.4 to 27.9 s. A watch of 4 s that began in that time hears nothing of its return, times out at 31.67 and gets 410 on the next call, since the history was forgotten meanwhile, which then counted as a failure with its pause. The configuration acknowledged at 28.41 was in force at 32.91.

--- a/crates/balancer/src/pass_through/control.rs
+++ b/crates/balancer/src/pass_through/control.rs
@@ -14,6 +14,7 @@
 use citronhollow_operator::decisions::{self, Decision, DecisionLog};
 use citronhollow_peer::message::{RevisionReply, RevisionRequest};
 use citronhollow_peer::{Body, Keyring, exchange};
+use citronhollow_platform::pace::Pace;
 use citronhollow_platform::presence::{self, Presence};
 use citronhollow_platform::retry::Pause;
 use citronhollow_platform::{Client, PlatformError};
@@ -24,10 +25,6 @@
 
 use super::link::{Command, Event};
 
-/// Time that a watch of the configuration waits. A connection that went silent is found out after
-/// it. Other balancers, whose watches end at other times, announce a change sooner.
-const WATCH_WAIT: Millis = Millis(4_000);
-
 /// Pause before the next watch after a change was read, so that changes in quick succession cost one call.
 /// Small against the seconds in which a configuration has to be in force.
 const WATCH_PAUSE: Duration = Duration::from_millis(200);
@@ -82,17 +79,15 @@
     /// Follows the configuration at the platform for as long as the process runs.
     pub(super) async fn follow_config(mut self) {
         let mut at = None;
-        let mut is_lost = false;
-        let mut pause = Pause::default();
+        let mut pace = Pace::default();
         loop {
             let read = match at {
                 None => store::read_config(&self.client).await,
-                Some(after) => store::watch_config(&self.client, after, WATCH_WAIT).await,
+                Some(after) => store::watch_config(&self.client, after, pace.wait()).await,
             };
             match read {
                 Ok(read) => {
-                    pause.reset();
-                    if std::mem::take(&mut is_lost) {
+                    if pace.on_answer() {
                         self.decisions
                             .write(Decision::new(decisions::Event::StoreBack));
                     }
@@ -104,12 +99,13 @@
                 }
                 Err(err) => {
                     log::warn!("platform: configuration not read: {err}");
-                    if !std::mem::replace(&mut is_lost, true) {
+                    let (pause, is_lost) = pace.on_failure(&err);
+                    if is_lost {
                         let decision = Decision::new(decisions::Event::StoreLost);
                         self.decisions.write(decision.reason(&err));
                     }
                     at = at.filter(|_| !matches!(err, PlatformError::TooOld { .. }));
-                    sleep(pause.after_failure()).await;
+                    sleep(pause).await;
                 }
             }
         }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod drafts;
 pub mod era;
 pub mod error;
+pub mod pace;
 pub mod presence;
 pub mod protocol;
 pub mod published;
