Look a class up in one place, and ask cheap questions first

Reading of the whole change: three look-ups of a flow's class in the balancer are one now, and a request on an open flow looks through offered flows only while the pool is crowded. No change of behaviour: the questions have no effects.

--- a/crates/core/src/pass_through/agent/admission.rs
+++ b/crates/core/src/pass_through/agent/admission.rs
@@ -159,8 +159,8 @@
             self.count_request(now, &flow);
         }
         let is_expected =
-            self.offered.iter().any(|offered| offered.1 == flow) && conn.awaits_request();
-        if is_expected || !self.is_crowded(now) || self.has_room(now) {
+            || conn.awaits_request() && self.offered.iter().any(|offered| offered.1 == flow);
+        if !self.is_crowded(now) || is_expected() || self.has_room(now) {
             self.deliver(now, balancer, packet, out);
             return;
         }
--- a/crates/core/src/pass_through/balancer.rs
+++ b/crates/core/src/pass_through/balancer.rs
@@ -350,9 +350,7 @@
             self.flows.remove(&flow);
         }
         if holding == Holding::Waiting {
-            let service = self.services.at(flow.service);
-            let class = service.map(|service| self.services.requests(service));
-            let class = class.unwrap_or_default();
+            let class = self.class_of(&flow).unwrap_or_default();
             if let Some(entry) = self.flows.get_mut(&flow)
                 && entry.target == target
             {
@@ -404,15 +402,16 @@
             to: report.agent,
             offer,
             group: report.group,
-            class: self.class_for(offer, flow),
+            // An agent keeps the class for the later packets of the service.
+            class: self.class_of(flow).filter(|_| offer.opens()),
             age,
             bytes,
         });
     }
 
-    /// Class of a new flow's requests. An agent keeps it for the later packets of the service.
-    fn class_for(&self, offer: Offer, flow: &FlowId) -> Option<RequestClass> {
-        let service = self.services.at(flow.service).filter(|_| offer.opens())?;
+    /// What the flow's caller expects, none if no service has the address.
+    fn class_of(&self, flow: &FlowId) -> Option<RequestClass> {
+        let service = self.services.at(flow.service)?;
         Some(self.services.requests(service))
     }
 }
--- a/crates/core/src/pass_through/balancer/ongoing.rs
+++ b/crates/core/src/pass_through/balancer/ongoing.rs
@@ -63,8 +63,7 @@
     }
 
     fn is_repeatable(&self, flow: &FlowId) -> bool {
-        let service = self.services.at(flow.service);
-        service.is_some_and(|service| self.services.requests(service).is_repeatable)
+        self.class_of(flow).is_some_and(|class| class.is_repeatable)
     }
 
     pub(super) fn on_ongoing(
