Let the other writer of review case 1 state the server's own address

Cause: the first version stated an address that belongs to nobody. Change: the heartbeat differs from a valid one in the missing zone and its id only.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -105,7 +105,8 @@
     }
     let holder = servers.iter().position(|server| server.has_run("card-1"));
     let holder = holder.ok_or("no server ran the first request")?;
-    let control = fleet.server(u8::try_from(holder).unwrap_or(0) + 1, SERVICE).control;
+    let machine = fleet.server(u8::try_from(holder).unwrap_or(0) + 1, SERVICE);
+    let (control, app) = (machine.control, machine.app);
 
     // Half-way through the second request, the other writer's heartbeat arrives.
     let other = {
@@ -115,7 +116,7 @@
             if has_trouble {
                 let born = unix_ms();
                 let body = format!(
-                    "{{\"service\":\"{SERVICE}\",\"addr\":\"127.0.0.1:9\",\"version\":\"v1\",\
+                    "{{\"service\":\"{SERVICE}\",\"addr\":\"{app}\",\"version\":\"v1\",\
                      \"slots\":2,\"state\":\"ready\",\"coldLeftMs\":0,\"seq\":1,\"born\":{born}}}"
                 );
                 let status = http::call(control, "PUT", "/servers/i-other-writer", &body);
