Add review case 3: a restart in place resets flows of the new start

Cause: the agent resets all flows of its server 100 ms after a leave notice, also when the next start of the server has announced itself in the meantime.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -18,12 +18,16 @@
 /// `configPropagationMs` of the sites.
 const CONFIG_PROPAGATION: Duration = Duration::from_millis(3_000);
 
+/// `drainMs` of the sites.
+const DRAIN: Duration = Duration::from_millis(3_000);
+
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
 pub fn run(case: &str, has_trouble: bool, record: &Record) -> Result<bool, String> {
     match case {
         "other-writer" => other_writer(has_trouble, record),
         "late-delete" => late_delete(has_trouble, record),
+        "quick-restart" => quick_restart(has_trouble, record),
         "clock-back" => clock_back(has_trouble, record),
         "silent-watch" => silent_watch(has_trouble, record),
         _ => Err(format!("no case {case}")),
@@ -408,3 +412,44 @@
     let is_in_touch = since_disruption > STABILITY_WINDOW;
     Ok(ended == Some(End::ResetBySystem) && lives && is_in_touch)
 }
+
+/// A server drains, says that it ends, and is started again in place within 100 ms, under its id.
+/// The agent goes on with the end of the first start, and resets a flow of the second one.
+fn quick_restart(has_trouble: bool, record: &Record) -> Result<bool, String> {
+    let pause = Duration::from_millis(if has_trouble { 30 } else { 1_000 });
+    let mut fleet = Fleet::new(record)?;
+    fleet.seeds = vec![fleet.front_ip(1), fleet.front_ip(2)];
+    let store = Store::start(fleet.store_addr, record)?;
+    let route = fleet.route(1);
+    write_config(&store, 3, &[Route { addr: route, kind: "non_idempotent" }], record);
+    let mut nodes = start_nodes(&fleet, 2, 1)?;
+    let server = Server::start(fleet.server(1, SERVICE), record)?;
+    let router = Router::start(vec![fleet.router_node(1), fleet.router_node(2)], record);
+    wait_for("rotation", || router.is_in_rotation(0) && router.is_in_rotation(1))?;
+    std::thread::sleep(STABILITY_WINDOW + HEARTBEAT);
+    if !server.drain() {
+        return Err(String::from("the draining notice was not acknowledged"));
+    }
+    std::thread::sleep(DRAIN + Duration::from_millis(500));
+    if !server.end() {
+        return Err(String::from("the leave notice was not acknowledged"));
+    }
+    std::thread::sleep(pause);
+    server.start_again();
+    std::thread::sleep(Duration::from_millis(5));
+    let mut client = Client::new(&router, 0, fleet.client_listen(1), 40_001, route, record)?;
+    if client.open() != End::Answered {
+        return Err(String::from("the flow did not open"));
+    }
+    let work = Duration::from_millis(300);
+    let end = client.request("card-1", work, Duration::from_secs(3));
+    std::thread::sleep(work);
+    let lives = server.holds(client.addr, client.route) && server.resets_sent() == 0;
+    record.note(&format!(
+        "card-1: {end:?}; the server ran it: {}, still holds the flow and sent no reset: {lives}",
+        server.has_run("card-1")
+    ));
+    fleet.copy_log("side-1", &["WARN", "state", "reset"]);
+    all_running(&mut nodes)?;
+    Ok(end == End::ResetBySystem && lives)
+}
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -98,6 +98,17 @@
         self.record.note(&format!("{} crashes", self.setup.id));
     }
 
+    /// Says that it ends, and ends. Returns whether the notice was acknowledged.
+    pub fn end(&self) -> bool {
+        self.is_down.store(true, Ordering::Relaxed);
+        let id = &self.setup.id;
+        let status = http::call(self.setup.control, "DELETE", &format!("/servers/{id}"), "");
+        self.state.lock().expect("the lock").flows.clear();
+        self.is_draining.store(false, Ordering::Relaxed);
+        self.record.note(&format!("{id}: DELETE: {status:?}, ends"));
+        status == Some(200)
+    }
+
     /// Starts again under the same id, with counts that start anew.
     pub fn start_again(&self) {
         self.born.store(unix_ms(), Ordering::Relaxed);
