Add review case 7: packets of an open flow reach other servers only

Cause: a search shows a packet to the targets that may hold the flow, although the flow's own agent, known to be stopping, has not answered yet.

Change: a script that stops and starts all balancers and all agents in turn, as planned, one of each at a time.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -18,6 +18,9 @@
     world.log(&format!("case {case}, trouble {has_trouble}"));
     let outcome = match case {
         "half-open" => half_open(&world, has_trouble),
+        "soak" => soak(&world),
+        "idle" => idle(&world),
+        "roll-both" => roll_both(&world, has_trouble),
         _ => Err(format!("no case {case}")),
     };
     let state = world.state.lock().unwrap();
@@ -35,9 +38,10 @@
             0
         }
         Ok(()) => {
-            for line in &broken {
+            for line in broken.iter().take(5) {
                 println!("broken: {line}");
             }
+            println!("broken {} times", broken.len());
             1
         }
     }
@@ -155,6 +159,15 @@
         let answered = self.clients.answered.load(Ordering::Relaxed);
         let lost = self.clients.lost_requests.load(Ordering::Relaxed);
         log.log(&format!("{answered} requests answered, {lost} lost"));
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.clients.stop.store(true, Ordering::Relaxed);
+        for machine in self.fronts.iter_mut().chain(&mut self.sides) {
+            machine.kill();
+        }
         remove_dir(&self.site.dir);
     }
 }
@@ -205,7 +218,7 @@
     let leaving = match leaving {
         Some(leaving) => leaving,
         None if has_trouble => return Err(String::from("no copy of a SYN went to another server")),
-        None => servers.iter().position(|s| Some(&s.config.id) != holder.as_ref()).unwrap_or(0),
+        None => servers.iter().position(|s| Some(&s.name) != holder.as_ref()).unwrap_or(0),
     };
     fleet.sleep(2_500);
     // Planned: the server drains, leaves, and its machine's node is stopped.
@@ -216,3 +229,227 @@
     fleet.end();
     Ok(())
 }
+
+struct Rng(u64);
+
+impl Rng {
+    fn below(&mut self, n: u64) -> u64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        self.0 % n
+    }
+}
+
+/// Random planned work and crashes of servers, to look for resets.
+fn soak(world: &World) -> Result<(), String> {
+    let seed = std::env::var("SEED").ok().and_then(|s| s.parse().ok()).unwrap_or(1_u64);
+    let kinds = std::env::var("KINDS").unwrap_or_else(|_| String::from("front,side,restart,crash,hup,config"));
+    let kinds: Vec<&str> = kinds.split(',').collect();
+    let rest = std::env::var("RESTART").ok().and_then(|s| s.parse().ok()).unwrap_or(400_u64);
+    let gap = std::env::var("GAP").ok().and_then(|s| s.parse().ok()).unwrap_or(900_u64);
+    let mut rng = Rng(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
+    for _ in 0..10 {
+        rng.below(10);
+    }
+    let mut fleet = Fleet::new("soak", world, 6, 5)?;
+    fleet.write_config(3, &[("score", 443, "non_idempotent", 4_000), ("board", 444, "idempotent", 4_000)]);
+    fleet.start_machines();
+    fleet.sleep(300);
+    let mut servers: Vec<_> = (0..5).map(|n| fleet.server(n, &format!("i-{n}"), 2, 15)).collect();
+    fleet.wait_ready(Duration::from_secs(15))?;
+    fleet.sleep(2_000);
+    Arc::clone(&fleet.clients).run(fleet.client_ips.clone());
+    for number in 0..120 {
+        let habit = Habit {
+            pause: Duration::from_millis(if number % 4 == 0 { 3_000 } else { 300 } + rng.below(300)),
+            is_repeatable: number % 2 == 0,
+            deadline: Duration::from_millis(5_000),
+        };
+        fleet.session(number, 443 + (number % 2) as u16, habit);
+        fleet.sleep(10);
+    }
+    let site = fleet.site.clone();
+    let mut version = 5;
+    let mut restart: Vec<(Instant, usize, bool)> = Vec::new();
+    let mut revive: Vec<(Instant, usize)> = Vec::new();
+    let until = Instant::now() + Duration::from_secs(95);
+    let mut next = Instant::now();
+    let losing = fleet.clients.lose.clone();
+    let mut side_at = Instant::now();
+    while Instant::now() < until {
+        let now = Instant::now();
+        if rng.below(100) == 0 {
+            losing.lock().unwrap().push(rng.below(120) as usize);
+        }
+        let due: Vec<_> = restart.iter().filter(|r| r.0 <= now).copied().collect();
+        restart.retain(|r| r.0 > now);
+        for (_, n, is_front) in due {
+            let machine = if is_front { &mut fleet.fronts[n] } else { &mut fleet.sides[n] };
+            machine.kill();
+            machine.start(&site);
+        }
+        let due: Vec<_> = revive.iter().filter(|r| r.0 <= now).copied().collect();
+        revive.retain(|r| r.0 > now);
+        for (_, n) in due {
+            servers[n] = fleet.server(n, &format!("i-{n}"), 2, 15);
+        }
+        for n in 0..6 {
+            if fleet.fronts[n].process.is_some() && fleet.fronts[n].has_ended() {
+                fleet.fronts[n].kill();
+                world.log(&format!("{} has ended", fleet.fronts[n].name));
+                restart.push((now + Duration::from_millis(rest + rng.below(2 * rest)), n, true));
+            }
+        }
+        for n in 0..5 {
+            if fleet.sides[n].process.is_some() && fleet.sides[n].has_ended() {
+                fleet.sides[n].kill();
+                world.log(&format!("{} has ended", fleet.sides[n].name));
+                restart.push((now + Duration::from_millis(rest + rng.below(2 * rest)), n, false));
+            }
+        }
+        if now >= next && until - now > Duration::from_secs(10) {
+            next = now + Duration::from_millis(gap / 2 + rng.below(gap));
+            match kinds[rng.below(kinds.len() as u64) as usize] {
+                "front" => {
+                    let n = rng.below(6) as usize;
+                    if fleet.router.all_in() && fleet.fronts.iter().all(|f| f.process.is_some()) {
+                        world.log(&format!("{} gets SIGTERM", fleet.fronts[n].name));
+                        fleet.fronts[n].signal("TERM");
+                    }
+                }
+                "side" => {
+                    let n = rng.below(5) as usize;
+                    if fleet.sides.iter().all(|f| f.process.is_some()) && side_at.elapsed().as_millis() > 1_100 {
+                        side_at = Instant::now();
+                        world.log(&format!("{} gets SIGTERM", fleet.sides[n].name));
+                        fleet.sides[n].signal("TERM");
+                    }
+                }
+                "sidekill" => {
+                    let n = rng.below(5) as usize;
+                    world.log(&format!("{} gets SIGKILL", fleet.sides[n].name));
+                    fleet.sides[n].signal("KILL");
+                }
+                "frontkill" => {
+                    let n = rng.below(3) as usize;
+                    world.log(&format!("{} gets SIGKILL", fleet.fronts[n].name));
+                    fleet.fronts[n].signal("KILL");
+                }
+                "restart" if revive.is_empty() => {
+                    let n = rng.below(5) as usize;
+                    servers[n].leave(Duration::from_millis(3_100));
+                    revive.push((Instant::now() + Duration::from_millis(rng.below(1_500)), n));
+                }
+                "crash" if revive.len() < 2 => {
+                    let n = rng.below(5) as usize;
+                    if !revive.iter().any(|r| r.1 == n) {
+                        servers[n].crash();
+                        revive.push((now + Duration::from_millis(50 + rng.below(2_500)), n));
+                    }
+                }
+                "hup" => fleet.sides[rng.below(5) as usize].signal("HUP"),
+                "config" => {
+                    version += 2 + rng.below(3);
+                    let timeout = 4_000 + rng.below(500);
+                    fleet.write_config(version, &[("score", 443, "non_idempotent", timeout), ("board", 444, "idempotent", 1_000)]);
+                }
+                _ => {}
+            }
+        }
+        fleet.sleep(10);
+    }
+    fleet.end();
+    Ok(())
+}
+
+/// A deployment that only runs, for other tools.
+fn idle(world: &World) -> Result<(), String> {
+    let mut fleet = Fleet::new("idle", world, 2, 3)?;
+    fleet.write_config(3, &[("score", 443, "non_idempotent", 1_200)]);
+    fleet.start_machines();
+    fleet.sleep(300);
+    let _servers: Vec<_> = (0..3).map(|n| fleet.server(n, &format!("i-{n}"), 4, 20)).collect();
+    fleet.wait_ready(Duration::from_secs(15))?;
+    println!("{:?}", fleet.site.ports);
+    Arc::clone(&fleet.clients).run(fleet.client_ips.clone());
+    for number in 0..20 {
+        let habit = Habit {
+            pause: Duration::from_millis(200),
+            is_repeatable: true,
+            deadline: Duration::from_millis(1_200),
+        };
+        fleet.session(number, 443, habit);
+    }
+    fleet.sleep(40_000);
+    for machine in fleet.fronts.iter_mut().chain(&mut fleet.sides) {
+        let has_ended = machine.has_ended();
+        println!("{} ended {has_ended}", machine.name);
+    }
+    println!("answered {}", fleet.clients.answered.load(Ordering::Relaxed));
+    fleet.end();
+    Ok(())
+}
+
+/// Balancers and agents are stopped and started in turn, as planned, one of each at a time.
+fn roll_both(world: &World, has_trouble: bool) -> Result<(), String> {
+    const GAP: Duration = Duration::from_millis(2_000);
+    let rest = std::env::var("RESTART").ok().and_then(|s| s.parse().ok()).unwrap_or(1_800);
+    let rest = Duration::from_millis(rest);
+    let mut fleet = Fleet::new("roll-both", world, 6, 5)?;
+    fleet.write_config(3, &[("orders", 443, "idempotent", 4_000)]);
+    fleet.start_machines();
+    fleet.sleep(300);
+    let _servers: Vec<_> = (0..5).map(|n| fleet.server(n, &format!("i-{n}"), 7, 55)).collect();
+    fleet.wait_ready(Duration::from_secs(15))?;
+    fleet.sleep(4_000);
+    Arc::clone(&fleet.clients).run(fleet.client_ips.clone());
+    for number in 0..300 {
+        let habit = Habit {
+            pause: Duration::from_millis(3_500 + (number as u64 * 37) % 1_000),
+            is_repeatable: true,
+            deadline: Duration::from_millis(4_000),
+        };
+        fleet.session(number, 443, habit);
+        fleet.sleep(12);
+    }
+    fleet.sleep(3_000);
+    let site = fleet.site.clone();
+    let begin = Instant::now();
+    let mut stopped = (0, 0);
+    let mut starts: Vec<(Instant, bool, usize)> = Vec::new();
+    while begin.elapsed() < GAP * 6 + Duration::from_secs(8) {
+        let now = Instant::now();
+        if has_trouble && stopped.0 < 6 && begin.elapsed() >= GAP * stopped.0 as u32 {
+            world.log(&format!("{} gets SIGTERM", fleet.fronts[stopped.0].name));
+            fleet.fronts[stopped.0].signal("TERM");
+            stopped.0 += 1;
+        }
+        if has_trouble && stopped.1 < 5 && begin.elapsed() >= GAP * stopped.1 as u32 + GAP / 2 {
+            world.log(&format!("{} gets SIGTERM", fleet.sides[stopped.1].name));
+            fleet.sides[stopped.1].signal("TERM");
+            stopped.1 += 1;
+        }
+        for (n, machine) in fleet.fronts.iter_mut().enumerate() {
+            if machine.process.is_some() && machine.has_ended() {
+                machine.kill();
+                world.log(&format!("{} has ended", machine.name));
+                starts.push((now + Duration::from_millis(500), true, n));
+            }
+        }
+        for (n, machine) in fleet.sides.iter_mut().enumerate() {
+            if machine.process.is_some() && machine.has_ended() {
+                machine.kill();
+                world.log(&format!("{} has ended", machine.name));
+                starts.push((now + rest, false, n));
+            }
+        }
+        for (_, is_front, n) in starts.extract_if(.., |start| start.0 <= now) {
+            let machine = if is_front { &mut fleet.fronts[n] } else { &mut fleet.sides[n] };
+            machine.start(&site);
+        }
+        fleet.sleep(5);
+    }
+    fleet.end();
+    Ok(())
+}
--- a/review/standin-2/machine.rs
+++ b/review/standin-2/machine.rs
@@ -194,8 +194,7 @@
 }
 
 pub fn temp_dir(case: &str) -> PathBuf {
-    let base = std::env::var("REVIEW_DIR").map_or_else(|_| std::env::temp_dir(), PathBuf::from);
-    let dir = base.join(format!("citronhollow-review-{case}-{}", std::process::id()));
+    let dir = std::env::temp_dir().join(format!("citronhollow-review-{case}-{}", std::process::id()));
     std::fs::create_dir_all(&dir).expect("a folder");
     dir
 }
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -44,14 +44,14 @@
     pub is_draining: AtomicBool,
     has_left: AtomicBool,
     is_dead: AtomicBool,
-    /// Time for which the server accepts no work, in ms since its start, for a held slot.
-    pub hold_until: Mutex<Option<Instant>>,
     pub acked_beats: AtomicU64,
     pub half_open: Mutex<Vec<FlowKey>>,
 }
 
 pub struct Server {
     pub config: Config,
+    /// The server and its start.
+    pub name: String,
     pub shared: Arc<Shared>,
     control: SocketAddr,
     world: World,
@@ -78,7 +78,6 @@
             is_draining: AtomicBool::new(false),
             has_left: AtomicBool::new(false),
             is_dead: AtomicBool::new(false),
-            hold_until: Mutex::new(None),
             acked_beats: AtomicU64::new(0),
             half_open: Mutex::new(Vec::new()),
         });
@@ -90,15 +89,17 @@
             app: machine.at(site.ports.app),
             machine: machine.name.clone(),
             shared,
+            name: format!("{}@{born}", config.id),
             config,
         };
         server.world.log(&format!("server {} starts on {}", server.config.id, server.machine));
-        let id = server.config.id.clone();
-        server.world.state.lock().unwrap().alive.insert(id, None);
+        let name = server.name.clone();
+        server.world.state.lock().unwrap().alive.insert(name, None);
         let socket = UdpSocket::bind(server.app).expect("the server's address");
         socket.set_read_timeout(Some(Duration::from_millis(2))).unwrap();
         let outbound = machine.at(site.ports.outbound);
         let loop_ = Loop {
+            name: server.name.clone(),
             config: server.config.clone(),
             shared: Arc::clone(&server.shared),
             world: server.world.clone(),
@@ -160,7 +161,7 @@
     /// Ends at once and says nothing.
     pub fn crash(&self) {
         self.shared.is_dead.store(true, Ordering::Relaxed);
-        self.world.state.lock().unwrap().alive.remove(&self.config.id);
+        self.world.state.lock().unwrap().alive.remove(&self.name);
         std::thread::sleep(Duration::from_millis(10));
         self.world.log(&format!("server {} has ended", self.config.id));
     }
@@ -178,6 +179,7 @@
 }
 
 struct Loop {
+    name: String,
     config: Config,
     shared: Arc<Shared>,
     world: World,
@@ -223,6 +225,9 @@
             return;
         }
         let key = (p.src, p.dst);
+        if p.flags & (SYN | RST) == 0 {
+            self.world.on_flow_packet(key, &self.name);
+        }
         if p.flags & SYN != 0 {
             self.on_syn(key, &p);
             return;
@@ -242,7 +247,7 @@
             }
             flow.stage = Stage::Open;
             flow.unacked = None;
-            let server = self.config.id.clone();
+            let server = self.name.clone();
             let held = Held { server, opened: Instant::now(), is_closed: false };
             self.world.state.lock().unwrap().held.insert(key, held);
             self.shared.half_open.lock().unwrap().retain(|other| *other != key);
@@ -290,7 +295,7 @@
             flow.unacked = None;
         }
         if let Some(held) = self.world.state.lock().unwrap().held.get_mut(&key)
-            && held.server == self.config.id
+            && held.server == self.name
         {
             held.is_closed = true;
         }
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -25,6 +25,8 @@
     pub alive: HashMap<String, Option<Instant>>,
     /// Requests that servers began to work on, by id.
     pub runs: HashMap<u64, Vec<String>>,
+    /// Packets of open flows that reached other servers, since the last one that reached their own.
+    pub astray: HashMap<FlowKey, Vec<(Instant, String)>>,
     pub broken: Vec<String>,
     pub datagrams: u64,
     pub lost: u64,
@@ -45,6 +47,7 @@
                 held: HashMap::new(),
                 alive: HashMap::new(),
                 runs: HashMap::new(),
+                astray: HashMap::new(),
                 broken: Vec::new(),
                 datagrams: 0,
                 lost: 0,
@@ -62,6 +65,40 @@
         let _ = writeln!(state.record, "{at:9.4} {line}");
     }
 
+    /// FLOW (b): for 2 s three or more packets of an open flow reach other servers and none its own.
+    pub fn on_flow_packet(&self, key: FlowKey, server: &str) {
+        let mut state = self.state.lock().unwrap();
+        let Some(held) = state.held.get(&key).filter(|held| !held.is_closed).cloned() else {
+            return;
+        };
+        if held.server == server || !state.alive.contains_key(&held.server) {
+            let before = state.astray.remove(&key).unwrap_or_default();
+            drop(state);
+            if let Some(first) = before.first() {
+                let age = first.0.elapsed();
+                let line = format!("{}: {} packets reached others than {} in {age:?}, none its own", key.0, before.len(), held.server);
+                if before.len() >= 3 && age.as_millis() >= 2_000 {
+                    self.broke(&format!("FLOW-B {line}"));
+                } else {
+                    self.log(&format!("back: {line}"));
+                }
+            }
+            return;
+        }
+        let astray = state.astray.entry(key).or_default();
+        astray.push((Instant::now(), String::from(server)));
+        let (count, age) = (astray.len(), astray[0].0.elapsed());
+        drop(state);
+        if count >= 3 && age.as_millis() >= 2_000 {
+            let line = format!("FLOW-B {}: {count} packets reached others than {} in {age:?}, none its own", key.0, held.server);
+            self.broke(&line);
+            self.state.lock().unwrap().astray.remove(&key);
+        } else {
+            let line = format!("astray: a packet of {} reaches {server}, its own is {}", key.0, held.server);
+            self.log(&line);
+        }
+    }
+
     pub fn broke(&self, line: &str) {
         self.log(&format!("BROKEN {line}"));
         self.state.lock().unwrap().broken.push(String::from(line));
