--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -19,7 +19,6 @@
     let outcome = match case {
         "half-open" => half_open(&world, has_trouble),
         "soak" => soak(&world),
-        "idle" => idle(&world),
         "roll-both" => roll_both(&world, has_trouble),
         _ => Err(format!("no case {case}")),
     };
@@ -85,7 +84,7 @@
         };
         let store = Store::default();
         for machine in machines() {
-            store.serve(machine.number, SocketAddrV4::new(machine.store_ip, ports.store).into());
+            store.serve(SocketAddrV4::new(machine.store_ip, ports.store).into());
         }
         let router = Router::new(world);
         let clients = Arc::new(Clients::new(world, &router, ports.packets));
@@ -363,34 +362,6 @@
     Ok(())
 }
 
-/// A deployment that only runs, for other tools.
-fn idle(world: &World) -> Result<(), String> {
-    let mut fleet = Fleet::new("idle", world, 2, 3)?;
-    fleet.write_config(3, &[("score", 443, "non_idempotent", 1_200)]);
-    fleet.start_machines();
-    fleet.sleep(300);
-    let _servers: Vec<_> = (0..3).map(|n| fleet.server(n, &format!("i-{n}"), 4, 20)).collect();
-    fleet.wait_ready(Duration::from_secs(15))?;
-    println!("{:?}", fleet.site.ports);
-    Arc::clone(&fleet.clients).run(fleet.client_ips.clone());
-    for number in 0..20 {
-        let habit = Habit {
-            pause: Duration::from_millis(200),
-            is_repeatable: true,
-            deadline: Duration::from_millis(1_200),
-        };
-        fleet.session(number, 443, habit);
-    }
-    fleet.sleep(40_000);
-    for machine in fleet.fronts.iter_mut().chain(&mut fleet.sides) {
-        let has_ended = machine.has_ended();
-        println!("{} ended {has_ended}", machine.name);
-    }
-    println!("answered {}", fleet.clients.answered.load(Ordering::Relaxed));
-    fleet.end();
-    Ok(())
-}
-
 /// Balancers and agents are stopped and started in turn, as planned, one of each at a time.
 fn roll_both(world: &World, has_trouble: bool) -> Result<(), String> {
     const GAP: Duration = Duration::from_millis(2_000);
--- a/review/standin-2/client.rs
+++ b/review/standin-2/client.rs
@@ -114,7 +114,6 @@
     request: Option<(u64, Vec<u8>, u32, Instant, Instant, Duration)>,
     next_at: Instant,
     lost_syn_ack: bool,
-    is_leaving: bool,
 }
 
 pub struct Clients {
@@ -125,14 +124,11 @@
     pub lose: Arc<Mutex<Vec<usize>>>,
     /// Sessions that are to start.
     pub start: Arc<Mutex<Vec<(usize, Ipv4Addr, SocketAddrV4, Habit)>>>,
-    /// Sessions that are to end after their next answer.
-    pub leave: Arc<Mutex<Vec<usize>>>,
     pub stop: Arc<AtomicBool>,
     /// Current flow of each session, if it is open.
     pub current: Arc<Mutex<HashMap<usize, FlowKey>>>,
     pub answered: Arc<AtomicU64>,
     pub lost_requests: Arc<AtomicU64>,
-    /// Whether an RST only breaks the rule if the client may accept it.
     packets_port: u16,
 }
 
@@ -144,7 +140,6 @@
             next_id: Arc::new(AtomicU64::new(1)),
             lose: Arc::default(),
             start: Arc::default(),
-            leave: Arc::default(),
             stop: Arc::default(),
             current: Arc::default(),
             answered: Arc::default(),
@@ -184,7 +179,6 @@
                         request: None,
                         next_at: now,
                         lost_syn_ack: false,
-                        is_leaving: false,
                     });
                 }
                 for (ip, socket) in &sockets {
@@ -195,17 +189,7 @@
                         }
                     }
                 }
-                for number in self.leave.lock().unwrap().drain(..) {
-                    sessions.iter_mut().filter(|s| s.number == number).for_each(|s| s.is_leaving = true);
-                }
                 for session in &mut sessions {
-                    if session.is_leaving && session.request.is_none() {
-                        if session.stage == Stage::Open {
-                            self.send(&sockets, session, ACK | FIN, session.snd, session.rcv, &[]);
-                            self.close(session, Duration::from_secs(1_000));
-                        }
-                        session.next_at = Instant::now() + Duration::from_secs(1_000);
-                    }
                     self.advance(&sockets, session, &mut next_port);
                 }
                 std::thread::sleep(Duration::from_millis(1));
--- a/review/standin-2/machine.rs
+++ b/review/standin-2/machine.rs
@@ -57,7 +57,6 @@
 }
 
 pub struct Machine {
-    pub number: usize,
     pub name: String,
     pub class: Class,
     pub ip: Ipv4Addr,
@@ -83,7 +82,6 @@
     pub fn new(number: usize, class: Class) -> Self {
         let kind = if class == Class::Front { "front" } else { "side" };
         Self {
-            number,
             name: format!("{kind}-za-{number}"),
             class,
             ip: Ipv4Addr::new(127, 21, number as u8, 1),
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -114,7 +114,8 @@
         std::thread::spawn(move || {
             while !shared.is_dead.load(Ordering::Relaxed) && !shared.has_left.load(Ordering::Relaxed) {
                 beat();
-                std::thread::sleep(Duration::from_millis(HEARTBEAT_MS));
+                let percent = if std::env::var("JITTER").is_ok() { 70 + u64::from(first_seq() % 61) } else { 100 };
+                std::thread::sleep(Duration::from_millis(HEARTBEAT_MS * percent / 100));
             }
         });
         server
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -8,23 +8,11 @@
 
 use crate::json::{self, J};
 
-/// How the store treats the calls of one machine.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Mode {
-    Serve,
-    /// 503 to every call.
-    Busy,
-    /// No answer.
-    Silent,
-}
-
 #[derive(Default)]
 struct State {
     rev: u64,
     objects: BTreeMap<(String, String), J>,
     history: Vec<(u64, String, J)>,
-    modes: BTreeMap<usize, Mode>,
-    calls: u64,
 }
 
 #[derive(Clone, Default)]
@@ -33,39 +21,24 @@
 }
 
 impl Store {
-    /// Serves the calls of machine `machine` at `at`.
-    pub fn serve(&self, machine: usize, at: SocketAddr) {
+    /// Serves calls at `at`.
+    pub fn serve(&self, at: SocketAddr) {
         let listener = TcpListener::bind(at).expect("the store's address");
         let store = self.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let store = store.clone();
-                std::thread::spawn(move || store.on_call(machine, stream));
+                std::thread::spawn(move || store.on_call(stream));
             }
         });
     }
 
-    pub fn set_mode(&self, machine: usize, mode: Mode) {
-        self.shared.0.lock().unwrap().modes.insert(machine, mode);
-    }
-
-    fn mode(&self, machine: usize) -> Mode {
-        let state = self.shared.0.lock().unwrap();
-        state.modes.get(&machine).copied().unwrap_or(Mode::Serve)
-    }
-
     /// Writes an object as the operator. The return is the acknowledgement.
     pub fn put(&self, kind: &str, name: &str, spec: J) -> Instant {
         self.write(kind, name, spec);
         Instant::now()
     }
 
-    pub fn names(&self, kind: &str) -> Vec<String> {
-        let state = self.shared.0.lock().unwrap();
-        let of_kind = state.objects.keys().filter(|key| key.0 == kind);
-        of_kind.map(|key| key.1.clone()).collect()
-    }
-
     fn write(&self, kind: &str, name: &str, spec: J) -> J {
         let mut state = self.shared.0.lock().unwrap();
         let key = (String::from(kind), String::from(name));
@@ -95,26 +68,17 @@
         object
     }
 
-    fn on_call(&self, machine: usize, mut stream: TcpStream) {
+    fn on_call(&self, mut stream: TcpStream) {
         let _ = stream.set_read_timeout(Some(Duration::from_secs(40)));
         let Some((method, target, body)) = read_request(&mut stream) else {
             return;
         };
-        self.shared.0.lock().unwrap().calls += 1;
-        match self.mode(machine) {
-            Mode::Serve => {}
-            Mode::Busy => return respond(&mut stream, 503, "{}"),
-            Mode::Silent => return std::thread::sleep(Duration::from_secs(30)),
-        }
         std::thread::sleep(Duration::from_millis(4));
-        let (status, body) = self.answer(machine, &method, &target, &body);
-        if self.mode(machine) == Mode::Silent {
-            return std::thread::sleep(Duration::from_secs(30));
-        }
+        let (status, body) = self.answer(&method, &target, &body);
         respond(&mut stream, status, &body);
     }
 
-    fn answer(&self, machine: usize, method: &str, target: &str, body: &str) -> (u16, String) {
+    fn answer(&self, method: &str, target: &str, body: &str) -> (u16, String) {
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
         let query: BTreeMap<&str, &str> = query.split('&').filter_map(|p| p.split_once('=')).collect();
         let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
@@ -128,7 +92,7 @@
             ("GET", None) if query.contains_key("watch") => {
                 let after = query["watch"].parse().unwrap_or(0);
                 let wait = query.get("waitMs").and_then(|w| w.parse().ok()).unwrap_or(0);
-                self.watch(machine, kind, after, Duration::from_millis(wait))
+                self.watch(kind, after, Duration::from_millis(wait))
             }
             ("GET", None) => self.list(kind, query.get("after").copied().unwrap_or("")),
             ("GET", Some(name)) => match self.find(kind, name) {
@@ -187,17 +151,13 @@
         (200, format!("{{\"items\":{items},\"more\":{more},\"at\":{}}}", state.rev))
     }
 
-    fn watch(&self, machine: usize, kind: &str, after: u64, wait: Duration) -> (u16, String) {
+    fn watch(&self, kind: &str, after: u64, wait: Duration) -> (u16, String) {
         let until = Instant::now() + wait;
         let mut state = self.shared.0.lock().unwrap();
         loop {
             let events = state.history.iter().filter(|(rev, of, _)| *rev > after && of == kind);
             let events: Vec<J> = events.map(|(_, _, event)| event.clone()).collect();
             let left = until.saturating_duration_since(Instant::now());
-            let mode = state.modes.get(&machine).copied().unwrap_or(Mode::Serve);
-            if mode == Mode::Busy {
-                return (503, String::from("{}"));
-            }
             if !events.is_empty() || left.is_zero() {
                 let events = J::Arr(events);
                 return (200, format!("{{\"events\":{events},\"at\":{}}}", state.rev));
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -55,10 +55,6 @@
         }
     }
 
-    pub fn ms(&self) -> u128 {
-        self.started.elapsed().as_millis()
-    }
-
     pub fn log(&self, line: &str) {
         let at = self.started.elapsed().as_secs_f64();
         let mut state = self.state.lock().unwrap();
