--- a/review/standin-2/machine.rs
+++ b/review/standin-2/machine.rs
@@ -154,7 +154,8 @@
 
     pub fn signal(&self, name: &str) {
         if let Some(child) = &self.process {
-            let _ = Command::new("kill").args(["-s", name, &child.id().to_string()]).status();
+            let command = format!("kill -s {name} {}", child.id());
+            let _ = Command::new("sh").args(["-c", &command]).status();
         }
     }
 
