--- a/review/standin-2/client.rs
+++ b/review/standin-2/client.rs
@@ -240,7 +240,7 @@
                     s.request = Some((id, bytes, seq, now, now + pause, pause));
                 }
                 Some((id, _, _, first, _, _)) if now - *first >= s.habit.deadline => {
-                    self.world.log(&format!("session {} port {}: request {id} has no answer", s.number, s.port));
+                    self.world.log(&format!("session {} port {}: request {id} has no answer, run by {}", s.number, s.port, self.runs(*id)));
                     self.lost_requests.fetch_add(1, Ordering::Relaxed);
                     self.send(sockets, s, RST, s.snd, s.rcv, &[]);
                     self.close(s, Duration::from_millis(10));
@@ -257,6 +257,12 @@
         }
     }
 
+    /// Servers that began to work on a request.
+    fn runs(&self, id: u64) -> String {
+        let state = self.world.state.lock().unwrap();
+        state.runs.get(&id).map_or_else(|| String::from("nobody"), |runs| runs.join(" and "))
+    }
+
     fn close(&self, s: &mut Session, pause: Duration) {
         s.stage = Stage::Idle;
         s.request = None;
@@ -289,7 +295,7 @@
             let is_taken = s.stage == Stage::Opening || in_window(p.seq, s.rcv);
             if is_taken {
                 if let Some((id, ..)) = &s.request {
-                    self.world.log(&format!("session {} port {}: request {id} is cut off by a reset", s.number, s.port));
+                    self.world.log(&format!("session {} port {}: request {id} is cut off by a reset, run by {}", s.number, s.port, self.runs(*id)));
                     self.lost_requests.fetch_add(1, Ordering::Relaxed);
                 }
                 self.close(s, Duration::from_millis(100));
@@ -313,6 +319,9 @@
                 if !p.data.is_empty() && id != Some(*sent) {
                     self.world.broke(&format!("MIXED session {} got the answer of request {id:?}", s.number));
                 }
+                let (sent, took) = (*sent, s.request.as_ref().map_or(0, |r| r.3.elapsed().as_millis()));
+                let runs = self.runs(sent);
+                self.world.log(&format!("request {sent} of session {} port {}: answered after {took} ms, run by {runs}", s.number, s.port));
                 if text.starts_with("HTTP/1.1 200") {
                     self.answered.fetch_add(1, Ordering::Relaxed);
                 }
