Keep flows that an ended target has only answered

Cause: two targets may answer copies of one SYN, if an answer is lost. The caller acknowledges one of them, and only that target holds the flow. At the end of a target its agent reset all flows whose SYN the target had answered.

The reset comes from the machine of the target that left, after its leave call, with the number of that target's answer.

Change: at a target's end only flows are reset that it is known to hold.

Test: flow_whose_answer_was_not_acknowledged_is_not_reset_when_its_target_ends failed before, at "Leave after 100 ms", and passes. flow_whose_answer_was_acknowledged_late_is_reset_when_its_target_ends passed before and passes: flows that the target held are still reset.

--- a/crates/core/src/pass_through/agent/target.rs
+++ b/crates/core/src/pass_through/agent/target.rs
@@ -266,6 +266,7 @@
         self.reset_flows_if(now, may_reset, out);
     }
 
+    /// Ends the flows that match, with a reset of those that the target held.
     fn reset_flows_if(
         &mut self,
         now: Millis,
@@ -280,7 +281,7 @@
             .collect();
         for (flow, conn) in flows {
             self.forget(now, &flow);
-            if let Some(seq) = conn.reset_seq() {
+            if let Some(seq) = conn.reset_seq().filter(|_| conn.is_held()) {
                 let reason = ResetReason::TargetEnded;
                 out.push(AgentAction::Reset(Reset { flow, seq, reason }));
             }
--- a/crates/core/src/pass_through/conn.rs
+++ b/crates/core/src/pass_through/conn.rs
@@ -77,6 +77,12 @@
         conn
     }
 
+    /// Whether the target holds the flow. A target that has only answered the SYN may not be the
+    /// one whose answer the caller acknowledged: another one may have answered a copy of it.
+    pub(super) const fn is_held(&self) -> bool {
+        matches!(self.stage, Stage::Open | Stage::Presumed)
+    }
+
     /// Whether the caller's packet acknowledges another target's answer to the same SYN.
     pub(super) fn acks_other_target(&self, segment: &Segment) -> bool {
         let own = self.target_isn.map(|isn| isn.wrapping_add(1));
--- a/crates/core/tests/pass_through/agent.rs
+++ b/crates/core/tests/pass_through/agent.rs
@@ -6,8 +6,8 @@
 use citronhollow_core::id::GroupId;
 use citronhollow_core::members::TargetState;
 use citronhollow_core::pass_through::{
-    Agent, AgentAction, FlowList, Holding, ListedFlow, Offer, Packet, RejectReason, Reset,
-    ResetReason,
+    Agent, AgentAction, FlowList, Heartbeat, Holding, ListedFlow, Offer, Packet, RejectReason,
+    Reset, ResetReason,
 };
 
 use crate::fixture::{
@@ -81,6 +81,75 @@
     from_target(agent, START, flow(99), response());
 }
 
+/// Lets the target answer the SYN of a flow. The answer is lost, and the caller's copy of the SYN
+/// opens the flow at another target, unless it acknowledges this one's answer later.
+fn answer_syn(agent: &mut Agent<Bytes>, now: Millis, flow: FlowId) {
+    from_caller(agent, now, Offer::New, flow, syn());
+    from_target(agent, now, flow, syn_ack(TARGET_ISN));
+}
+
+/// Ways in which the start number 1 of a target ends. The last one is not an end, but a silence
+/// after which the target counts as gone.
+#[derive(Clone, Copy, Debug)]
+enum End {
+    Leave,
+    LeaveOfTheMachine,
+    RestartInPlace,
+    Replacement,
+    Crash,
+    Silence,
+}
+
+const ENDS: [End; 6] = [
+    End::Leave,
+    End::LeaveOfTheMachine,
+    End::RestartInPlace,
+    End::Replacement,
+    End::Crash,
+    End::Silence,
+];
+
+/// Ends the target's start number 1, whose last heartbeat has the given sequence number and has just
+/// arrived. Returns the agent's actions of the following seconds.
+fn end_target(agent: &mut Agent<Bytes>, now: Millis, end: End, sequence: u64) -> Actions {
+    let mut all = Vec::new();
+    match end {
+        End::Leave | End::LeaveOfTheMachine => {
+            let draining = heartbeat(1, sequence + 1, TargetState::Draining);
+            all.extend(beat(agent, now, draining));
+            agent.on_leave(now, instance(1));
+            if matches!(end, End::LeaveOfTheMachine) {
+                agent.stop();
+            }
+            all.extend(tick_until(agent, now, now.after(Millis(1_300))));
+        }
+        End::RestartInPlace | End::Replacement => {
+            let is_replaced = matches!(end, End::Replacement);
+            let next_instance = instance(if is_replaced { 2 } else { 1 });
+            for number in 0..3 {
+                let at = now.after(Millis(500 + number * HEARTBEAT.0));
+                let next = Heartbeat {
+                    instance: next_instance,
+                    ..heartbeat(2, number, TargetState::Ready)
+                };
+                all.extend(beat(agent, at, next));
+                all.extend(tick_until(agent, at, at.after(HEARTBEAT)));
+            }
+            assert_eq!(agent.running_start(), Some(2));
+        }
+        End::Crash | End::Silence => {
+            // A crashed target is started again, after it counted as gone.
+            let gone = now.after(Millis(4_000));
+            all.extend(tick_until(agent, now, gone));
+            assert_eq!(agent.state(gone), TargetState::Dead);
+            if matches!(end, End::Crash) {
+                all.extend(run_start(agent, gone, 2, 0, 3));
+            }
+        }
+    }
+    all
+}
+
 fn holding(agent: &mut Agent<Bytes>, now: Millis, flow: FlowId) -> Holding {
     let mut out = Vec::new();
     agent.on_question(now, balancer_addr(1), flow, &mut out);
@@ -129,6 +198,18 @@
     }
 }
 
+/// Lets the target's start number 1 send heartbeats every second, the last one at `end`.
+fn run_until(agent: &mut Agent<Bytes>, from: Millis, end: Millis) {
+    let mut sequence = from.0 / 1_000 + 1;
+    for at in (from.0..=end.0).step_by(25).map(Millis) {
+        if (end.0 - at.0).is_multiple_of(HEARTBEAT.0) {
+            sequence += 1;
+            beat(agent, at, heartbeat(1, sequence, TargetState::Ready));
+        }
+        tick(agent, at);
+    }
+}
+
 /// Lets a start of the target send `count` heartbeats after its number `sequence`, the first one at
 /// `from`. Returns the agent's actions until one interval after the last.
 fn run_start(
@@ -696,6 +777,42 @@
         assert_eq!(reset, [flow(1)]);
     };
 
+    // Guards against the reset of a flow that is open at another target, which answered a copy of
+    // its SYN: the target whose answer was lost ended, and its agent reset all answered flows.
+    flow_whose_answer_was_not_acknowledged_is_not_reset_when_its_target_ends => {
+        for end in ENDS {
+            for age in [100, 1_000, 11_000, 50_000] {
+                let mut agent = agent(START);
+                answer_syn(&mut agent, START, flow(1));
+                open(&mut agent, START, flow(2));
+                let later = START.after(Millis(age));
+                run_until(&mut agent, START, later);
+                let elsewhere = ack(TARGET_ISN + 9);
+                let actions = from_caller(&mut agent, later, Offer::Held, flow(1), elsewhere);
+                assert_eq!(rejected(&actions), Some(RejectReason::NotHeld));
+                let ended = end_target(&mut agent, later, end, 1_000);
+                let reset: Vec<_> = resets(&ended).iter().map(|reset| reset.flow).collect();
+                assert_eq!(reset, [flow(2)], "{end:?} after {age} ms");
+            }
+        }
+    };
+
+    flow_whose_answer_was_acknowledged_late_is_reset_when_its_target_ends => {
+        for end in ENDS {
+            let mut agent = agent(START);
+            answer_syn(&mut agent, START, flow(1));
+            let later = START.after(Millis(9_400));
+            run_until(&mut agent, START, later);
+            from_target(&mut agent, later, flow(1), syn_ack(TARGET_ISN));
+            from_caller(&mut agent, later, Offer::Held, flow(1), ack(TARGET_ISN));
+            let next = later.after(HEARTBEAT);
+            run_until(&mut agent, later, next);
+            let ended = end_target(&mut agent, next, end, 1_000);
+            let expected = Reset { flow: flow(1), seq: TARGET_ISN + 1, reason: ResetReason::TargetEnded };
+            assert_eq!(resets(&ended), [expected], "{end:?}");
+        }
+    };
+
     flows_of_a_crashed_target_are_reset => {
         let mut agent = agent(START);
         open(&mut agent, START, flow(1));
