Claim a flow only with proof that the target holds it

Requests were neither run nor answered. With first sequence numbers from a clock, the caller took that target's RST.

Cause: an agent that does not know a flow shows its packet to the target. It took whatever the target sent next on the flow, or the lack of a returned packet, for the proof that the target holds the flow. But a target answers data with a RST and a FIN with an acknowledgment on a flow that has ended, ignores acknowledgments there, and repeats its answer to a SYN while it is half-open. The RST was also sent to the caller, whose flow is open at another target.

Change: a flow is claimed when the target sends data or a FIN, when it acknowledges data, or when it keeps data for the time in which it would have returned it or answered it with a RST. A RST of a target that is not known to hold the flow is a negative answer and is not sent to the caller; the balancer goes on with its search. A RST on a flow that was open at the target reaches the caller as before.

Tests: probe_that_an_ended_flow_leaves_unanswered_proves_nothing, data_after_an_acknowledgment_is_a_probe_of_its_own, rst_of_the_target_shows_that_it_does_not_hold_a_probed_flow, rst_of_a_target_that_is_not_known_to_hold_the_flow_stays_here, syn_answered_with_a_rst_is_offered_elsewhere and answers_of_a_target_without_the_flow_find_nothing failed before. rst_of_the_target_that_holds_the_flow_reaches_the_caller and acknowledgment_of_data_finds_the_flow guard against the opposite.

probe_kept_by_a_live_target_finds_the_flow probed with an acknowledgment, which proves nothing when it is kept (see the first test above). It probes with data now, within the same times.

--- a/crates/core/src/flow.rs
+++ b/crates/core/src/flow.rs
@@ -58,4 +58,11 @@
     pub const fn is_initial_syn(&self) -> bool {
         self.syn && !self.ack && !self.rst
     }
+
+    /// Returns whether the segment carries data or a FIN, which an endpoint sends only on a
+    /// connection that is open.
+    #[must_use]
+    pub const fn carries_data_or_fin(&self) -> bool {
+        !self.syn && !self.rst && (self.payload > 0 || self.fin)
+    }
 }
--- a/crates/core/src/pass_through/agent.rs
+++ b/crates/core/src/pass_through/agent.rs
@@ -4,13 +4,17 @@
 //! and answers balancers from what it observed. An agent that started after its target has not
 //! observed every flow. It therefore delivers a packet of an unknown flow to the target as a probe:
 //! the target either returns the packet, which proves that it does not hold the flow, or keeps it.
+//!
+//! A flow may have been accepted by several targets, because a balancer offers a copy of its SYN to
+//! another one. The caller acknowledges the answer of one of them, and only that target holds the
+//! flow. The others give it up some seconds later.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use crate::clock::Millis;
 use crate::config::RequestClass;
-use crate::flow::FlowId;
+use crate::flow::{FlowId, Segment};
 use crate::id::{DomainId, GroupId, InstanceId, TargetId};
 use crate::lru_map::LruMap;
 use crate::members::TargetState;
@@ -31,7 +35,7 @@
 use overload::Saturation;
 use starts::Starts;
 use target::LeaveNotice;
-use unknown::NOT_HELD_TTL;
+use unknown::{NOT_HELD_TTL, Probe};
 
 use super::conn::{Conn, Stage};
 use super::packet::{DropReason, Holding, Offer, Packet, RejectReason, Rejected, Reset};
@@ -101,13 +105,6 @@
     },
 }
 
-/// Packet of an unknown flow that was delivered to find out whether the target holds the flow.
-#[derive(Clone, Copy, Debug)]
-struct Probe {
-    balancer: SocketAddr,
-    since: Millis,
-}
-
 /// Liveness of the target as observed since the agent started.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Liveness {
@@ -314,30 +311,41 @@
         self.liveness = Liveness::Responsive;
         self.last_packet = now;
         self.last_activity = Some(now);
-        if let Some(probe) = self.probes.remove(&flow) {
+        if segment.rst {
+            self.on_target_rst(now, flow, bytes, out);
+        } else {
+            self.on_target_segment(now, flow, &segment, out);
+            out.push(AgentAction::ToCaller { flow, bytes });
+        }
+        self.admit_waiting(now, out);
+    }
+
+    fn on_target_segment(
+        &mut self,
+        now: Millis,
+        flow: FlowId,
+        segment: &Segment,
+        out: &mut Vec<AgentAction<B>>,
+    ) {
+        self.unanswered_syns.remove(&flow);
+        let is_held = self.shows_holding(&flow, segment);
+        if is_held && let Some(probe) = self.probes.remove(&flow) {
             let (to, holding) = (probe.balancer, Holding::Here);
             out.push(AgentAction::Reply { to, flow, holding });
         }
-        self.unanswered_syns.remove(&flow);
-        if segment.rst {
-            if self.conns.get(&flow).is_some_and(|conn| conn.is_busy) {
-                self.health.on_end(now, false);
-            }
-            self.forget(now, &flow);
-        } else if !self.ended.contains(&flow) {
-            // A SYN-ACK that arrives after its SYN was rejected does not open the flow by itself.
-            let stage = if segment.syn {
-                Stage::Answered
-            } else {
-                Stage::Open
-            };
-            self.track(now, flow, stage, |conn| conn.on_target(now, &segment));
-            if let Some(conn) = self.conns.get(&flow) {
-                self.starts.on_packet(now, conn.since);
-            }
+        let stage = if is_held {
+            Stage::Open
+        } else {
+            Stage::Answered
+        };
+        let is_tracked = is_held || segment.syn || self.conns.contains(&flow);
+        if !is_tracked || self.ended.contains(&flow) {
+            return;
+        }
+        self.track(now, flow, stage, |conn| conn.on_target(now, segment));
+        if let Some(conn) = self.conns.get(&flow) {
+            self.starts.on_packet(now, conn.since);
         }
-        out.push(AgentAction::ToCaller { flow, bytes });
-        self.admit_waiting(now, out);
     }
 
     /// Decides about a caller's packet that the target returned.
--- a/crates/core/src/pass_through/agent/unknown.rs
+++ b/crates/core/src/pass_through/agent/unknown.rs
@@ -1,18 +1,22 @@
 //! Flows unknown to the agent, and packets returned by the target.
 //!
-//! A returned packet proves that the target does not hold its flow. A packet that is not returned
-//! proves the opposite only if the target has sent something afterwards, because a crashed target
-//! returns nothing.
+//! A returned packet proves that the target does not hold its flow. So does a RST of the target,
+//! unless the flow was open there: on a flow that has ended, a target answers data with a RST and a
+//! FIN with an acknowledgment, and ignores acknowledgments. The flow may have ended there without
+//! ever being open, while another target holds it.
+//!
+//! Data that the target neither returns nor answers with a RST proves that it holds the flow, but
+//! only if the target has sent something afterwards, because a crashed target returns nothing.
 
 use std::net::SocketAddr;
 
 use crate::clock::Millis;
-use crate::flow::FlowId;
+use crate::flow::{FlowId, Segment};
 
 use super::super::conn::{Conn, Stage};
 use super::super::packet::{Holding, Offer, Packet, RejectReason, Reset, ResetReason};
 use super::target::MISSED_HEARTBEATS;
-use super::{Agent, AgentAction, Probe, drop_ended, reject};
+use super::{Agent, AgentAction, drop_ended, reject};
 
 /// Timeout for the target to return a packet of a flow that it does not hold. Agent and target run
 /// on the same machine, so this covers one scheduling delay of a slow processor.
@@ -23,6 +27,48 @@
 /// bounds memory. Callers retransmit a packet for less time than this.
 pub(super) const NOT_HELD_TTL: Millis = Millis::from_secs(30);
 
+/// Packets of an unknown flow that were delivered to find out whether the target holds the flow.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Probe {
+    /// Balancer that sent the last packet.
+    pub(super) balancer: SocketAddr,
+    since: Millis,
+    /// When data without a FIN was delivered first.
+    data_at: Option<Millis>,
+    has_fin: bool,
+}
+
+impl Probe {
+    const fn new(now: Millis, balancer: SocketAddr) -> Self {
+        Self {
+            balancer,
+            since: now,
+            data_at: None,
+            has_fin: false,
+        }
+    }
+
+    fn on_packet(&mut self, now: Millis, balancer: SocketAddr, segment: &Segment) {
+        self.balancer = balancer;
+        if segment.payload > 0 && !segment.fin {
+            self.data_at.get_or_insert(now);
+        }
+        self.has_fin |= segment.fin;
+    }
+
+    /// Time by which the target has returned the data or answered it with a RST, if it does not hold
+    /// the flow. `None` without data: on a flow that has ended, the target ignores other packets.
+    fn returned_by(&self) -> Option<Millis> {
+        self.data_at.map(|at| at.after(RETURN_TIMEOUT))
+    }
+
+    /// Whether an acknowledgment by the target proves that it holds the flow. The one of a FIN does
+    /// not, since the target acknowledges it on a flow that has ended as well.
+    const fn proves_by_acknowledgment(&self) -> bool {
+        self.data_at.is_some() && !self.has_fin
+    }
+}
+
 impl<B: Clone> Agent<B> {
     pub(super) fn on_unknown(
         &mut self,
@@ -36,10 +82,9 @@
             reject(balancer, RejectReason::NotHeld, packet.bytes, out);
             return;
         }
-        let since = now;
-        self.probes
-            .entry(packet.flow)
-            .or_insert(Probe { balancer, since });
+        let probe = Probe::new(now, balancer);
+        let probe = self.probes.entry(packet.flow).or_insert(probe);
+        probe.on_packet(now, balancer, &packet.segment);
         let bytes = packet.bytes;
         out.push(AgentAction::Deliver { bytes });
     }
@@ -86,11 +131,61 @@
         observed_all || was_returned || self.is_gone(now)
     }
 
-    /// Ends probes. The target holds the flow if it did not return the packet within the timeout
-    /// and has sent something since. Probes of a target that stays silent are discarded.
+    /// Decides about a RST of the target. Only the caller of a flow that the target held gets it,
+    /// because another target may hold the flow.
+    pub(super) fn on_target_rst(
+        &mut self,
+        now: Millis,
+        flow: FlowId,
+        bytes: B,
+        out: &mut Vec<AgentAction<B>>,
+    ) {
+        let conn = self.conns.get(&flow).copied();
+        let is_open = conn.is_some_and(|conn| conn.stage == Stage::Open);
+        if is_open || self.ended.contains(&flow) {
+            if conn.is_some_and(|conn| conn.is_busy) {
+                self.health.on_end(now, false);
+            }
+            self.forget(now, &flow);
+            out.push(AgentAction::ToCaller { flow, bytes });
+            return;
+        }
+        self.not_held.insert(now, flow, now);
+        let probe = self.probes.remove(&flow);
+        let syn = self.unanswered_syns.remove(&flow);
+        self.forget(now, &flow);
+        let balancer = probe
+            .map(|probe| probe.balancer)
+            .or_else(|| conn.and_then(|conn| conn.balancer));
+        match (balancer, syn) {
+            (Some(to), Some(syn)) => reject(to, RejectReason::Returned, syn, out),
+            (Some(to), None) => {
+                let holding = Holding::No;
+                out.push(AgentAction::Reply { to, flow, holding });
+            }
+            (None, _) => {}
+        }
+        drop_ended(flow, out);
+    }
+
+    /// Whether a packet of the target, other than a RST, proves that the target holds the flow.
+    pub(super) fn shows_holding(&self, flow: &FlowId, segment: &Segment) -> bool {
+        let is_answer = || {
+            let probe = self.probes.get(flow);
+            probe.is_some_and(Probe::proves_by_acknowledgment)
+        };
+        segment.carries_data_or_fin() || (!segment.syn && is_answer())
+    }
+
+    /// Ends probes. The target holds the flow if it neither returned the data within the timeout
+    /// nor answered it with a RST, and has sent something since. Other probes are discarded after
+    /// a while.
     pub(super) fn end_probes(&mut self, now: Millis, out: &mut Vec<AgentAction<B>>) {
         let last_activity = self.last_activity;
-        let is_kept = |probe: &Probe| last_activity.is_some_and(|at| at >= probe.returned_by());
+        let is_kept = |probe: &Probe| {
+            let returned_by = probe.returned_by();
+            returned_by.is_some_and(|returned_by| last_activity >= Some(returned_by))
+        };
         let timeout = Millis(self.limits.heartbeat.0 * MISSED_HEARTBEATS);
         let is_over = |probe: &Probe| is_kept(probe) || now.since(probe.since) > timeout;
         let ended: Vec<_> = self
@@ -108,10 +203,3 @@
         }
     }
 }
-
-impl Probe {
-    /// Time by which the target has returned the packet if it does not hold the flow.
-    const fn returned_by(&self) -> Millis {
-        Millis(self.since.0 + RETURN_TIMEOUT.0)
-    }
-}
--- a/crates/core/src/pass_through/conn.rs
+++ b/crates/core/src/pass_through/conn.rs
@@ -157,7 +157,9 @@
             }
             return;
         }
-        self.stage = Stage::Open;
+        if segment.carries_data_or_fin() {
+            self.stage = Stage::Open;
+        }
         if segment.payload > 0 && segment.ack {
             self.target_ack = Some(segment.ack_seq);
         }
--- a/crates/core/tests/pass_through/agent.rs
+++ b/crates/core/tests/pass_through/agent.rs
@@ -58,6 +58,14 @@
     from_caller(agent, now, Offer::Held, flow, ack(TARGET_ISN));
 }
 
+fn rst() -> Segment {
+    Segment {
+        rst: true,
+        seq: TARGET_ISN + 1,
+        ..Segment::default()
+    }
+}
+
 /// Opens a flow and starts a request on it.
 fn start_request(agent: &mut Agent<Bytes>, now: Millis, flow: FlowId) {
     open(agent, now, flow);
@@ -163,6 +171,11 @@
     matches!(actions.as_slice(), [AgentAction::Deliver { .. }])
 }
 
+fn is_sent_to_caller(actions: &Actions) -> bool {
+    let is_sent = |action: &AgentAction<Bytes>| matches!(action, AgentAction::ToCaller { .. });
+    actions.iter().any(is_sent)
+}
+
 fn rejected(actions: &Actions) -> Option<RejectReason> {
     actions.iter().find_map(|action| match action {
         AgentAction::Reject { rejected, .. } => Some(rejected.reason),
@@ -608,13 +621,121 @@
 
     probe_kept_by_a_live_target_finds_the_flow => {
         let mut agent = restarted_agent(START);
-        from_caller(&mut agent, START, Offer::Probe, flow(1), ack(TARGET_ISN));
+        from_caller(&mut agent, START, Offer::Probe, flow(1), request());
         from_target(&mut agent, START.after(Millis(30)), flow(2), response());
         assert_eq!(replies(&tick(&mut agent, START.after(Millis(90)))), [], "the target may still return it");
         from_target(&mut agent, START.after(Millis(95)), flow(2), response());
         assert_eq!(replies(&tick(&mut agent, START.after(Millis(100)))), [Holding::Here]);
     };
 
+    // Guards against the claim of a flow that is open at another target: on a flow that has ended,
+    // a target answers data with a RST and ignores an acknowledgment, and both were taken for the
+    // proof that it holds the flow.
+    probe_that_an_ended_flow_leaves_unanswered_proves_nothing => {
+        let fin = Segment { fin: true, ..request() };
+        for probe in [ack(TARGET_ISN), fin] {
+            let mut agent = restarted_agent(START);
+            from_caller(&mut agent, START, Offer::Probe, flow(1), probe);
+            from_target(&mut agent, START.after(Millis(95)), flow(2), response());
+            let actions = tick_until(&mut agent, START.after(Millis(100)), START.after(Millis(2_500)));
+            assert_eq!(replies(&actions), [], "{probe:?}");
+            assert_eq!(holding(&mut agent, START.after(Millis(2_500)), flow(1)), Holding::Maybe);
+        }
+    };
+
+    // The time for the target's RST begins with the data, whatever was delivered before.
+    data_after_an_acknowledgment_is_a_probe_of_its_own => {
+        let mut agent = restarted_agent(START);
+        from_caller(&mut agent, START, Offer::Probe, flow(1), ack(TARGET_ISN));
+        let later = START.after(Millis(80));
+        from_caller(&mut agent, later, Offer::Probe, flow(1), request());
+        from_target(&mut agent, later.after(Millis(30)), flow(2), response());
+        assert_eq!(replies(&tick(&mut agent, later.after(Millis(40)))), []);
+        from_target(&mut agent, later.after(Millis(70)), flow(2), response());
+        assert_eq!(replies(&tick(&mut agent, later.after(Millis(75)))), [Holding::Here]);
+    };
+
+    // Guards against the claim of a flow that is open at another target, whose agent was restarted
+    // too: the target had given the flow up before it was open, and answered the probe with a RST.
+    rst_of_the_target_shows_that_it_does_not_hold_a_probed_flow => {
+        let mut agent = restarted_agent(START);
+        from_caller(&mut agent, START, Offer::Probe, flow(1), request());
+        let actions = from_target(&mut agent, SOON, flow(1), rst());
+        assert_eq!(replies(&actions), [Holding::No]);
+        assert!(!is_sent_to_caller(&actions), "{actions:?}");
+        assert_eq!(holding(&mut agent, SOON, flow(1)), Holding::No);
+        let later = SOON.after(Millis(200));
+        let actions = from_caller(&mut agent, later, Offer::Held, flow(1), request());
+        assert_eq!(rejected(&actions), Some(RejectReason::NotHeld), "it is not probed again");
+    };
+
+    // Guards against resets of flows that are open at another target, sent by one that is half-open
+    // or has given the flow up.
+    rst_of_a_target_that_is_not_known_to_hold_the_flow_stays_here => {
+        let mut agent = restarted_agent(START);
+        let unknown = from_target(&mut agent, START, flow(1), rst());
+        answer_syn(&mut agent, START, flow(2));
+        let answered = from_target(&mut agent, SOON, flow(2), rst());
+        assert_eq!(replies(&answered), [Holding::No]);
+        let list = FlowList { started_at: 1, flows: vec![ListedFlow { flow: flow(3), seq: 9 }] };
+        agent.inherit(START, list, &mut Vec::new());
+        from_caller(&mut agent, START, Offer::Held, flow(3), request());
+        let presumed = from_target(&mut agent, SOON, flow(3), rst());
+        assert_eq!(replies(&presumed), [Holding::No]);
+        for actions in [unknown, answered, presumed] {
+            assert!(!is_sent_to_caller(&actions), "{actions:?}");
+        }
+        let later = SOON.after(Millis(100));
+        assert_eq!([1, 2, 3].map(|number| holding(&mut agent, later, flow(number))), [Holding::No; 3]);
+    };
+
+    rst_of_the_target_that_holds_the_flow_reaches_the_caller => {
+        let mut agent = restarted_agent(START);
+        open(&mut agent, START, flow(1));
+        from_target(&mut agent, START, flow(2), response());
+        for number in [1, 2] {
+            let actions = from_target(&mut agent, SOON, flow(number), rst());
+            assert!(is_sent_to_caller(&actions), "{actions:?}");
+            assert_ne!(holding(&mut agent, SOON, flow(number)), Holding::Here);
+        }
+    };
+
+    // Another target may accept the flow, so the caller must not give up.
+    syn_answered_with_a_rst_is_offered_elsewhere => {
+        let mut agent = agent(START);
+        from_caller(&mut agent, START, Offer::New, flow(1), syn());
+        let actions = from_target(&mut agent, SOON, flow(1), rst());
+        assert_eq!(rejected(&actions), Some(RejectReason::Returned));
+        assert!(!is_sent_to_caller(&actions), "{actions:?}");
+    };
+
+    // Guards against the claim of a flow that is open at another target: a half-open target repeats
+    // its answer to the SYN, and a target acknowledges a FIN on a flow that has ended.
+    answers_of_a_target_without_the_flow_find_nothing => {
+        let fin = Segment { fin: true, ..ack(TARGET_ISN + 9) };
+        let data = Segment { payload: 100, ..ack(TARGET_ISN + 9) };
+        let acks_fin = Segment { ack: true, seq: TARGET_ISN + 1, ..Segment::default() };
+        for (probe, answer) in [(data, syn_ack(TARGET_ISN)), (fin, acks_fin)] {
+            let mut agent = restarted_agent(START);
+            from_caller(&mut agent, START, Offer::Probe, flow(1), probe);
+            let actions = from_target(&mut agent, SOON, flow(1), answer);
+            assert_eq!(replies(&actions), [], "{answer:?}");
+            assert!(is_sent_to_caller(&actions), "{actions:?}");
+            run_until(&mut agent, SOON, SOON.after(Millis(2_000)));
+            let ended = end_target(&mut agent, SOON.after(Millis(2_000)), End::Leave, 1_000);
+            assert_eq!(resets(&ended), [], "{answer:?}");
+        }
+    };
+
+    acknowledgment_of_data_finds_the_flow => {
+        let mut agent = restarted_agent(START);
+        from_caller(&mut agent, START, Offer::Probe, flow(1), request());
+        let acks_data = Segment { ack: true, seq: TARGET_ISN + 1, ..Segment::default() };
+        let actions = from_target(&mut agent, SOON, flow(1), acks_data);
+        assert_eq!(replies(&actions), [Holding::Here]);
+        assert_eq!(holding(&mut agent, SOON, flow(1)), Holding::Here);
+    };
+
     // An agent claimed a flow because its crashed target had not returned the probe. When the
     // target restarted, the agent reset the flow, although another target held it (soak seed 46).
     probe_of_a_crashed_target_proves_nothing => {
