Claim a flow only once the caller has acknowledged the target

What callers may see: a balancer that searches for a flow is sent to a target that has only answered its SYN, or not even that, although the flow is open at another one. Two such targets in the balancer's failure domain keep it from asking the one that holds the flow. If such a target's agent is stopped with its machine before it rejects the packet, the balancer takes the target for the holder and resets the flow.

An agent answered a balancer's question with "here" for each flow that it tracked. Found by reading.

Change: the agent answers "maybe" until the caller has acknowledged its target's answer, so that the balancer shows it the flow's packet if no other target holds the flow. The agent sends a message to a balancer whose packet has reached the holder, once for each flow and balancer; it ends such a search.

Test: flow_is_claimed_once_the_caller_has_acknowledged_the_targets_answer failed before. flow_returned_by_the_target_is_not_probed_again asked for the claim after the target's answer; it acknowledges the answer first now. holder_of_a_flow_confirms_it_to_each_balancer_once shows the message.

--- a/crates/agent/src/pass_through/traffic.rs
+++ b/crates/agent/src/pass_through/traffic.rs
@@ -10,7 +10,7 @@
 use citronhollow_core::id::{DomainId, GroupId, TargetId};
 use citronhollow_core::members::TargetState;
 use citronhollow_core::pass_through::{
-    Agent, AgentAction, AgentIdentity, AgentLimits, Contacts, Offer,
+    Agent, AgentAction, AgentIdentity, AgentLimits, Contacts, Holding, Offer,
 };
 use citronhollow_operator::decisions::{Decision, DecisionLog, Event};
 use citronhollow_operator::exposition;
@@ -442,6 +442,10 @@
                 let reply = pass_through::reply(self.target_id, &flow, holding);
                 self.peers.send(&Envelope::from(reply), to);
             }
+            AgentAction::Confirm { to, flow } => {
+                let reply = pass_through::reply(self.target_id, &flow, Holding::Here);
+                self.peers.send(&Envelope::from(reply), to);
+            }
             AgentAction::Reset(reset) => {
                 self.send_packet(&packet::reset(&reset), self.caller_addr(reset.flow.caller));
             }
@@ -460,10 +464,13 @@
     }
 }
 
-/// The decision log entry of an action, [`None`] for packets that are merely forwarded.
+/// The decision log entry of an action, [`None`] for packets that are merely forwarded
+/// and for their confirmations.
 fn decision_of(action: &AgentAction<Bytes>) -> Option<Decision> {
     let decision = match action {
-        AgentAction::Deliver { .. } | AgentAction::ToCaller { .. } => return None,
+        AgentAction::Deliver { .. }
+        | AgentAction::ToCaller { .. }
+        | AgentAction::Confirm { .. } => return None,
         AgentAction::Reject {
             to,
             rejected,
--- a/crates/core/src/pass_through/agent.rs
+++ b/crates/core/src/pass_through/agent.rs
@@ -94,6 +94,13 @@
         /// Whether the target holds the flow.
         holding: Holding,
     },
+    /// Tell a balancer that its packet reached the target that holds the flow.
+    Confirm {
+        /// Balancer that sent the packet.
+        to: SocketAddr,
+        /// Flow of the packet.
+        flow: FlowId,
+    },
     /// Reset the caller, because the target has lost the flow.
     Reset(Reset),
     /// Drop the packet.
@@ -283,7 +290,12 @@
         }
         match known {
             Some(conn) if !conn.acks_other_target(&packet.segment) => {
+                let flow = packet.flow;
                 self.schedule(now, &conn, balancer, packet, out);
+                let was_confirmed = conn.is_held() && conn.balancer == Some(balancer);
+                if !was_confirmed || offer == Offer::Probe {
+                    self.confirm_holding(balancer, flow, out);
+                }
             }
             Some(_) => reject(balancer, RejectReason::NotHeld, packet.bytes, out),
             None if self.ended.contains(&packet.flow) => {
@@ -369,8 +381,12 @@
         out: &mut Vec<AgentAction<B>>,
     ) {
         self.detect_pause(now);
-        let holding = if self.conns.contains(&flow) || self.ended.contains(&flow) {
+        let conn = self.conns.get(&flow);
+        let holding = if conn.is_some_and(Conn::is_held) || self.ended.contains(&flow) {
             Holding::Here
+        } else if conn.is_some() {
+            // The target got the SYN, and so may another one have.
+            Holding::Maybe
         } else if self.is_known_not_held(now, &flow) {
             Holding::No
         } else {
@@ -383,6 +399,13 @@
         });
     }
 
+    /// Tells a balancer that has forwarded a packet of the flow if the target holds it.
+    fn confirm_holding(&self, to: SocketAddr, flow: FlowId, out: &mut Vec<AgentAction<B>>) {
+        if self.conns.get(&flow).is_some_and(Conn::is_held) {
+            out.push(AgentAction::Confirm { to, flow });
+        }
+    }
+
     /// Notes that the agent is about to stop. It accepts no new flows from now on.
     pub const fn stop(&mut self) {
         self.is_stopping = true;
--- a/crates/core/tests/pass_through/agent.rs
+++ b/crates/core/tests/pass_through/agent.rs
@@ -792,9 +792,44 @@
         assert_eq!(holding(&mut agent, later, flow(1)), Holding::No);
         from_caller(&mut agent, later, Offer::New, flow(1), syn());
         from_target(&mut agent, later, flow(1), syn_ack(TARGET_ISN));
+        from_caller(&mut agent, later, Offer::Held, flow(1), ack(TARGET_ISN));
         assert_eq!(holding(&mut agent, later, flow(1)), Holding::Here, "a new flow was opened");
     };
 
+    // A balancer that has forwarded a packet learns whether it reached the holder, and a search by
+    // probes ends.
+    holder_of_a_flow_confirms_it_to_each_balancer_once => {
+        let mut agent = agent(START);
+        answer_syn(&mut agent, START, flow(1));
+        let confirmation = |number| AgentAction::Confirm { to: balancer_addr(number), flow: flow(1) };
+        let first = from_caller(&mut agent, START, Offer::Held, flow(1), ack(TARGET_ISN));
+        assert!(first.contains(&confirmation(1)), "{first:?}");
+        let next = from_caller(&mut agent, START, Offer::Held, flow(1), request());
+        assert!(!next.contains(&confirmation(1)), "{next:?}");
+        let mut from_another = Vec::new();
+        let again = packet(flow(1), request());
+        agent.on_packet(SOON, balancer_addr(2), Offer::Held, group(), again, &mut from_another);
+        assert!(from_another.contains(&confirmation(2)), "{from_another:?}");
+        let probe = from_caller(&mut agent, SOON, Offer::Probe, flow(1), request());
+        assert!(probe.contains(&confirmation(1)), "{probe:?}");
+    };
+
+    // Guards against a claim of a flow that is open at another target, which answered a copy of the
+    // SYN: balancers followed it, and reset the flow when this target ended.
+    flow_is_claimed_once_the_caller_has_acknowledged_the_targets_answer => {
+        let mut agent = agent(START);
+        from_caller(&mut agent, START, Offer::New, flow(1), syn());
+        assert_eq!(holding(&mut agent, START, flow(1)), Holding::Maybe);
+        from_target(&mut agent, START, flow(1), syn_ack(TARGET_ISN));
+        assert_eq!(holding(&mut agent, START, flow(1)), Holding::Maybe);
+        let elsewhere = ack(TARGET_ISN + 9);
+        let actions = from_caller(&mut agent, SOON, Offer::Probe, flow(1), elsewhere);
+        assert_eq!(rejected(&actions), Some(RejectReason::NotHeld));
+        assert_eq!(holding(&mut agent, SOON, flow(1)), Holding::Maybe);
+        from_caller(&mut agent, SOON, Offer::Held, flow(1), ack(TARGET_ISN));
+        assert_eq!(holding(&mut agent, SOON, flow(1)), Holding::Here);
+    };
+
     open_flow_that_is_returned_is_reset => {
         let mut agent = agent(START);
         open(&mut agent, START, flow(1));
--- a/crates/core/tests/pass_through/simulation.rs
+++ b/crates/core/tests/pass_through/simulation.rs
@@ -356,6 +356,9 @@
                 AgentAction::Reply { to, flow, holding } => {
                     self.send_to_balancer(from, to, ToBalancer::Reply(flow, holding));
                 }
+                AgentAction::Confirm { to, flow } => {
+                    self.send_to_balancer(from, to, ToBalancer::Reply(flow, Holding::Here));
+                }
                 AgentAction::Reset(reset) => self.on_reset(reset.flow),
             }
         }
