Reset flows of an ended target only if its agent confirmed them

What callers may see: a reset on a flow that another target holds. A balancer offers a SYN to target A, another balancer's copy opens the flow at target B. A packet of the flow comes to the first balancer, which forwards it to A; the rejection is lost, or A's agent is just being restarted. When A leaves later, or its machine is lost, the balancer resets the flow.

A report 200 ms after a forwarded packet was taken for the proof that the target holds the flow, as its agent would have rejected the packet. Found by reading.

Change: the agent's message counts, which it sends when a balancer's packet has reached the holder. Without it, the flow's next packet starts a search.

Test: flow_is_not_reset_if_no_agent_has_confirmed_it failed before.

--- a/crates/core/src/pass_through/balancer.rs
+++ b/crates/core/src/pass_through/balancer.rs
@@ -118,9 +118,9 @@
     caller_ack: Option<u32>,
     /// The caller's last packet carried data, so that it may be waiting for a response.
     may_await_answer: bool,
-    /// A report received at or after this time confirms that the target holds the flow. `None`
-    /// while the flow was only offered: another target may have been quicker to answer another copy
-    /// of the SYN.
+    /// When the agent confirmed that its target holds the flow. `None` while the flow was only
+    /// offered, or forwarded without a confirmation: another target may have been quicker to answer
+    /// another copy of the SYN, and a rejection may be lost.
     held_from: Option<Millis>,
     /// The agent keeps the SYN queued until this time at most.
     waits_until: Option<Millis>,
@@ -353,9 +353,13 @@
         if holding == Holding::Here {
             self.listing.on_claimed(&flow);
         }
-        let known = self.flows.get(&flow).copied();
-        if holding == Holding::No && known.is_some_and(|entry| entry.target == target) {
-            self.flows.remove(&flow);
+        let entry = self.flows.get_mut(&flow);
+        if let Some(entry) = entry.filter(|entry| entry.target == target) {
+            match holding {
+                Holding::Here => _ = entry.held_from.get_or_insert(now),
+                Holding::No => _ = self.flows.remove(&flow),
+                Holding::Maybe | Holding::Waiting => {}
+            }
         }
         if holding == Holding::Waiting {
             let class = self.request_class(&flow).unwrap_or_default();
@@ -438,8 +442,7 @@
 }
 
 impl Entry {
-    /// Whether the target is confirmed to hold the flow: its agent has reported late enough to have
-    /// rejected the flow's packet before, if the target did not hold it.
+    /// Whether the target held the flow when its agent last reported.
     fn is_held(&self, member: &Member) -> bool {
         self.held_from
             .is_some_and(|from| member.last_report >= from)
--- a/crates/core/src/pass_through/balancer/ongoing.rs
+++ b/crates/core/src/pass_through/balancer/ongoing.rs
@@ -23,11 +23,6 @@
 /// One that goes on reporting may serve the next start of its target, whose report was lost.
 const ENDED_AFTER: Millis = Millis(1_000);
 
-/// Time within which an agent rejects a packet of a flow that its target does not hold: a round
-/// trip to another failure domain, plus a scheduling delay of a slow processor at the agent and at
-/// its target.
-const REJECT_WITHIN: Millis = Millis(200);
-
 /// Time for which negative answers about a flow are kept for the caller's next retransmission,
 /// which follows after 1.6 s at most. They stay valid for that long, because a target can get a
 /// flow that it does not hold only by a new SYN.
@@ -113,7 +108,6 @@
             {
                 entry.caller_ack = Some(packet.segment.ack_seq);
                 entry.may_await_answer = packet.segment.payload > 0;
-                entry.held_from.get_or_insert(now.after(REJECT_WITHIN));
             }
             self.flows.touch(now, &packet.flow);
             self.forward(&entry, HELD, &packet.flow, packet.bytes, out);
--- a/crates/core/tests/pass_through/balancer.rs
+++ b/crates/core/tests/pass_through/balancer.rs
@@ -79,6 +79,7 @@
     balancer.set_revision(&next);
     let to = offered_to(&send(&mut balancer, SETTLED, 1, syn()));
     send(&mut balancer, SETTLED, 1, ack(TARGET_ISN));
+    reply(&mut balancer, SETTLED, to, Holding::Here);
     send(&mut balancer, SETTLED, 1, request());
     let later = SETTLED.after(Millis(300));
     balancer.on_report(later, report(1, 5));
@@ -713,6 +714,7 @@
         let mut balancer = with_targets(START);
         let to = offered_to(&send(&mut balancer, START, 1, syn()));
         send(&mut balancer, START, 1, request());
+        reply(&mut balancer, START, to, Holding::Here);
         let later = START.after(Millis(250));
         balancer.on_report(later, ended(to, 2));
         assert_eq!(resets(&send(&mut balancer, later, 1, request())).len(), 1);
@@ -727,6 +729,7 @@
         balancer.on_report(START, next(2, 1));
         let to = offered_to(&send(&mut balancer, START, 1, syn()));
         send(&mut balancer, START, 1, request());
+        reply(&mut balancer, START, to, Holding::Here);
         let later = START.after(Millis(250));
         balancer.on_report(later, next(to, 2));
         // An agent that stops repeats its last report at once.
@@ -809,15 +812,44 @@
         assert_eq!(forwarded(&found), [(agent_addr(first), Offer::Held)]);
     };
 
+    // Guards against the reset of a flow that is open at another target: the agent's rejection was
+    // lost, or nobody got the packet while the agent was restarted, and the target ended later.
+    flow_is_not_reset_if_no_agent_has_confirmed_it => {
+        for is_restarted in [false, true] {
+            for is_announced in [false, true] {
+                let mut balancer = with_targets(START);
+                balancer.on_report(START, report(3, 1));
+                let to = offered_to(&send(&mut balancer, START, 1, syn()));
+                send(&mut balancer, START, 1, ack(TARGET_ISN + 9));
+                let mut all = Vec::new();
+                for step in 1..100 {
+                    let now = START.after(Millis(step * 50));
+                    for number in (1..=3).filter(|number| *number != to || step <= 20) {
+                        let incarnation = if is_restarted && number == to { 2 } else { 1 };
+                        balancer.on_report(now, Report { incarnation, ..report(number, 1 + step) });
+                    }
+                    if is_announced && step == 20 {
+                        let incarnation = if is_restarted { 2 } else { 1 };
+                        balancer.on_report(now, Report { incarnation, ..ended(to, 90) });
+                        all.extend(send(&mut balancer, now, 1, ack(TARGET_ISN + 9)));
+                    }
+                    all.extend(tick(&mut balancer, now));
+                }
+                assert_eq!(resets(&all), [], "{is_restarted} {is_announced}");
+                assert_eq!(question_count(&all) > 0, is_announced, "it is searched");
+            }
+        }
+    };
+
     flows_of_a_lost_machine_are_reset_before_their_next_packet => {
         let mut balancer = with_targets(START);
         balancer.on_report(START, report(3, 1));
         let to = offered_to(&send(&mut balancer, START, 1, syn()));
         send(&mut balancer, START, 1, request());
+        reply(&mut balancer, START, to, Holding::Here);
         let mut all = Vec::new();
         for step in 1..60 {
             let now = START.after(Millis(step * 50));
-            // The agent of the lost machine has had time to reject the packet.
             for number in (1..=3).filter(|number| *number != to || step <= 4) {
                 balancer.on_report(now, report(number, 1 + step));
             }
