Reset flows that a restarted agent has learned of at their target's end

What callers may see: an agent is restarted, as planned. Later its target ends, or its machine is lost. The callers of flows that were idle since get no reset, and their next requests are lost.

Cause: the agent knew these flows from the stored list, or because its target had kept a packet, but not at which sequence number the caller accepts a RST. It also left them out of its own list, so that the stored list lost its idle flows 15 s after a restart of the agent. Found by reading the paths on which flows are reset at the end of a target.

Change: the agent keeps the sequence number of the list or of the probe. A flow that the earlier agent listed was open at the same start of the target, so it counts as open and is listed again.

--- a/crates/core/src/pass_through/agent/list.rs
+++ b/crates/core/src/pass_through/agent/list.rs
@@ -110,10 +110,9 @@
         };
         let is_same_start = |list: &mut FlowList| list.started_at == heartbeat.started_at;
         if let Some(list) = self.inherited.take_if(is_same_start) {
-            for ListedFlow { flow, .. } in list.flows {
+            for ListedFlow { flow, seq } in list.flows {
                 if !self.conns.contains(&flow) {
-                    let conn = Conn::new(now, Stage::Presumed, None);
-                    self.conns.insert(now, flow, conn);
+                    self.conns.insert(now, flow, Conn::listed(seq));
                 }
             }
         } else if self.starts.is_confirmed()
--- a/crates/core/src/pass_through/agent/unknown.rs
+++ b/crates/core/src/pass_through/agent/unknown.rs
@@ -36,6 +36,8 @@
     /// When data without a FIN was delivered first.
     data_at: Option<Millis>,
     has_fin: bool,
+    /// The caller's last acknowledgement.
+    caller_ack: Option<u32>,
 }
 
 impl Probe {
@@ -45,6 +47,7 @@
             since: now,
             data_at: None,
             has_fin: false,
+            caller_ack: None,
         }
     }
 
@@ -54,6 +57,9 @@
             self.data_at.get_or_insert(now);
         }
         self.has_fin |= segment.fin;
+        if segment.ack {
+            self.caller_ack = Some(segment.ack_seq);
+        }
     }
 
     /// Time by which the target has returned the data or answered it with a RST, if it does not hold
@@ -194,7 +200,7 @@
             .filter(|(_, probe)| is_kept(probe))
             .collect();
         for (flow, probe) in ended {
-            let conn = Conn::new(now, Stage::Presumed, Some(probe.balancer));
+            let conn = Conn::presumed(now, probe.balancer, probe.caller_ack);
             if let Some((_, evicted)) = self.conns.insert(now, flow, conn) {
                 self.on_removed(now, &evicted);
             }
--- a/crates/core/src/pass_through/conn.rs
+++ b/crates/core/src/pass_through/conn.rs
@@ -14,7 +14,7 @@
     Answered,
     /// The caller acknowledged the target's SYN-ACK, or the target sent something else.
     Open,
-    /// Presumed open, because the target did not return a packet of the flow.
+    /// Presumed open, because the target kept data of the flow.
     Presumed,
 }
 
@@ -46,7 +46,8 @@
     target_ack: Option<u32>,
     caller_ended: bool,
     target_ended: bool,
-    /// When this agent first tracked the flow, or when the target accepted it.
+    /// When this agent first tracked the flow, or when the target accepted it. Zero for a flow that
+    /// an earlier agent tracked.
     pub(super) since: Millis,
 }
 
@@ -71,6 +72,25 @@
         }
     }
 
+    /// A flow that was open when an earlier agent of the target listed it. The caller accepted a RST
+    /// at `seq`.
+    pub(super) const fn listed(seq: u32) -> Self {
+        let mut conn = Self::new(Millis::ZERO, Stage::Open, None);
+        conn.caller_ack = Some(seq);
+        conn
+    }
+
+    /// A flow whose data the target kept. `caller_ack` is the caller's last acknowledgement.
+    pub(super) const fn presumed(
+        now: Millis,
+        balancer: SocketAddr,
+        caller_ack: Option<u32>,
+    ) -> Self {
+        let mut conn = Self::new(now, Stage::Presumed, Some(balancer));
+        conn.caller_ack = caller_ack;
+        conn
+    }
+
     pub(super) const fn offered(now: Millis, isn: u32, balancer: SocketAddr) -> Self {
         let mut conn = Self::new(now, Stage::Offered, Some(balancer));
         conn.caller_isn = Some(isn);
