Play lost answers to SYNs in the fleet's properties

The property tests of balancers and agents knew a target's flow from its SYN on. They now open flows as callers do, with answers of different numbers, and lose the first answer of some, so that two targets accept the flow; the one that does not get it repeats its answer and gives the flow up after 11 s.

The agent keeps the data of a probe now and returns it to the balancer; the test of the RST asks for that.

--- a/crates/core/src/pass_through/agent.rs
+++ b/crates/core/src/pass_through/agent.rs
@@ -188,7 +188,7 @@
     demand: Demand,
     /// Request classes by service, as sent by balancers with the latest SYN.
     request_classes: LruMap<SocketAddr, RequestClass>,
-    probes: HashMap<FlowId, Probe>,
+    probes: HashMap<FlowId, Probe<B>>,
     /// Flows that the target returned, with the time of the return.
     not_held: LruMap<FlowId, Millis>,
     /// Last heartbeat of the target's current start.
--- a/crates/core/src/pass_through/agent/unknown.rs
+++ b/crates/core/src/pass_through/agent/unknown.rs
@@ -28,33 +28,35 @@
 pub(super) const NOT_HELD_TTL: Millis = Millis::from_secs(30);
 
 /// Packets of an unknown flow that were delivered to find out whether the target holds the flow.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Probe {
+#[derive(Debug)]
+pub(super) struct Probe<B> {
     /// Balancer that sent the last packet.
     pub(super) balancer: SocketAddr,
     since: Millis,
-    /// When data without a FIN was delivered first.
-    data_at: Option<Millis>,
+    /// The last data without a FIN, and when the first was delivered. It is kept to be rejected.
+    data: Option<(Millis, B)>,
     has_fin: bool,
     /// The caller's last acknowledgement.
     caller_ack: Option<u32>,
 }
 
-impl Probe {
+impl<B: Clone> Probe<B> {
     const fn new(now: Millis, balancer: SocketAddr) -> Self {
         Self {
             balancer,
             since: now,
-            data_at: None,
+            data: None,
             has_fin: false,
             caller_ack: None,
         }
     }
 
-    fn on_packet(&mut self, now: Millis, balancer: SocketAddr, segment: &Segment) {
+    fn on_packet(&mut self, now: Millis, balancer: SocketAddr, packet: &Packet<B>) {
+        let segment = packet.segment;
         self.balancer = balancer;
         if segment.payload > 0 && !segment.fin {
-            self.data_at.get_or_insert(now);
+            let since = self.data.take().map_or(now, |(since, _)| since);
+            self.data = Some((since, packet.bytes.clone()));
         }
         self.has_fin |= segment.fin;
         if segment.ack {
@@ -65,13 +67,14 @@
     /// Time by which the target has returned the data or answered it with a RST, if it does not hold
     /// the flow. `None` without data: on a flow that has ended, the target ignores other packets.
     fn returned_by(&self) -> Option<Millis> {
-        self.data_at.map(|at| at.after(RETURN_TIMEOUT))
+        let since = self.data.as_ref().map(|(since, _)| *since);
+        since.map(|since| since.after(RETURN_TIMEOUT))
     }
 
     /// Whether an acknowledgment by the target proves that it holds the flow. The one of a FIN does
     /// not, since the target acknowledges it on a flow that has ended as well.
     const fn proves_by_acknowledgment(&self) -> bool {
-        self.data_at.is_some() && !self.has_fin
+        self.data.is_some() && !self.has_fin
     }
 }
 
@@ -90,7 +93,7 @@
         }
         let probe = Probe::new(now, balancer);
         let probe = self.probes.entry(packet.flow).or_insert(probe);
-        probe.on_packet(now, balancer, &packet.segment);
+        probe.on_packet(now, balancer, &packet);
         let bytes = packet.bytes;
         out.push(AgentAction::Deliver { bytes });
     }
@@ -157,18 +160,19 @@
             return;
         }
         self.not_held.insert(now, flow, now);
-        let probe = self.probes.remove(&flow);
         let syn = self.unanswered_syns.remove(&flow);
+        let probe = self.probes.remove(&flow);
         self.forget(now, &flow);
-        let balancer = probe
-            .map(|probe| probe.balancer)
-            .or_else(|| conn.and_then(|conn| conn.balancer));
-        match (balancer, syn) {
-            (Some(to), Some(syn)) => reject(to, RejectReason::Returned, syn, out),
-            (Some(to), None) => {
-                let holding = Holding::No;
-                out.push(AgentAction::Reply { to, flow, holding });
-            }
+        let (prober, data) = probe.map_or((None, None), |probe| {
+            (Some(probe.balancer), probe.data.map(|(_, bytes)| bytes))
+        });
+        // The caller's packet, which the target has not taken.
+        let syn = syn.map(|bytes| (RejectReason::Returned, bytes));
+        let rejected = syn.or_else(|| data.map(|bytes| (RejectReason::NotHeld, bytes)));
+        let holding = Holding::No;
+        match (prober.or(conn.and_then(|conn| conn.balancer)), rejected) {
+            (Some(to), Some((reason, bytes))) => reject(to, reason, bytes, out),
+            (Some(to), None) => out.push(AgentAction::Reply { to, flow, holding }),
             (None, _) => {}
         }
         drop_ended(flow, out);
@@ -188,12 +192,12 @@
     /// a while.
     pub(super) fn end_probes(&mut self, now: Millis, out: &mut Vec<AgentAction<B>>) {
         let last_activity = self.last_activity;
-        let is_kept = |probe: &Probe| {
+        let is_kept = |probe: &Probe<B>| {
             let returned_by = probe.returned_by();
             returned_by.is_some_and(|returned_by| last_activity >= Some(returned_by))
         };
         let timeout = Millis(self.limits.heartbeat.0 * MISSED_HEARTBEATS);
-        let is_over = |probe: &Probe| is_kept(probe) || now.since(probe.since) > timeout;
+        let is_over = |probe: &Probe<B>| is_kept(probe) || now.since(probe.since) > timeout;
         let ended: Vec<_> = self
             .probes
             .extract_if(|_, probe| is_over(probe))
--- a/crates/core/tests/pass_through/agent.rs
+++ b/crates/core/tests/pass_through/agent.rs
@@ -661,7 +661,7 @@
         let mut agent = restarted_agent(START);
         from_caller(&mut agent, START, Offer::Probe, flow(1), request());
         let actions = from_target(&mut agent, SOON, flow(1), rst());
-        assert_eq!(replies(&actions), [Holding::No]);
+        assert_eq!(rejected(&actions), Some(RejectReason::NotHeld), "the balancer goes on with the packet");
         assert!(!is_sent_to_caller(&actions), "{actions:?}");
         assert_eq!(holding(&mut agent, SOON, flow(1)), Holding::No);
         let later = SOON.after(Millis(200));
--- a/crates/core/tests/pass_through/properties.rs
+++ b/crates/core/tests/pass_through/properties.rs
@@ -11,6 +11,7 @@
 #[derive(Clone, Debug)]
 enum Step {
     Open(u16, u16),
+    OpenAfterALoss(u16, u16, u16),
     Request(u16, u16),
     RestartAgent(u16),
     RestartBalancer(u16),
@@ -26,6 +27,8 @@
     let flows = 0..FLOWS;
     prop_oneof![
         4 => (flows.clone(), 0..BALANCERS).prop_map(|(flow, via)| Step::Open(flow, via)),
+        2 => (flows.clone(), 0..BALANCERS, 0..BALANCERS)
+            .prop_map(|(flow, first, via)| Step::OpenAfterALoss(flow, first, via)),
         8 => (flows, 0..BALANCERS).prop_map(|(flow, via)| Step::Request(flow, via)),
         1 => (0..TARGETS).prop_map(Step::RestartAgent),
         1 => (0..BALANCERS).prop_map(Step::RestartBalancer),
@@ -45,7 +48,10 @@
         match step {
             // Callers use each port once.
             Step::Open(number, via) if opened.insert(*number) => sim.open(*number, *via),
-            Step::Open(..) => {}
+            Step::OpenAfterALoss(number, first, via) if opened.insert(*number) => {
+                sim.open_after_a_loss(*number, *first, *via);
+            }
+            Step::Open(..) | Step::OpenAfterALoss(..) => {}
             Step::Request(number, via) => sim.request(*number, *via),
             Step::RestartAgent(number) => sim.restart_agent(*number),
             Step::RestartBalancer(number) => sim.restart_balancer(*number),
--- a/crates/core/tests/pass_through/simulation.rs
+++ b/crates/core/tests/pass_through/simulation.rs
@@ -1,7 +1,9 @@
 //! Simulates balancers, agents and targets in one process, connected by a message queue.
 //!
 //! Messages arrive in order and without delay, and time advances only between steps. What each
-//! target received and which callers were reset is recorded for the invariants.
+//! target received and which callers were reset is recorded for the invariants. The first answer to
+//! a SYN may be lost, so that several targets accept a flow: the caller acknowledges one of them, and
+//! the others repeat their answers and give the flow up.
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
@@ -16,8 +18,8 @@
 };
 
 use crate::fixture::{
-    Bytes, agent_addr, agent_limits, balancer, balancer_addr, flow, heartbeat, identity, instance,
-    packet, request, response, syn, syn_ack, target_id,
+    Bytes, TARGET_ISN, ack, agent_addr, agent_limits, balancer, balancer_addr, flow, heartbeat,
+    identity, instance, packet, response, syn, syn_ack, target_id,
 };
 
 pub const BALANCERS: u16 = 2;
@@ -28,7 +30,14 @@
 /// Time between two heartbeats of a target, in ms.
 const HEARTBEAT_INTERVAL: u64 = 1_000;
 
+/// Time after which a caller sends a copy of its SYN, in ms.
+const SYN_COPY_AFTER: u64 = 200;
+/// Time between two answers of a target to a SYN, and time after which it gives the flow up, in ms.
+const ANSWER_INTERVAL: u64 = 1_600;
+const GIVES_UP_AFTER: u64 = 11_200;
+
 enum Message {
+    FromCaller(u16, Packet<Bytes>),
     ToAgent(u16, u16, ToAgent),
     ToBalancer(u16, u16, ToBalancer),
 }
@@ -43,11 +52,33 @@
     Reply(FlowId, Holding),
 }
 
+/// State of a flow at a target.
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum Stage {
+    /// The target has answered the SYN, with this sequence number.
+    HalfOpen {
+        isn: u32,
+        since: Millis,
+    },
+    Open,
+    Ended,
+}
+
+/// A caller's end of a flow.
+struct Caller {
+    /// Balancer that gets its SYN and its acknowledgment.
+    via: u16,
+    /// Sequence number of the answer that it has acknowledged.
+    acked_isn: Option<u32>,
+    /// Answers to the SYN are lost.
+    are_answers_lost: bool,
+}
+
 struct Target {
     start_number: u64,
     sequence: u64,
     state: TargetState,
-    flows: HashSet<FlowId>,
+    flows: HashMap<FlowId, Stage>,
     is_running: bool,
     /// Number and sequence of the previous start's last heartbeat.
     previous: Option<(u64, u64)>,
@@ -63,6 +94,9 @@
     agents: Vec<Agent<Bytes>>,
     targets: Vec<Target>,
     queue: VecDeque<Message>,
+    callers: HashMap<FlowId, Caller>,
+    /// Answers to SYNs so far.
+    answers: u32,
     /// The target that holds each open flow.
     pub held: HashMap<FlowId, u16>,
     /// Flows whose caller was reset.
@@ -89,6 +123,8 @@
             agents: Vec::new(),
             targets: Vec::new(),
             queue: VecDeque::new(),
+            callers: HashMap::new(),
+            answers: 0,
             held: HashMap::new(),
             reset: HashSet::new(),
             wrongly_reset: Vec::new(),
@@ -104,7 +140,7 @@
                 start_number: 1,
                 sequence: 0,
                 state: TargetState::Ready,
-                flows: HashSet::new(),
+                flows: HashMap::new(),
                 is_running: true,
                 previous: None,
                 earlier_reports: Vec::new(),
@@ -124,6 +160,7 @@
             if self.now.0.is_multiple_of(REPORT_INTERVAL) {
                 self.report();
             }
+            (0..TARGETS).for_each(|target| self.repeat_answers(target));
             for agent in 0..TARGETS {
                 let mut out = Vec::new();
                 self.agents[usize::from(agent)].on_tick(self.now, &mut out);
@@ -140,14 +177,44 @@
 
     /// Opens a flow through a balancer.
     pub fn open(&mut self, number: u16, via: u16) {
-        self.send(flow(number), syn(), via);
+        let caller = Caller {
+            via,
+            acked_isn: None,
+            are_answers_lost: false,
+        };
+        self.callers.insert(flow(number), caller);
+        self.send(flow(number), syn(), 0, via);
+    }
+
+    /// Opens a flow whose first SYN goes through balancer `first` and gets a lost answer. The copy
+    /// of the SYN goes through balancer `via`.
+    pub fn open_after_a_loss(&mut self, number: u16, first: u16, via: u16) {
+        let caller = Caller {
+            via,
+            acked_isn: None,
+            are_answers_lost: true,
+        };
+        self.callers.insert(flow(number), caller);
+        self.send(flow(number), syn(), 0, first);
+        self.advance(SYN_COPY_AFTER);
+        let caller = self.callers.get_mut(&flow(number));
+        caller.expect("the caller was added").are_answers_lost = false;
+        self.send(flow(number), syn(), 1, via);
     }
 
     /// Sends a request on an open flow through a balancer.
     pub fn request(&mut self, number: u16, via: u16) {
         let flow = flow(number);
-        if self.held.contains_key(&flow) && !self.reset.contains(&flow) {
-            self.send(flow, request(), via);
+        let isn = self.callers.get(&flow).and_then(|caller| caller.acked_isn);
+        if let Some(isn) = isn
+            && self.held.contains_key(&flow)
+            && !self.reset.contains(&flow)
+        {
+            let request = Segment {
+                payload: 100,
+                ..ack(isn)
+            };
+            self.send(flow, request, 0, via);
         }
     }
 
@@ -235,14 +302,41 @@
     /// Whether the flow's target still holds it.
     pub fn is_alive(&self, flow: &FlowId) -> bool {
         let holder = self.held.get(flow);
-        holder.is_some_and(|target| self.targets[usize::from(*target)].flows.contains(flow))
+        holder.is_some_and(|target| {
+            let target = &self.targets[usize::from(*target)];
+            target.flows.get(flow) == Some(&Stage::Open)
+        })
     }
 
-    fn send(&mut self, flow: FlowId, segment: Segment, via: u16) {
+    fn send(&mut self, flow: FlowId, segment: Segment, repeats: u32, via: u16) {
+        self.send_to_balancer_of_caller(packet(flow, segment), repeats, via);
+        self.deliver_messages();
+    }
+
+    fn send_to_balancer_of_caller(&mut self, packet: Packet<Bytes>, repeats: u32, via: u16) {
         let mut out = Vec::new();
-        let packet = packet(flow, segment);
-        self.balancers[usize::from(via)].on_packet(self.now, packet, 0, &mut out);
+        self.balancers[usize::from(via)].on_packet(self.now, packet, repeats, &mut out);
         self.apply_balancer_actions(via, out);
+    }
+
+    /// Lets a target repeat its answers to SYNs that nobody has acknowledged, or give the flows up.
+    fn repeat_answers(&mut self, number: u16) {
+        let now = self.now;
+        let mut repeated = Vec::new();
+        for (flow, stage) in &mut self.targets[usize::from(number)].flows {
+            let Stage::HalfOpen { isn, since } = *stage else {
+                continue;
+            };
+            let age = now.since(since).0;
+            if age >= GIVES_UP_AFTER {
+                *stage = Stage::Ended;
+            } else if age > 0 && age.is_multiple_of(ANSWER_INTERVAL) {
+                repeated.push((*flow, isn));
+            }
+        }
+        for (flow, isn) in repeated {
+            self.on_target_packet(number, flow, syn_ack(isn));
+        }
         self.deliver_messages();
     }
 
@@ -274,6 +368,9 @@
     fn deliver_messages(&mut self) {
         while let Some(message) = self.queue.pop_front() {
             match message {
+                Message::FromCaller(via, packet) => {
+                    self.send_to_balancer_of_caller(packet, 0, via);
+                }
                 Message::ToAgent(from, to, message) => self.agent_receives(from, to, message),
                 Message::ToBalancer(from, to, message) => self.balancer_receives(from, to, message),
             }
@@ -344,7 +441,8 @@
         for action in actions {
             match action {
                 AgentAction::Deliver { bytes } => self.target_receives(from, bytes),
-                AgentAction::ToCaller { .. } | AgentAction::Drop { .. } => {}
+                AgentAction::ToCaller { flow, bytes } => self.caller_receives(from, flow, bytes.1),
+                AgentAction::Drop { .. } => {}
                 AgentAction::Reject {
                     to,
                     rejected,
@@ -374,19 +472,38 @@
         if !target.is_running {
             return;
         }
+        if segment.is_initial_syn() && target.flows.contains_key(&flow) {
+            // A copy of the SYN, as each flow has its own caller's port.
+            if let Some(Stage::HalfOpen { isn, .. }) = target.flows.get(&flow) {
+                let answer = syn_ack(*isn);
+                self.on_target_packet(number, flow, answer);
+            }
+            return;
+        }
         if segment.is_initial_syn() {
             if target.state == TargetState::Draining {
                 self.opened_while_draining += 1;
             }
-            target.flows.insert(flow);
-            self.held.insert(flow, number);
-            self.on_target_packet(number, flow, syn_ack(crate::fixture::TARGET_ISN));
+            self.answers += 1;
+            let isn = TARGET_ISN + self.answers;
+            let since = self.now;
+            target.flows.insert(flow, Stage::HalfOpen { isn, since });
+            self.on_target_packet(number, flow, syn_ack(isn));
             return;
         }
-        if target.flows.contains(&flow) {
+        if let Some(stage) = target.flows.get_mut(&flow)
+            && matches!(*stage, Stage::HalfOpen { isn, .. } if segment.ack_seq == isn + 1)
+        {
+            *stage = Stage::Open;
+            self.held.insert(flow, number);
+        }
+        let stage = target.flows.get(&flow).copied();
+        if stage == Some(Stage::Open) {
             *self.arrived.entry(flow).or_default() += 1;
             self.misrouted.remove(&flow);
-            self.on_target_packet(number, flow, response());
+            if segment.payload > 0 {
+                self.on_target_packet(number, flow, response());
+            }
             return;
         }
         if self.is_alive(&flow) {
@@ -394,6 +511,16 @@
             *misrouted += 1;
             self.max_misrouted = self.max_misrouted.max(*misrouted);
         }
+        if stage == Some(Stage::Ended) {
+            if segment.payload > 0 {
+                let rst = Segment {
+                    rst: true,
+                    ..Segment::default()
+                };
+                self.on_target_packet(number, flow, rst);
+            }
+            return;
+        }
         let mut out = Vec::new();
         let packet = packet(flow, segment);
         self.agents[usize::from(number)].on_returned(self.now, packet, &mut out);
@@ -407,6 +534,26 @@
         self.apply_agent_actions(number, out);
     }
 
+    fn caller_receives(&mut self, from: u16, flow: FlowId, segment: Segment) {
+        if segment.rst {
+            if self.held.get(&flow) != Some(&from) {
+                self.on_reset(flow);
+            }
+            self.reset.insert(flow);
+            return;
+        }
+        let is_reset = self.reset.contains(&flow);
+        let Some(caller) = self.callers.get_mut(&flow).filter(|_| !is_reset) else {
+            return;
+        };
+        if segment.syn && caller.acked_isn.is_none() && !caller.are_answers_lost {
+            caller.acked_isn = Some(segment.seq);
+            let packet = packet(flow, ack(segment.seq));
+            self.queue
+                .push_back(Message::FromCaller(caller.via, packet));
+        }
+    }
+
     fn on_reset(&mut self, flow: FlowId) {
         if self.is_alive(&flow) {
             self.wrongly_reset.push(flow);
