Leave out objects of the store that cannot be read, one by one

What operators saw in systems like ours: another writer leaves one odd entry among those of the servers, nested very deeply or with a number that is too large, and the machines that read the list no longer follow it.

Cause: it happens here. A list, a watch and a single object were parsed as a whole. One value that the parser refuses made every listing of balancers and of agents fail, each watch of the configuration (again and again from the same place, until the history was gone), and the reading and writing of an own object that somebody had written over. No process ended: the parser has a limit of depth. In a running fleet, reports and hellos hide for a while that the lists are no longer followed.

- a page of odd objects only ended the list before its last page, and names were put into paths as they are;
- the configuration was looked for on the first page of its kind only;
- an odd configuration was read again and again; a watch went on behind it only with the next one;
- a port of zero, a start that is no number and an era that has not begun were accepted.
The last one kept the list of agents from being complete.

Change: lists and watches are split into elements first, which needs no valid values, and the specs are parsed one by one. Pages follow one another by name. The odd object is left out, counted, and logged once. The revision of an odd object is known, so that a process can replace its own.

--- a/crates/balancer/src/pass_through/control.rs
+++ b/crates/balancer/src/pass_through/control.rs
@@ -191,12 +191,12 @@
                 store::list_with_revisions(&self.client, EntryKind::Agents, may_be_stale).await;
             let wait = match listed {
                 Ok(found) => {
-                    let is_current = found.iter().all(Listed::is_current);
                     // Agents may be missing right after the store was restored from a backup.
+                    let has_restored = found.iter().any(Listed::is_restored);
                     let is_restored = self.client.eras().latest() != era;
                     let command = Command::Agents {
                         listed: agents(found),
-                        is_complete: is_listed && !may_be_stale && is_current,
+                        is_complete: is_listed && !may_be_stale && !has_restored,
                         requested_at: request.filter(|_| !may_be_stale && !is_restored),
                     };
                     let _ = self.commands.send(command);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,3 +24,4 @@
 pub mod pass_through;
 pub mod publisher;
 pub mod routes;
+pub mod unusable;
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -1,5 +1,6 @@
 //! HTTP client of the object service.
 
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -7,6 +8,7 @@
 
 use citronhollow_core::clock::Millis;
 use citronhollow_core::publisher::{Listing, Object};
+use citronhollow_core::unusable::UnusableInputs;
 use log::{debug, warn};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -55,6 +57,7 @@
     counters: Arc<CallCounters>,
     budget: Arc<RetryBudget>,
     eras: Arc<Eras>,
+    unusable: Arc<UnusableInputs>,
     /// Whether the warning about a missing or unreadable era has been logged.
     has_warned: Arc<AtomicBool>,
 }
@@ -96,10 +99,31 @@
             counters: Arc::default(),
             budget: Arc::default(),
             eras: Arc::default(),
+            unusable: Arc::default(),
             has_warned: Arc::default(),
         }
     }
 
+    /// Counts objects that cannot be read in `unusable`.
+    #[must_use]
+    pub fn counting_unusable(mut self, unusable: Arc<UnusableInputs>) -> Self {
+        self.unusable = unusable;
+        self
+    }
+
+    /// Counter of the objects that this client and its clones could not read.
+    #[must_use]
+    pub fn unusable(&self) -> &UnusableInputs {
+        &self.unusable
+    }
+
+    /// Counts an object that cannot be read, and logs the first of each subject.
+    pub fn on_unusable(&self, subject: &str, reason: &dyn Display) {
+        if self.unusable.count(&subject) {
+            warn!("platform: {subject} is left out: {reason}");
+        }
+    }
+
     /// Counters of the calls sent by this client and its clones.
     #[must_use]
     pub fn counters(&self) -> &CallCounters {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod client;
 pub mod counters;
 pub mod drafts;
+pub mod elements;
 pub mod era;
 pub mod error;
 pub mod protocol;
