Leave out odd heartbeats and messages, logged once and counted

What callers may see: an agent that another writer sends a request class with huge times, or a balancer that gets a report with a huge interval, computes with numbers that overflow. Others wrote a line for each odd input, four a second for a report.

Cause: heartbeats and messages were checked for their form, not for their values, and each odd one was logged.

Change: times of reports and request classes out of range, and addresses that no process can have, are left out like messages that do not parse. Each is counted in the new metric citronhollow_unusable_inputs_total, with the objects of the store, and the first one of each sender and kind is logged.

--- a/crates/agent/src/pass_through/control.rs
+++ b/crates/agent/src/pass_through/control.rs
@@ -1,12 +1,14 @@
 //! The control thread of an agent: heartbeats of the target, discovery of balancers, and the
 //! agent's entries in the platform's store.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use citronhollow_adapter::heartbeat;
 use citronhollow_adapter::store::{self, Entry, EntryKind, Version};
 use citronhollow_core::id::InstanceId;
 use citronhollow_core::pass_through::FlowList;
+use citronhollow_core::unusable::UnusableInputs;
 use citronhollow_operator::listener;
 use citronhollow_platform::Client;
 use citronhollow_platform::registration::{self, Registration};
@@ -44,9 +46,10 @@
     listener: TcpListener,
     group: String,
     commands: UnboundedSender<Command>,
+    unusable: Arc<UnusableInputs>,
 ) {
     let serve = |incoming| {
-        let router = router(group.clone(), commands.clone());
+        let router = router(group.clone(), commands.clone(), Arc::clone(&unusable));
         Server::new(router).run(incoming)
     };
     if let Err(err) = listener::serve(listener, serve).await {
@@ -54,11 +57,28 @@
     }
 }
 
-fn router(group: String, commands: UnboundedSender<Command>) -> Router {
+fn router(
+    group: String,
+    commands: UnboundedSender<Command>,
+    unusable: Arc<UnusableInputs>,
+) -> Router {
     let leaving = commands.clone();
     let announce = move |PathParams(name): PathParams<String>, body: Vec<u8>| {
         let (group, commands) = (group.clone(), commands.clone());
-        async move { announce(&name, &body, &group, &commands).await }
+        let unusable = Arc::clone(&unusable);
+        async move {
+            match heartbeat::parse(&name, &body, &group) {
+                Ok(heartbeat) => {
+                    apply(&commands, |applied| Command::Heartbeat(heartbeat, applied)).await
+                }
+                Err(err) => {
+                    if unusable.count(&(&name, err.to_string())) {
+                        log::warn!("target: heartbeat of {name} is left out: {err}");
+                    }
+                    (StatusCode::BAD_REQUEST, "{}")
+                }
+            }
+        }
     };
     let leave = move |PathParams(name): PathParams<String>| {
         let commands = leaving.clone();
@@ -68,21 +88,6 @@
     Router::new().route(heartbeat::ROUTE, put(announce).delete(leave))
 }
 
-async fn announce(
-    name: &str,
-    body: &[u8],
-    group: &str,
-    commands: &UnboundedSender<Command>,
-) -> (StatusCode, &'static str) {
-    match heartbeat::parse(name, body, group) {
-        Ok(heartbeat) => apply(commands, |applied| Command::Heartbeat(heartbeat, applied)).await,
-        Err(err) => {
-            log::warn!("target: {err}");
-            (StatusCode::BAD_REQUEST, "{}")
-        }
-    }
-}
-
 /// Sends a command to the traffic thread and answers the target once the command is applied.
 ///
 /// Answers 503 if that takes longer than [`APPLY_TIMEOUT`].
--- a/crates/agent/src/pass_through/run.rs
+++ b/crates/agent/src/pass_through/run.rs
@@ -4,15 +4,17 @@
 //! the target has no request in progress. A target that keeps running without its agent keeps its
 //! flows, and the next agent recovers them from the stored list.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use citronhollow_adapter::READY_PATH;
 use citronhollow_adapter::store::{self, Entry, EntryKind, Version};
 use citronhollow_core::clock::Millis;
 use citronhollow_core::members::TargetState;
+use citronhollow_core::unusable::UnusableInputs;
 use citronhollow_operator::decisions::{Decision, DecisionLog, Event};
 use citronhollow_operator::failure::Failure;
-use citronhollow_operator::{logging, probe, reload, stop, worker};
+use citronhollow_operator::{exposition, logging, probe, reload, stop, worker};
 use citronhollow_platform::client::{Client, ClientConfig};
 use prometheus::Registry;
 use tokio::signal::unix::Signal;
@@ -46,14 +48,19 @@
     let (commands, commands_rx) = mpsc::unbounded_channel();
     let (advertised_era, advertised_era_rx) = watch::channel(0);
     let registry = Registry::new();
+    let unusable = exposition::unusable_inputs(&registry);
     let decisions = DecisionLog::start(&settings.name, &registry, std::io::stdout());
     let thread = {
         let settings = settings.clone();
         let keys = checked.keys().clone();
         let (decisions, registry) = (decisions.clone(), registry.clone());
+        let unusable = Arc::clone(&unusable);
         worker::spawn_traffic(
             "target_listen, peer_listen",
-            move || Traffic::bind(&settings, keys, advertised_era, (decisions, &registry)),
+            move || {
+                let telemetry = (decisions, &registry);
+                Traffic::bind(&settings, keys, advertised_era, telemetry, unusable)
+            },
             move |traffic| traffic.run(commands_rx),
         )?
     };
@@ -61,7 +68,7 @@
         (path, hangup),
         checked,
         (commands.clone(), advertised_era_rx),
-        (decisions, registry),
+        (decisions, registry, unusable),
     ));
     // Sending fails if the thread has already ended.
     let _ = commands.send(Command::Stop);
@@ -76,7 +83,7 @@
     (path, hangup): (&str, Signal),
     checked: &Checked,
     (commands, advertised_era): (mpsc::UnboundedSender<Command>, watch::Receiver<u64>),
-    (mut decisions, registry): (DecisionLog, Registry),
+    (mut decisions, registry, unusable): (DecisionLog, Registry, Arc<UnusableInputs>),
 ) -> Result<(), Failure> {
     let settings = checked.settings();
     let mut stop = stop::on_signal()?;
@@ -97,12 +104,14 @@
         heartbeats,
         group,
         commands.clone(),
+        Arc::clone(&unusable),
     ));
     let client = Client::new(ClientConfig {
         timeout: CALL_TIMEOUT,
         era_header: Some(store::ERA_HEADER),
         ..ClientConfig::new(settings.platform)
-    });
+    })
+    .counting_unusable(unusable);
     // Sending fails only when the traffic thread has ended, while the process exits.
     let _ = commands.send(Command::Balancers(settings.seed_balancers()));
     let registered = watch::channel(None).0;
--- a/crates/agent/src/pass_through/traffic.rs
+++ b/crates/agent/src/pass_through/traffic.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -12,11 +13,12 @@
 use citronhollow_core::pass_through::{
     Agent, AgentAction, AgentIdentity, AgentLimits, Contacts, Holding, Offer,
 };
+use citronhollow_core::unusable::UnusableInputs;
 use citronhollow_operator::decisions::{Decision, DecisionLog, Event};
 use citronhollow_operator::exposition;
-use citronhollow_peer::datagram::{Datagrams, MessageSocket};
-use citronhollow_peer::message::Forward;
-use citronhollow_peer::{Body, Envelope, Keyring, addr_from_bytes, pass_through};
+use citronhollow_peer::datagram::{Datagrams, MessageSocket, log_unusable};
+use citronhollow_peer::message::{Forward, Hello};
+use citronhollow_peer::{Body, Envelope, Keyring, pass_through, process_addr_from_bytes};
 use prometheus::{IntGauge, Registry};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::{oneshot, watch};
@@ -71,6 +73,7 @@
     actions: Vec<AgentAction<Bytes>>,
     decisions: DecisionLog,
     gauges: Gauges,
+    unusable: Arc<UnusableInputs>,
 }
 
 /// Gauges of the target's state.
@@ -103,6 +106,7 @@
         keys: Keyring,
         advertised_era: watch::Sender<u64>,
         (decisions, registry): (DecisionLog, &Registry),
+        unusable: Arc<UnusableInputs>,
     ) -> io::Result<Self> {
         let limits = AgentLimits {
             flows: FLOWS_MAX,
@@ -121,7 +125,8 @@
             target_id: identity.target,
             caller_port: settings.fabric_listen.port(),
             from_target: Datagrams::bind(settings.target_listen)?,
-            peers: MessageSocket::bind(settings.peer_listen, keys)?,
+            peers: MessageSocket::bind(settings.peer_listen, keys)?
+                .counting_unusable(Arc::clone(&unusable)),
             started_at: Instant::now(),
             agent: Agent::new(Millis::ZERO, identity, limits),
             contacts: Contacts::default(),
@@ -137,6 +142,7 @@
             actions: Vec::new(),
             decisions,
             gauges: Gauges::new(registry),
+            unusable,
         })
     }
 
@@ -332,7 +338,10 @@
                 Ok(FromTarget::Returned(packet)) => {
                     self.update(|agent, out| agent.on_returned(now, packet, out));
                 }
-                Err(err) => log::warn!("target: packet dropped: {err}"),
+                Err(err) if self.unusable.count(&"target") => {
+                    log::warn!("target: packet is left out: {err}");
+                }
+                Err(_) => {}
             }
         }
     }
@@ -352,37 +361,46 @@
                     Ok(flow) => {
                         self.update(|agent, out| agent.on_question(now, from, flow, out));
                     }
-                    Err(err) => log::warn!("peer: question from {from} dropped: {err}"),
+                    Err(err) => log_unusable(&self.unusable, from, "question", &err),
                 }
             }
-            Some(Body::Hello(hello)) => match addr_from_bytes(&hello.balancer) {
-                Ok(balancer) => {
-                    let domain = DomainId(hello.domain);
-                    self.advertised_era.send_if_modified(|advertised| {
-                        let is_later = hello.store_era > *advertised;
-                        *advertised = hello.store_era.max(*advertised);
-                        is_later
-                    });
-                    if self.contacts.on_hello(now, balancer, domain) {
-                        self.send_first_report(now, balancer);
-                    }
-                    for other in pass_through::named_balancers(&hello) {
-                        self.on_advertised(now, other);
-                    }
-                }
-                Err(err) => log::warn!("peer: hello from {from} dropped: {err}"),
+            Some(Body::Hello(hello)) => match process_addr_from_bytes(&hello.balancer) {
+                Ok(balancer) => self.on_hello(now, &hello, balancer, from),
+                Err(err) => log_unusable(&self.unusable, from, "hello", &err),
             },
             _ => log::debug!("peer: message from {from} is not for an agent"),
         }
     }
 
+    fn on_hello(&mut self, now: Millis, hello: &Hello, balancer: SocketAddr, from: SocketAddr) {
+        self.advertised_era.send_if_modified(|advertised| {
+            let is_later = hello.store_era > *advertised;
+            *advertised = hello.store_era.max(*advertised);
+            is_later
+        });
+        let domain = DomainId(hello.domain);
+        if self.contacts.on_hello(now, balancer, domain) {
+            self.send_first_report(now, balancer);
+        }
+        for other in pass_through::named_balancers(hello) {
+            match other {
+                Ok(other) => self.on_advertised(now, other),
+                Err(err) => log_unusable(&self.unusable, from, "address in a hello", &err),
+            }
+        }
+    }
+
     fn on_forward(&mut self, now: Millis, forward: Forward, from: SocketAddr) {
         let Some(offer) = pass_through::offer_from_message(&forward) else {
-            log::warn!("peer: packet from {from} dropped: unknown offer");
+            log_unusable(&self.unusable, from, "packet", &"unknown offer");
             return;
         };
         let group = GroupId(forward.group);
         let class = pass_through::request_class_from_message(&forward);
+        let class = class.unwrap_or_else(|err| {
+            log_unusable(&self.unusable, from, "request class", &err);
+            None
+        });
         let age = Millis(forward.age_ms);
         match packet::from_caller(forward.packet) {
             Ok(mut caller) => {
@@ -393,7 +411,7 @@
                 }
                 self.on_caller(now, from, offer, group, caller.packet);
             }
-            Err(err) => log::warn!("peer: packet from {from} dropped: {err}"),
+            Err(err) => log_unusable(&self.unusable, from, "packet", &err),
         }
     }
 
--- a/crates/balancer/src/pass_through/control.rs
+++ b/crates/balancer/src/pass_through/control.rs
@@ -12,6 +12,7 @@
 use citronhollow_core::id::TargetId;
 use citronhollow_core::pass_through::Abandoned;
 use citronhollow_operator::decisions::{self, Decision, DecisionLog};
+use citronhollow_peer::datagram::log_unusable;
 use citronhollow_peer::message::{RevisionReply, RevisionRequest};
 use citronhollow_peer::{Body, Keyring, exchange};
 use citronhollow_platform::registration::{self, Registration};
@@ -284,7 +285,7 @@
                 Ok(Body::RevisionReply(reply)) if !reply.json.is_empty() => {
                     match serde_json::from_slice(&reply.json) {
                         Ok(revision) => self.apply_revision(revision),
-                        Err(err) => log::warn!("peer: revision from {at} does not parse: {err}"),
+                        Err(err) => log_unusable(self.client.unusable(), at, "revision", &err),
                     }
                 }
                 Ok(_) => {}
--- a/crates/balancer/src/pass_through/run.rs
+++ b/crates/balancer/src/pass_through/run.rs
@@ -11,9 +11,10 @@
 use citronhollow_adapter::store::{self, Entry, EntryKind, Version};
 use citronhollow_core::clock::Millis;
 use citronhollow_core::config::Revision;
+use citronhollow_core::unusable::UnusableInputs;
 use citronhollow_operator::decisions::{Decision, DecisionLog, Event};
 use citronhollow_operator::failure::Failure;
-use citronhollow_operator::{logging, probe, reload, stop, worker};
+use citronhollow_operator::{exposition, logging, probe, reload, stop, worker};
 use citronhollow_platform::client::{Client, ClientConfig};
 use prometheus::Registry;
 use tokio::signal::unix::Signal;
@@ -57,6 +58,7 @@
     let started = Instant::now();
     let shared = Arc::new(Shared::default());
     let registry = Registry::new();
+    let unusable = exposition::unusable_inputs(&registry);
     let decisions = DecisionLog::start(&settings.name, &registry, std::io::stdout());
     let (commands, commands_rx) = mpsc::unbounded_channel();
     let (events, events_rx) = mpsc::unbounded_channel();
@@ -66,12 +68,14 @@
         let keys = checked.keys().clone();
         let shared = Arc::clone(&shared);
         let telemetry = (decisions.clone(), registry.clone());
+        let unusable = Arc::clone(&unusable);
         worker::spawn_traffic(
             "fabric_listen, peer_listen",
             move || {
                 let (decisions, registry) = telemetry;
                 let telemetry = (decisions, &registry);
                 let senders = (events, list_requests);
+                let shared = (shared, unusable);
                 Traffic::bind(&settings, keys, started, shared, senders, telemetry)
             },
             move |traffic| traffic.run(commands_rx),
@@ -85,6 +89,7 @@
         shared: &shared,
         registry,
         decisions,
+        unusable,
     };
     let receivers = (events_rx, list_requests_rx);
     let outcome = runtime.block_on(control(process, commands.clone(), receivers));
@@ -106,6 +111,7 @@
     shared: &'a Arc<Shared>,
     registry: Registry,
     decisions: DecisionLog,
+    unusable: Arc<UnusableInputs>,
 }
 
 async fn control(
@@ -124,6 +130,7 @@
         shared,
         registry,
         mut decisions,
+        unusable,
     } = process;
     let settings = checked.settings();
     let mut stop = stop::on_signal()?;
@@ -149,7 +156,8 @@
         timeout: CALL_TIMEOUT,
         watch_margin: WATCH_MARGIN,
         era_header: Some(store::ERA_HEADER),
-    });
+    })
+    .counting_unusable(unusable);
     let own = Entry {
         name: settings.name.clone(),
         address: settings.peer_listen,
--- a/crates/balancer/src/pass_through/traffic.rs
+++ b/crates/balancer/src/pass_through/traffic.rs
@@ -15,11 +15,14 @@
 use citronhollow_core::pass_through::{
     Balancer, BalancerAction, BalancerLimits, Contacts, Offer, Report,
 };
+use citronhollow_core::unusable::UnusableInputs;
 use citronhollow_operator::decisions::{self, Decision, DecisionLog};
 use citronhollow_operator::exposition;
-use citronhollow_peer::datagram::{Datagrams, MessageSocket};
-use citronhollow_peer::message::{Hello, TargetReports};
-use citronhollow_peer::{Body, Envelope, Keyring, addr_from_bytes, addr_to_bytes, pass_through};
+use citronhollow_peer::datagram::{Datagrams, MessageSocket, log_unusable};
+use citronhollow_peer::message::{Hello, TargetReport, TargetReports};
+use citronhollow_peer::{
+    Body, Envelope, Keyring, addr_to_bytes, pass_through, process_addr_from_bytes,
+};
 use prometheus::{IntGauge, Registry};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::watch;
@@ -78,6 +81,7 @@
     actions: Vec<BalancerAction<Bytes>>,
     decisions: DecisionLog,
     gauges: Gauges,
+    unusable: Arc<UnusableInputs>,
 }
 
 /// Gauges that the metrics page shows.
@@ -104,7 +108,7 @@
         settings: &Settings,
         keys: Keyring,
         started: Instant,
-        shared: Arc<Shared>,
+        (shared, unusable): (Arc<Shared>, Arc<UnusableInputs>),
         (events, list_requests): (UnboundedSender<Event>, watch::Sender<Option<Millis>>),
         (decisions, registry): (DecisionLog, &Registry),
     ) -> io::Result<Self> {
@@ -120,7 +124,8 @@
             domain,
             caller_port: settings.fabric_listen.port(),
             fabric: Datagrams::bind(settings.fabric_listen)?,
-            peers: MessageSocket::bind(settings.peer_listen, keys)?,
+            peers: MessageSocket::bind(settings.peer_listen, keys)?
+                .counting_unusable(Arc::clone(&unusable)),
             started,
             balancer: Balancer::new(Millis::ZERO, domain, limits, rand::random()),
             contacts: Contacts::default(),
@@ -132,6 +137,7 @@
             actions: Vec::new(),
             decisions,
             gauges: Gauges::new(registry),
+            unusable,
         })
     }
 
@@ -317,7 +323,7 @@
         let now = self.now();
         match envelope.body {
             Some(Body::TargetReport(message)) => {
-                if let Some(report) = decoded(&message, from)
+                if let Some(report) = self.decoded(&message, from)
                     && self.balancer.on_report(now, report)
                 {
                     // It lists other balancers, to which the agent may be unknown as well.
@@ -333,16 +339,18 @@
                     Ok(caller) => self.decide(|balancer, out| {
                         balancer.on_reject(now, target, rejected, caller.packet, out);
                     }),
-                    Err(err) => log::warn!("peer: packet from {from} dropped: {err}"),
+                    Err(err) => log_unusable(&self.unusable, from, "packet", &err),
                 }
             }
             Some(Body::Reply(reply)) => {
                 let flow = pass_through::flow_from_message(&reply.caller, &reply.service);
                 let holding = pass_through::holding_from_message(&reply);
-                if let (Ok(flow), Some(holding)) = (flow, holding) {
-                    self.decide(|balancer, out| {
+                match (flow, holding) {
+                    (Ok(flow), Some(holding)) => self.decide(|balancer, out| {
                         balancer.on_reply(now, TargetId(reply.sender), flow, holding, out);
-                    });
+                    }),
+                    (Err(err), _) => log_unusable(&self.unusable, from, "reply", &err),
+                    (_, None) => log_unusable(&self.unusable, from, "reply", &"unknown answer"),
                 }
             }
             Some(Body::Hello(hello)) => self.on_hello(&hello, from),
@@ -352,15 +360,21 @@
     }
 
     fn on_hello(&mut self, hello: &Hello, from: SocketAddr) {
-        let Ok(addr) = addr_from_bytes(&hello.balancer) else {
-            log::warn!("peer: hello from {from} has no address");
-            return;
+        let addr = match process_addr_from_bytes(&hello.balancer) {
+            Ok(addr) => addr,
+            Err(err) => return log_unusable(&self.unusable, from, "hello", &err),
         };
         let now = self.now();
         if self.contacts.on_message(now, addr) {
             self.peers.send(&self.hello(false), addr);
         }
-        let others: Vec<_> = pass_through::named_balancers(hello).collect();
+        let others = pass_through::named_balancers(hello);
+        let others = others.filter_map(|other| {
+            other
+                .map_err(|err| log_unusable(&self.unusable, from, "address in a hello", &err))
+                .ok()
+        });
+        let others: Vec<_> = others.collect();
         self.send_hello_to_new(&others);
         if hello.wants_reports {
             self.send_reports(addr);
@@ -375,6 +389,13 @@
         }
     }
 
+    fn decoded(&self, message: &TargetReport, from: SocketAddr) -> Option<Report> {
+        let report = pass_through::report_from_message(message);
+        report
+            .map_err(|err| log_unusable(&self.unusable, from, "report", &err))
+            .ok()
+    }
+
     fn send_reports(&mut self, to: SocketAddr) {
         let reports: Vec<_> = self
             .balancer
@@ -392,7 +413,7 @@
     fn on_reports(&mut self, reports: &TargetReports, from: SocketAddr) {
         let now = self.now();
         for message in &reports.reports {
-            let Some(report) = decoded(message, from) else {
+            let Some(report) = self.decoded(message, from) else {
                 continue;
             };
             if self.balancer.on_report(now, report) {
@@ -454,16 +475,6 @@
     }
 }
 
-fn decoded(message: &citronhollow_peer::message::TargetReport, from: SocketAddr) -> Option<Report> {
-    match pass_through::report_from_message(message) {
-        Ok(report) => Some(report),
-        Err(err) => {
-            log::warn!("peer: report from {from} dropped: {err}");
-            None
-        }
-    }
-}
-
 /// The decision log entry for an action, `None` for packets of a known flow.
 fn decision_of(action: &BalancerAction<Bytes>) -> Option<Decision> {
     let decision = match action {
--- a/crates/peer/src/addr.rs
+++ b/crates/peer/src/addr.rs
@@ -8,10 +8,16 @@
 const V4_LEN: usize = 4 + 2;
 const V6_LEN: usize = 16 + 2;
 
-/// Byte string whose length is not that of a socket address.
+/// Error in the address of a message.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
-#[error("{0} bytes are not a socket address, expected 6 or 18")]
-pub struct AddrError(usize);
+pub enum AddrError {
+    /// The length of the byte string is not that of a socket address.
+    #[error("{0} bytes are not a socket address, expected 6 or 18")]
+    Length(usize),
+    /// No process can have the address.
+    #[error("{0} is not the address of a process")]
+    Unusable(SocketAddr),
+}
 
 /// Encodes an address.
 #[must_use]
@@ -29,9 +35,9 @@
 ///
 /// # Errors
 ///
-/// [`AddrError`] if the length is that of neither an IPv4 nor an IPv6 address with a port.
+/// [`AddrError::Length`] if it is that of neither an IPv4 nor an IPv6 address with a port.
 pub fn addr_from_bytes(bytes: &[u8]) -> Result<SocketAddr, AddrError> {
-    let error = AddrError(bytes.len());
+    let error = AddrError::Length(bytes.len());
     let (ip, port) = bytes.split_last_chunk::<2>().ok_or(error)?;
     let ip = match bytes.len() {
         V4_LEN => {
@@ -46,3 +52,16 @@
     };
     Ok(SocketAddr::new(ip, u16::from_be_bytes(*port)))
 }
+
+/// Decodes the address at which a process receives messages.
+///
+/// # Errors
+///
+/// [`AddrError`] if it is not an address, or one to which nothing can be sent.
+pub fn process_addr_from_bytes(bytes: &[u8]) -> Result<SocketAddr, AddrError> {
+    let addr = addr_from_bytes(bytes)?;
+    if addr.port() == 0 || addr.ip().is_unspecified() || addr.ip().is_multicast() {
+        return Err(AddrError::Unusable(addr));
+    }
+    Ok(addr)
+}
--- a/crates/peer/src/datagram.rs
+++ b/crates/peer/src/datagram.rs
@@ -2,8 +2,10 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
+use citronhollow_core::unusable::UnusableInputs;
 use tokio::net::UdpSocket;
 
 use crate::codec::Codec;
@@ -82,6 +84,7 @@
     datagrams: Datagrams,
     codec: Codec,
     frame: BytesMut,
+    unusable: Arc<UnusableInputs>,
 }
 
 impl MessageSocket {
@@ -95,9 +98,17 @@
             datagrams: Datagrams::bind(address)?,
             codec: Codec::new(keys),
             frame: BytesMut::new(),
+            unusable: Arc::default(),
         })
     }
 
+    /// Counts invalid frames in `unusable`.
+    #[must_use]
+    pub fn counting_unusable(mut self, unusable: Arc<UnusableInputs>) -> Self {
+        self.unusable = unusable;
+        self
+    }
+
     /// Waits until the socket is readable.
     ///
     /// # Errors
@@ -107,15 +118,15 @@
         self.datagrams.readable().await
     }
 
-    /// Reads the messages that have arrived, at most one batch. Invalid frames are logged and
-    /// skipped.
+    /// Reads the messages that have arrived, at most one batch. Invalid frames are counted and left
+    /// out.
     pub fn read(&mut self) -> Vec<(Envelope, SocketAddr)> {
         let batch = self.datagrams.read();
         let valid = batch.into_iter().filter_map(|(frame, from)| {
             let opened = self.codec.open(&frame);
             opened
                 .map(|envelope| (envelope, from))
-                .map_err(|err| log::warn!("peer: message from {from} dropped: {err}"))
+                .map_err(|err| log_unusable(&self.unusable, from, "message", &err))
                 .ok()
         });
         valid.collect()
@@ -141,3 +152,15 @@
         }
     }
 }
+
+/// Counts an input of a process that cannot be used, and logs the first of its kind from there.
+pub fn log_unusable(
+    unusable: &UnusableInputs,
+    from: SocketAddr,
+    input: &str,
+    reason: &dyn std::fmt::Display,
+) {
+    if unusable.count(&(from, input)) {
+        log::warn!("peer: {input} from {from} is left out: {reason}");
+    }
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -16,7 +16,7 @@
 pub mod message;
 pub mod pass_through;
 
-pub use addr::{AddrError, addr_from_bytes, addr_to_bytes};
+pub use addr::{AddrError, addr_from_bytes, addr_to_bytes, process_addr_from_bytes};
 pub use codec::{Codec, CodecError, MAX_DATAGRAM, MAX_STREAM_FRAME, StreamCodec};
 pub use key::{Key, KeyError, Keyring};
 pub use members::{
--- a/crates/peer/src/members.rs
+++ b/crates/peer/src/members.rs
@@ -28,6 +28,9 @@
     /// The number of slots exceeds that of any target.
     #[error("{0} slots are out of range")]
     Slots(u32),
+    /// The time between two reports is longer than that of any agent.
+    #[error("time of {0} between two reports is out of range")]
+    Interval(Millis),
 }
 
 /// Encodes an update of a target.
--- a/crates/peer/src/pass_through.rs
+++ b/crates/peer/src/pass_through.rs
@@ -4,15 +4,19 @@
 
 use bytes::Bytes;
 use citronhollow_core::clock::Millis;
-use citronhollow_core::config::{MAX_PRIORITY, RequestClass};
+use citronhollow_core::config::{RequestClass, request_class_problems};
 use citronhollow_core::flow::FlowId;
 use citronhollow_core::id::{DomainId, GroupId, TargetId};
 use citronhollow_core::pass_through::{Holding, Offer, RejectReason, Rejected, Report};
+use thiserror::Error;
 
-use crate::addr::{AddrError, addr_from_bytes, addr_to_bytes};
+use crate::addr::{AddrError, addr_from_bytes, addr_to_bytes, process_addr_from_bytes};
 use crate::members::{RecordError, state_from_number, state_to_number};
 use crate::message::{self, Body, Forward, Hello, Question, Reject, Reply, TargetReport};
 
+/// Longest time between two reports that is accepted from an agent.
+const REPORT_INTERVAL_MAX: Millis = Millis::from_secs(60);
+
 /// Encodes the message that forwards a packet to an agent, without the packet itself.
 #[must_use]
 pub fn offer_to_message(offer: Offer, group: GroupId, class: Option<RequestClass>) -> Forward {
@@ -47,16 +51,33 @@
     }
 }
 
+/// Request class whose values no balancer sends.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+#[error("request class is out of range")]
+pub struct RequestClassError;
+
 /// Decodes the request class of a new flow, none for an established flow.
-#[must_use]
-pub fn request_class_from_message(forward: &Forward) -> Option<RequestClass> {
-    let class = forward.request_class?;
-    Some(RequestClass {
+///
+/// # Errors
+///
+/// [`RequestClassError`] if a value is out of range.
+pub fn request_class_from_message(
+    forward: &Forward,
+) -> Result<Option<RequestClass>, RequestClassError> {
+    let Some(class) = forward.request_class else {
+        return Ok(None);
+    };
+    let class = RequestClass {
         objective_ms: Millis(class.objective_ms),
         time_limit_ms: Millis(class.time_limit_ms),
-        priority: u8::try_from(class.priority).unwrap_or(MAX_PRIORITY),
+        priority: u8::try_from(class.priority).map_err(|_| RequestClassError)?,
         is_repeatable: class.is_repeatable,
-    })
+    };
+    if request_class_problems(&class).is_empty() {
+        Ok(Some(class))
+    } else {
+        Err(RequestClassError)
+    }
 }
 
 /// Encodes the rejection of a packet.
@@ -146,17 +167,13 @@
     })
 }
 
-/// Decodes the addresses of other balancers in a hello. An address that does not parse is logged
-/// and skipped; the others are still usable.
-pub fn named_balancers(hello: &Hello) -> impl Iterator<Item = SocketAddr> {
-    let addrs = hello.others.iter();
-    addrs.filter_map(|addr| match addr_from_bytes(addr) {
-        Ok(addr) => Some(addr),
-        Err(err) => {
-            log::warn!("peer: address of a balancer in a hello skipped: {err}");
-            None
-        }
-    })
+/// Decodes the addresses of other balancers in a hello. Each may be malformed, and the others are
+/// still usable.
+pub fn named_balancers(hello: &Hello) -> impl Iterator<Item = Result<SocketAddr, AddrError>> {
+    hello
+        .others
+        .iter()
+        .map(|addr| process_addr_from_bytes(addr))
 }
 
 /// Encodes a report.
@@ -188,11 +205,15 @@
 /// [`RecordError`] with the invalid field.
 pub fn report_from_message(message: &TargetReport) -> Result<Report, RecordError> {
     let slots = u16::try_from(message.slots).map_err(|_| RecordError::Slots(message.slots))?;
+    let remote_interval = Millis(message.remote_interval_ms);
+    if remote_interval > REPORT_INTERVAL_MAX {
+        return Err(RecordError::Interval(remote_interval));
+    }
     Ok(Report {
         target: TargetId(message.target),
         incarnation: message.incarnation,
         sequence: message.sequence,
-        agent: addr_from_bytes(&message.agent)?,
+        agent: process_addr_from_bytes(&message.agent)?,
         group: GroupId(message.group),
         domain: DomainId(message.domain),
         state: state_from_number(message.state)?,
@@ -203,6 +224,6 @@
         busy: message.busy,
         mean_busy_milli: message.mean_busy_milli,
         failing_milli: message.failing_milli,
-        remote_interval: Millis(message.remote_interval_ms),
+        remote_interval,
     })
 }
