Read the drafts and the published set beside odd objects

What operators may see, in termination: another writer leaves one object with a value that the parser refuses. The publisher reads no drafts any more, watches fail, and the object cannot be replaced.

Lists, changes and objects were parsed as a whole.

Change: values are parsed one by one. One that cannot be read is counted, logged once and becomes null, so that its draft is refused by name like any other that does not parse. An object without a readable name or version is left out.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -10,17 +10,18 @@
 use citronhollow_core::publisher::{Listing, Object};
 use citronhollow_core::unusable::UnusableInputs;
 use log::{debug, warn};
-use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use volo_http::body::BodyConversion;
 use volo_http::client::Client as HttpClient;
 use volo_http::http::{HeaderMap, Method, StatusCode, header};
 
 use crate::counters::{CallCounters, CallKind};
+use crate::elements::{Element, parse_body};
 use crate::era::{Era, Eras};
 use crate::error::PlatformError;
-use crate::protocol::{Changes, MAX_VALUE_BYTES, Mismatch, WatchQuery, Written};
+use crate::protocol::{Change, Changes, MAX_VALUE_BYTES, Mismatch, WatchQuery, Written};
 use crate::retry::{self, RetryBudget};
 
 /// Address of the service and timeouts of the calls.
@@ -70,6 +71,38 @@
 const TOO_MANY_REQUESTS: u16 = StatusCode::TOO_MANY_REQUESTS.as_u16();
 const SERVICE_UNAVAILABLE: u16 = StatusCode::SERVICE_UNAVAILABLE.as_u16();
 
+/// An object whose value is not parsed yet.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawObject {
+    name: String,
+    version: u64,
+    value: Element,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawListing {
+    version: u64,
+    objects: Vec<Element>,
+}
+
+/// A change whose value is not parsed yet.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawChange {
+    name: String,
+    version: u64,
+    value: Option<Element>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawChanges {
+    version: u64,
+    changes: Vec<Element>,
+}
+
 struct Request<'a> {
     kind: CallKind,
     path: String,
@@ -145,7 +178,10 @@
         let req = self.request(CallKind::Get, object_path(kind, name));
         let reply = self.send_read(&req).await?;
         match reply.status {
-            OK => parse(&req, &reply).map(Some),
+            OK => {
+                let object: RawObject = parse(&req, &reply)?;
+                Ok(Some(self.object(kind, object)))
+            }
             NOT_FOUND => Ok(None),
             _ => Err(refused(&req, &reply)),
         }
@@ -160,7 +196,13 @@
         let path = format!("/v1/objects/{kind}?prefix={prefix}");
         let req = self.request(CallKind::List, path);
         let reply = self.send_read(&req).await?;
-        expect_ok(&req, &reply)
+        let listing: RawListing = expect_ok(&req, &reply)?;
+        let objects = listing.objects.iter();
+        let objects = objects.filter_map(|object| self.element(kind, object));
+        Ok(Listing {
+            version: listing.version,
+            objects: objects.map(|object| self.object(kind, object)).collect(),
+        })
     }
 
     /// Writes an object if its current version is `if_version`, where zero means that it does not
@@ -229,7 +271,47 @@
         let mut req = self.request(CallKind::Watch, path);
         req.timeout = Duration::from(wait) + Duration::from(self.cfg.watch_margin);
         let reply = self.send(&req).await?;
-        expect_ok(&req, &reply)
+        let changes: RawChanges = expect_ok(&req, &reply)?;
+        let written = changes.changes.iter();
+        let written = written.filter_map(|change| self.element::<RawChange>(kind, change));
+        let written = written.map(|change| Change {
+            value: change
+                .value
+                .map(|value| self.value(kind, &change.name, &value)),
+            name: change.name,
+            version: change.version,
+        });
+        Ok(Changes {
+            version: changes.version,
+            changes: written.collect(),
+        })
+    }
+
+    /// Parses an element of a list. One that cannot be read is left out.
+    fn element<T: DeserializeOwned>(&self, kind: &str, element: &Element) -> Option<T> {
+        let subject = || format!("an object of {kind}");
+        let parsed = element.parse();
+        parsed
+            .map_err(|err| self.on_unusable(&subject(), &err))
+            .ok()
+    }
+
+    fn object(&self, kind: &str, object: RawObject) -> Object {
+        Object {
+            value: self.value(kind, &object.name, &object.value),
+            name: object.name,
+            version: object.version,
+        }
+    }
+
+    /// Parses a value. One that cannot be read becomes null, which is no valid value of any kind, so
+    /// that the object is refused by its name.
+    fn value(&self, kind: &str, name: &str, value: &Element) -> Value {
+        let parsed = value.parse();
+        parsed.unwrap_or_else(|err| {
+            self.on_unusable(&format!("{kind}/{name}"), &err);
+            Value::Null
+        })
     }
 
     /// Reads a path of a service whose paths and bodies differ from this crate's own protocol.
@@ -395,7 +477,7 @@
 }
 
 fn parse<T: DeserializeOwned>(req: &Request, reply: &Reply) -> Result<T, PlatformError> {
-    serde_json::from_slice(&reply.body).map_err(|err| unparsable(req, &err.to_string()))
+    parse_body(&reply.body).map_err(|err| unparsable(req, &err.to_string()))
 }
 
 fn refused(req: &Request, reply: &Reply) -> PlatformError {
