Let the soak's targets repeat answers to SYNs and give flows up

The soak loses datagrams and ends targets, but its targets answered a SYN once, kept half-open flows for good, forgot flows that had ended, and had numbers so far apart that no caller took another target's RST.

--- a/crates/soak/src/exchange.rs
+++ b/crates/soak/src/exchange.rs
@@ -37,7 +37,7 @@
     Answered(Request),
     /// The response does not belong to the request, or a packet was altered.
     Invalid,
-    /// The load balancer reset the flow. The value is whether the flow was established.
+    /// The load balancer or a target reset the flow. The value is whether the flow was established.
     Reset(bool),
     /// No SYN-ACK or response arrived in time.
     TimedOut,
@@ -174,9 +174,7 @@
             return None;
         }
         if is_balancer_reset(bytes) {
-            let distance = packet.segment.seq.wrapping_sub(self.ack);
-            let is_in_window = distance.min(distance.wrapping_neg()) <= RESET_WINDOW;
-            if self.is_open && !is_in_window {
+            if self.is_open && !self.is_in_window(packet.segment.seq) {
                 return None;
             }
             self.is_over = true;
@@ -186,6 +184,10 @@
             return Some(ExchangeEvent::Invalid);
         }
         let segment = packet.segment;
+        if segment.rst && self.is_open && self.is_in_window(segment.seq) {
+            self.is_over = true;
+            return Some(ExchangeEvent::Reset(true));
+        }
         if segment.syn {
             if self.is_open {
                 return None;
@@ -208,6 +210,12 @@
         }
     }
 
+    /// Whether a RST with this sequence number is accepted on the open flow.
+    fn is_in_window(&self, seq: u32) -> bool {
+        let distance = seq.wrapping_sub(self.ack);
+        distance.min(distance.wrapping_neg()) <= RESET_WINDOW
+    }
+
     fn request(&self, request: Request) -> Bytes {
         let segment = Segment {
             ack: true,
--- a/crates/soak/src/run/host.rs
+++ b/crates/soak/src/run/host.rs
@@ -195,8 +195,12 @@
     }
 
     pub(super) fn take_due(&mut self, now: Millis) -> Vec<Bytes> {
-        let target = self.target.as_mut();
-        target.map_or_else(Vec::new, |target| target.take_due(now))
+        let Some(target) = &mut self.target else {
+            return Vec::new();
+        };
+        let mut due = target.take_due(now);
+        due.extend(target.take_repeated(now));
+        due
     }
 
     pub(super) fn holds(&self, flow: &FlowId) -> bool {
--- a/crates/soak/src/target.rs
+++ b/crates/soak/src/target.rs
@@ -2,7 +2,9 @@
 //!
 //! A target accepts flows, starts each request when its packet arrives and responds after a fixed
 //! service time. A packet of a flow that it does not hold is returned to the agent with the mark
-//! for an unknown flow.
+//! for an unknown flow. The answer to a SYN is repeated until it is acknowledged, and given up after
+//! some seconds. On a flow that has ended, also on one that was given up, data is answered with a
+//! RST, a FIN with an acknowledgement, and other packets are ignored.
 
 use std::collections::HashMap;
 
@@ -22,6 +24,16 @@
 /// Number of requests processed concurrently.
 pub const SLOTS: u16 = 2;
 
+/// Time after which the answer to a SYN is repeated first, and the longest time between two repeats.
+const REPEAT_AFTER: Millis = Millis(200);
+const REPEAT_AFTER_MAX: Millis = Millis(1_600);
+
+/// Number of repeats after which a flow that is not established is given up.
+const REPEATS_MAX: u32 = 8;
+
+/// Ticks per millisecond of the clock that gives sequence numbers.
+const ISN_TICKS_PER_MS: u64 = 250;
+
 /// A request, which a caller sends in a single packet.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Request {
@@ -79,6 +91,19 @@
     Altered(FlowId),
 }
 
+/// Stage of a flow.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Stage {
+    /// The SYN was answered. The answer is repeated at `next`.
+    HalfOpen {
+        next: Millis,
+        wait: Millis,
+        repeats: u32,
+    },
+    Open,
+    Ended,
+}
+
 #[derive(Debug)]
 struct HeldFlow {
     caller_isn: u32,
@@ -86,7 +111,7 @@
     next_seq: u32,
     /// Sequence number of the next byte expected from the caller.
     expected: u32,
-    is_open: bool,
+    stage: Stage,
     last_answer: Option<Bytes>,
 }
 
@@ -100,11 +125,13 @@
     due: Vec<(Millis, FlowId, Bytes)>,
     busy_until: [Millis; SLOTS as usize],
     next_isn: u32,
+    /// Whether sequence numbers begin at those of a clock, which all such targets share.
+    has_isn_clock: bool,
 }
 
 impl Target {
-    /// Creates a target without flows. `seed` makes its sequence numbers differ from other
-    /// targets'.
+    /// Creates a target without flows. An even `seed` makes its sequence numbers differ from other
+    /// targets', and an odd one takes them from a clock.
     #[must_use]
     pub fn new(seed: u32) -> Self {
         Self {
@@ -113,13 +140,15 @@
             due: Vec::new(),
             busy_until: [Millis::ZERO; SLOTS as usize],
             next_isn: seed,
+            has_isn_clock: seed % 2 == 1,
         }
     }
 
     /// Whether the target holds this established flow.
     #[must_use]
     pub fn holds(&self, flow: &FlowId) -> bool {
-        self.flows.get(flow).is_some_and(|held| held.is_open)
+        let held = self.flows.get(flow);
+        held.is_some_and(|held| held.stage == Stage::Open)
     }
 
     /// Handles a packet from the agent.
@@ -131,9 +160,12 @@
         if !is_genuine(bytes) {
             out.push(TargetEvent::Altered(flow));
         } else if segment.is_initial_syn() {
-            self.on_syn(flow, &segment, out);
+            self.on_syn(now, flow, &segment, out);
         } else if segment.rst {
             self.flows.remove(&flow);
+        } else if self.has_ended(&flow) {
+            let answer = self.answer_on_ended(flow, &segment);
+            out.extend(answer.map(TargetEvent::Send));
         } else if self.is_for_held(&flow, &segment) {
             self.on_held(now, flow, &segment, bytes, out);
         } else {
@@ -141,6 +173,34 @@
         }
     }
 
+    /// Returns the repeated answers to SYNs that are due, and gives up flows whose SYN was answered
+    /// often enough.
+    pub fn take_repeated(&mut self, now: Millis) -> Vec<Bytes> {
+        let mut due = Vec::new();
+        for (flow, held) in &mut self.flows {
+            let Stage::HalfOpen {
+                next,
+                wait,
+                repeats,
+            } = &mut held.stage
+            else {
+                continue;
+            };
+            if now < *next {
+                continue;
+            }
+            if *repeats == REPEATS_MAX {
+                held.stage = Stage::Ended;
+                continue;
+            }
+            *wait = Millis(wait.0 * 2).min(REPEAT_AFTER_MAX);
+            *next = now.after(*wait);
+            *repeats += 1;
+            due.push(held.syn_answer(*flow));
+        }
+        due
+    }
+
     /// Removes and returns the packets of the responses that are due.
     pub fn take_due(&mut self, now: Millis) -> Vec<Bytes> {
         let due = self.due.extract_if(.., |(at, ..)| *at <= now);
@@ -150,40 +210,57 @@
             .collect()
     }
 
-    fn on_syn(&mut self, flow: FlowId, segment: &Segment, out: &mut Vec<TargetEvent>) {
+    fn on_syn(&mut self, now: Millis, flow: FlowId, segment: &Segment, out: &mut Vec<TargetEvent>) {
         let is_copy = |held: &HeldFlow| held.caller_isn == segment.seq;
         if !self.flows.get(&flow).is_some_and(is_copy) {
-            self.next_isn = self
-                .next_isn
-                .wrapping_mul(1_664_525)
-                .wrapping_add(1_013_904_223);
+            self.next_isn = if self.has_isn_clock {
+                u32::try_from(now.0 * ISN_TICKS_PER_MS % (1 << 32)).unwrap_or_default()
+            } else {
+                self.next_isn
+                    .wrapping_mul(1_664_525)
+                    .wrapping_add(1_013_904_223)
+            };
             let held = HeldFlow {
                 caller_isn: segment.seq,
                 next_seq: self.next_isn.wrapping_add(1),
                 expected: segment.seq.wrapping_add(1),
-                is_open: false,
+                stage: Stage::HalfOpen {
+                    next: now.after(REPEAT_AFTER),
+                    wait: REPEAT_AFTER,
+                    repeats: 0,
+                },
                 last_answer: None,
             };
             self.flows.insert(flow, held);
         }
-        let Some(held) = self.flows.get(&flow).filter(|held| !held.is_open) else {
-            return;
-        };
-        let segment = Segment {
-            syn: true,
-            ack: true,
-            seq: held.next_seq.wrapping_sub(1),
+        let held = self.flows.get(&flow);
+        let half_open = held.filter(|held| matches!(held.stage, Stage::HalfOpen { .. }));
+        out.extend(half_open.map(|held| TargetEvent::Send(held.syn_answer(flow))));
+    }
+
+    fn has_ended(&self, flow: &FlowId) -> bool {
+        let held = self.flows.get(flow);
+        held.is_some_and(|held| held.stage == Stage::Ended)
+    }
+
+    fn answer_on_ended(&self, flow: FlowId, segment: &Segment) -> Option<Bytes> {
+        let held = self.flows.get(&flow)?;
+        let answer = Segment {
+            ack: segment.fin,
+            rst: !segment.fin,
+            seq: held.next_seq,
             ack_seq: held.expected,
             ..Segment::default()
         };
-        let bytes = encode(Writer::Target, flow, &segment, b"");
-        out.push(TargetEvent::Send(bytes));
+        let is_answered = segment.fin || segment.payload > 0;
+        is_answered.then(|| encode(Writer::Target, flow, &answer, b""))
     }
 
     /// Whether the packet belongs to a flow of this target. A first packet that acknowledges
     /// another target's SYN-ACK belongs to that target.
     fn is_for_held(&self, flow: &FlowId, segment: &Segment) -> bool {
-        let is_ours = |held: &HeldFlow| held.is_open || segment.ack_seq == held.next_seq;
+        let is_ours =
+            |held: &HeldFlow| held.stage == Stage::Open || segment.ack_seq == held.next_seq;
         self.flows.get(flow).is_some_and(is_ours)
     }
 
@@ -198,8 +275,8 @@
         let Some(held) = self.flows.get_mut(&flow) else {
             return;
         };
-        if !held.is_open {
-            held.is_open = true;
+        if held.stage != Stage::Open {
+            held.stage = Stage::Open;
             out.push(TargetEvent::Opened(flow));
         }
         if segment.fin {
@@ -212,7 +289,8 @@
             };
             let bytes = encode(Writer::Target, flow, &segment, b"");
             out.push(TargetEvent::Send(bytes));
-            self.flows.remove(&flow);
+            held.next_seq = held.next_seq.wrapping_add(1);
+            held.stage = Stage::Ended;
         } else if let Some(request) = Request::from_bytes(data(bytes)) {
             if segment.seq == held.expected {
                 held.expected = held.expected.wrapping_add(segment.payload);
@@ -248,3 +326,16 @@
         Some(bytes)
     }
 }
+
+impl HeldFlow {
+    fn syn_answer(&self, flow: FlowId) -> Bytes {
+        let segment = Segment {
+            syn: true,
+            ack: true,
+            seq: self.next_seq.wrapping_sub(1),
+            ack_seq: self.expected,
+            ..Segment::default()
+        };
+        encode(Writer::Target, flow, &segment, b"")
+    }
+}
--- a/crates/soak/tests/ends.rs
+++ b/crates/soak/tests/ends.rs
@@ -84,6 +84,37 @@
         assert!(!other.holds(&flow()));
     };
 
+    answer_to_a_syn_is_repeated_and_given_up => {
+        let (_, request) = ask(&mut Target::new(1));
+        let mut target = Target::new(2);
+        let syn = Exchange::new(START, flow(), 500).syn_packet();
+        let answer = sent(&to_target(&mut target, START, &syn));
+        let mut repeats = Vec::new();
+        for ms in 0..12_000 {
+            let at = START.after(Millis(ms));
+            for repeated in target.take_repeated(at) {
+                assert_eq!(repeated, answer[0]);
+                repeats.push(ms);
+            }
+        }
+        assert_eq!(repeats, [200, 600, 1_400, 3_000, 4_600, 6_200, 7_800, 9_400]);
+        let rst = sent(&to_target(&mut target, START, &request));
+        assert!(segment_of(&rst[0]).rst, "data of a flow that was given up");
+    };
+
+    ended_flow_answers_data_with_a_rst_and_a_fin_with_an_acknowledgement => {
+        let mut target = Target::new(1);
+        let (mut exchange, request) = ask(&mut target);
+        to_target(&mut target, START, &request);
+        let fin = exchange.close();
+        to_target(&mut target, START, &fin);
+        assert!(!target.holds(&flow()));
+        let acknowledged = segment_of(&sent(&to_target(&mut target, START, &fin))[0]);
+        assert!(acknowledged.ack && !acknowledged.fin && !acknowledged.rst);
+        let rst = segment_of(&sent(&to_target(&mut target, START, &request))[0]);
+        assert!(rst.rst);
+    };
+
     altered_packets_are_detected_at_both_ends => {
         let mut target = Target::new(1);
         let (mut exchange, request) = ask(&mut target);
@@ -140,8 +171,12 @@
 }
 
 fn seq_of(packet: &Bytes) -> u32 {
+    segment_of(packet).seq
+}
+
+fn segment_of(packet: &Bytes) -> Segment {
     match citronhollow_adapter::packet::from_target(packet.clone()) {
-        Ok(citronhollow_adapter::packet::FromTarget::ToCaller(packet)) => packet.segment.seq,
+        Ok(citronhollow_adapter::packet::FromTarget::ToCaller(packet)) => packet.segment,
         other => panic!("{other:?}"),
     }
 }
