Do not probe many targets while the likely holder's agent is restarted

Cause: a search whose candidates may hold the flow sends them its packet after 60 ms, although an agent that has announced that it stops has not answered. The copies in the next second find the agent away.

Change: while an agent that has announced its stop does not answer and its target goes on, more than two candidates are not probed. The search ends without a result, and the caller's next copy starts another one. Agents that were killed or lost, and those whose target has ended, do not delay a probe.

Tests: no_targets_are_probed_while_a_stopping_agent_is_awaited and few_targets_are_probed_while_a_stopping_agent_is_awaited failed before. targets_are_probed_while_a_lost_agent_does_not_answer guards against searches that wait for an agent that does not come back.

--- a/crates/core/src/pass_through/balancer/ongoing.rs
+++ b/crates/core/src/pass_through/balancer/ongoing.rs
@@ -182,7 +182,8 @@
         let Some(search) = self.searches.get_mut(&flow) else {
             return;
         };
-        match search.progress(now) {
+        let fleet = &self.fleet;
+        match search.progress(now, |key| fleet.get(key).is_restarting()) {
             Progress::Waiting => {}
             Progress::Probe => {
                 let packet = search.first.clone();
--- a/crates/core/src/pass_through/fleet.rs
+++ b/crates/core/src/pass_through/fleet.rs
@@ -289,6 +289,11 @@
         !self.is_removed && self.report.state != TargetState::Dead
     }
 
+    /// Whether the agent has announced that it stops, while its target goes on.
+    pub(super) fn is_restarting(&self) -> bool {
+        self.report.is_stopping && self.report.state != TargetState::Dead
+    }
+
     /// Usual time between two reports of the running incarnation at most.
     const fn report_gap_max(&self) -> Millis {
         Millis(REMOTE_REPORT_INTERVAL.0 * self.timeout_factor_milli / 1_000)
--- a/crates/core/src/pass_through/search.rs
+++ b/crates/core/src/pass_through/search.rs
@@ -3,7 +3,9 @@
 //! The agents in the balancer's own failure domain are asked first, since most flows stay in the
 //! domain of their caller. Then all other agents are asked, which costs a small message each. If
 //! none is certain to hold the flow but some may hold it, as after the restart of many agents, the
-//! flow's packet is sent to the targets of those as a probe. If no target claims the flow either
+//! flow's packet is sent to the targets of those as a probe. An agent that has announced that it
+//! stops, and does not answer, is probably being restarted: its target may be the holder, and is
+//! waited for unless only few others are to be probed. If no target claims the flow either
 //! way, the balancer decides whether to reset it. If some agents did not answer, the caller
 //! retransmits its packet, and the next search starts with the negative answers of this one. They
 //! stay valid, because a target can get a flow that it does not hold only by a new SYN.
@@ -30,6 +32,10 @@
 /// crossed the flow's SYN has arrived by then.
 const ASK_AGAIN_DELAY: Millis = Millis(100);
 
+/// Maximum number of targets that are probed while an agent is being restarted. More packets at other
+/// targets would count as a flow that is kept from its own one.
+const PROBES_DURING_RESTART_MAX: usize = 2;
+
 /// State of a search, and the next action that it requires.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Progress {
@@ -104,8 +110,13 @@
         }
     }
 
-    /// Advances the search and returns the next action.
-    pub(super) fn progress(&mut self, now: Millis) -> Progress {
+    /// Advances the search and returns the next action. `is_restarting` tells for a target whether
+    /// its agent has announced that it stops, while the target goes on.
+    pub(super) fn progress(
+        &mut self,
+        now: Millis,
+        is_restarting: impl Fn(TargetKey) -> bool,
+    ) -> Progress {
         let age = now.since(self.since);
         let is_no = |answer: &Option<Holding>| *answer == Some(Holding::No);
         let is_waiting = match self.phase {
@@ -129,7 +140,10 @@
             self.enter(now, Phase::Pausing);
             return Progress::Waiting;
         }
-        if self.phase == Phase::Asking && self.candidates().next().is_some() {
+        let candidates = self.candidates().count();
+        let awaits_restart = self.unanswered().any(is_restarting);
+        let may_probe = !awaits_restart || candidates <= PROBES_DURING_RESTART_MAX;
+        if self.phase == Phase::Asking && candidates > 0 && may_probe {
             self.enter(now, Phase::Probing);
             return Progress::Probe;
         }
@@ -171,7 +185,12 @@
     }
 
     fn is_unanswered(&self) -> bool {
-        self.answers.values().any(Option::is_none)
+        self.unanswered().next().is_some()
+    }
+
+    fn unanswered(&self) -> impl Iterator<Item = TargetKey> {
+        let unanswered = self.answers.iter().filter(|(_, answer)| answer.is_none());
+        unanswered.map(|(key, _)| *key)
     }
 
     const fn enter(&mut self, now: Millis, phase: Phase) {
--- a/crates/core/tests/pass_through/balancer.rs
+++ b/crates/core/tests/pass_through/balancer.rs
@@ -159,6 +159,13 @@
     all
 }
 
+/// Lets the time for answers from the own failure domain pass, and then that for all answers.
+fn time_out_answers(balancer: &mut Balancer<Bytes>, now: Millis) -> Actions {
+    let mut all = tick(balancer, now.after(Millis(20)));
+    all.extend(tick(balancer, now.after(Millis(90))));
+    all
+}
+
 /// Report of an agent whose target has ended.
 fn ended(number: u16, sequence: u64) -> Report {
     Report {
@@ -536,6 +543,70 @@
         assert_eq!(forwarded(&actions), [(agent_addr(2), Offer::Probe)]);
     };
 
+    // Guards against packets that reach all other targets while the agent of the flow's own one is
+    // away for a planned restart, of which the balancer knows.
+    no_targets_are_probed_while_a_stopping_agent_is_awaited => {
+        let mut balancer = with_targets(SETTLED);
+        for number in 3..=4 {
+            balancer.on_report(SETTLED, report(number, 1));
+        }
+        balancer.on_report(SETTLED, Report { is_stopping: true, ..report(1, 2) });
+        for copy in [0, 200, 600, 1_400] {
+            let now = SETTLED.after(Millis(copy));
+            let mut all = send(&mut balancer, now, 1, request());
+            for number in 2..=4 {
+                balancer.on_report(now, report(number, 2 + copy));
+                all.extend(reply(&mut balancer, now, number, Holding::Maybe));
+            }
+            all.extend(time_out_answers(&mut balancer, now));
+            assert_eq!(forwarded(&all), [], "copy after {copy} ms");
+            assert_eq!(resets(&all), []);
+        }
+        let back = SETTLED.after(Millis(1_800));
+        balancer.on_report(back, Report { incarnation: 2, ..report(1, 1) });
+        let later = SETTLED.after(Millis(3_000));
+        send(&mut balancer, later, 1, request());
+        let found = reply(&mut balancer, later, 1, Holding::Here);
+        assert_eq!(forwarded(&found), [(agent_addr(1), Offer::Held)]);
+    };
+
+    // Two packets at other targets at most do not keep the flow from its own one.
+    few_targets_are_probed_while_a_stopping_agent_is_awaited => {
+        for candidates in [1, 2, 3] {
+            let mut balancer = with_targets(SETTLED);
+            for number in 3..=4 {
+                balancer.on_report(SETTLED, report(number, 1));
+            }
+            balancer.on_report(SETTLED, Report { is_stopping: true, ..report(1, 2) });
+            let mut all = send(&mut balancer, SETTLED, 1, request());
+            for number in 2..=4 {
+                let holding = if number <= candidates + 1 { Holding::Maybe } else { Holding::No };
+                all.extend(reply(&mut balancer, SETTLED, number, holding));
+            }
+            all.extend(time_out_answers(&mut balancer, SETTLED));
+            let probed = if candidates <= 2 { usize::from(candidates) } else { 0 };
+            assert_eq!(forwarded(&all).len(), probed, "{candidates}");
+        }
+    };
+
+    // An agent whose target has ended, and one that was not stopped, do not keep others from it.
+    targets_are_probed_while_a_lost_agent_does_not_answer => {
+        let lost = [report(1, 2), Report { is_stopping: true, ..ended(1, 2) }];
+        for lost in lost {
+            let mut balancer = with_targets(SETTLED);
+            for number in 3..=4 {
+                balancer.on_report(SETTLED, report(number, 1));
+            }
+            balancer.on_report(SETTLED, lost);
+            let mut all = send(&mut balancer, SETTLED, 1, request());
+            for number in 2..=4 {
+                all.extend(reply(&mut balancer, SETTLED, number, Holding::Maybe));
+            }
+            all.extend(time_out_answers(&mut balancer, SETTLED));
+            assert_eq!(forwarded(&all).len(), 3, "{lost:?}");
+        }
+    };
+
     claim_by_the_holder_ends_the_search_before_any_probe => {
         let mut balancer = with_targets(START);
         send(&mut balancer, START, 1, request());
