Claim a kept probe only by a sign of the start that got it

What callers may see: agents are restarted, as planned. A target crashes with a probe of a flow that is open at another target, and its next start, before its first heartbeat, returns some other packet. The agent claims the flow, since it was not returned. When the target ends later, the flow is reset.

Cause: a returned packet and an answer on a new flow counted as the sign that the target which got the probe runs and has kept it. Found by reading the places that take a packet of a target for a proof.

Change: what counts is data on a flow that was opened before the probe, or a heartbeat of the start that is known, in time. The time for the target's answer begins with the data, however old the probe is.

--- a/crates/core/src/pass_through/agent.rs
+++ b/crates/core/src/pass_through/agent.rs
@@ -35,7 +35,7 @@
 use overload::Saturation;
 use starts::Starts;
 use target::LeaveNotice;
-use unknown::{NOT_HELD_TTL, Probe};
+use unknown::{Activity, NOT_HELD_TTL, Probe};
 
 use super::conn::{Conn, Stage};
 use super::packet::{DropReason, Holding, Offer, Packet, RejectReason, Rejected, Reset};
@@ -201,9 +201,8 @@
     listening_since: Millis,
     /// Time of the target's last packet.
     last_packet: Millis,
-    /// Time of the last packet, returned packet or heartbeat from the target, none if there was
-    /// none.
-    last_activity: Option<Millis>,
+    /// What the target has sent since the last tick that shows which of its starts runs.
+    activity: Option<Activity>,
     /// Leave notice of the target, until its flows are reset.
     leave_notice: Option<LeaveNotice>,
     /// Time of the last packet, message or tick that was processed.
@@ -246,7 +245,7 @@
             inherited: None,
             listening_since: now,
             last_packet: now,
-            last_activity: None,
+            activity: None,
             leave_notice: None,
             last_entry: now,
             observed_start: false,
@@ -322,7 +321,6 @@
         } = packet;
         self.liveness = Liveness::Responsive;
         self.last_packet = now;
-        self.last_activity = Some(now);
         if segment.rst {
             self.on_target_rst(now, flow, bytes, out);
         } else {
@@ -345,6 +343,12 @@
             let (to, holding) = (probe.balancer, Holding::Here);
             out.push(AgentAction::Reply { to, flow, holding });
         }
+        if segment.carries_data_or_fin() && !self.ended.contains(&flow) {
+            let conn = self.conns.get(&flow);
+            // The SYN of a flow that is unknown was sent before this agent was started.
+            let opened_by = conn.filter(|conn| conn.caller_isn.is_some());
+            self.note_activity(now, opened_by.map_or(Millis::ZERO, |conn| conn.since));
+        }
         let stage = if is_held {
             Stage::Open
         } else {
@@ -364,7 +368,6 @@
     pub fn on_returned(&mut self, now: Millis, packet: Packet<B>, out: &mut Vec<AgentAction<B>>) {
         self.detect_pause(now);
         self.liveness = Liveness::Responsive;
-        self.last_activity = Some(now);
         if packet.segment.is_initial_syn() {
             self.on_returned_syn(now, packet, out);
         } else {
--- a/crates/core/src/pass_through/agent/target.rs
+++ b/crates/core/src/pass_through/agent/target.rs
@@ -61,6 +61,10 @@
                 let gap_max = max_heartbeat_gap(interval).0.saturating_mul(sent_since);
                 let is_late = now.since(at).0 > gap_max;
                 self.starts.on_current(now, is_late, interval);
+                if !is_late {
+                    // Probes that were delivered to another start have been discarded.
+                    self.note_activity(now, Millis::ZERO);
+                }
                 self.last_heartbeat = Some((now, heartbeat));
             }
             Some(_) => {
@@ -76,7 +80,6 @@
         let current = self.last_heartbeat.map(|(_, current)| current);
         if current.is_some_and(|current| current.is_same_start(&heartbeat)) {
             self.liveness = Liveness::Responsive;
-            self.last_activity = Some(now);
         }
         Some(self.state(now) != before)
     }
--- a/crates/core/src/pass_through/agent/unknown.rs
+++ b/crates/core/src/pass_through/agent/unknown.rs
@@ -6,7 +6,9 @@
 //! ever being open, while another target holds it.
 //!
 //! Data that the target neither returns nor answers with a RST proves that it holds the flow, but
-//! only if the target has sent something afterwards, because a crashed target returns nothing.
+//! only if the same start of the target has sent something afterwards, because a crashed target
+//! returns nothing. Its next start may send before its first heartbeat, but not on flows that were
+//! opened before.
 
 use std::net::SocketAddr;
 
@@ -27,6 +29,14 @@
 /// bounds memory. Callers retransmit a packet for less time than this.
 pub(super) const NOT_HELD_TTL: Millis = Millis::from_secs(30);
 
+/// Something that the target has sent.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Activity {
+    at: Millis,
+    /// The sender is the start of the target that ran at this time.
+    start_ran_at: Millis,
+}
+
 /// Packets of an unknown flow that were delivered to find out whether the target holds the flow.
 #[derive(Debug)]
 pub(super) struct Probe<B> {
@@ -64,11 +74,18 @@
         }
     }
 
-    /// Time by which the target has returned the data or answered it with a RST, if it does not hold
-    /// the flow. `None` without data: on a flow that has ended, the target ignores other packets.
-    fn returned_by(&self) -> Option<Millis> {
-        let since = self.data.as_ref().map(|(since, _)| *since);
-        since.map(|since| since.after(RETURN_TIMEOUT))
+    /// When the data was delivered first, `None` without data: on a flow that has ended, the target
+    /// ignores other packets.
+    fn data_since(&self) -> Option<Millis> {
+        self.data.as_ref().map(|(since, _)| *since)
+    }
+
+    /// Whether the activity shows that the target has kept the data: the start that got it has had
+    /// the time to return it or to answer it with a RST.
+    fn is_kept(&self, activity: Activity) -> bool {
+        self.data_since().is_some_and(|since| {
+            activity.start_ran_at <= since && activity.at >= since.after(RETURN_TIMEOUT)
+        })
     }
 
     /// Whether an acknowledgment by the target proves that it holds the flow. The one of a FIN does
@@ -187,17 +204,26 @@
         segment.carries_data_or_fin() || (!segment.syn && is_answer())
     }
 
+    /// Notes something that the target has sent, by the start that ran at `start_ran_at`. The oldest
+    /// start counts, which proves most.
+    pub(super) fn note_activity(&mut self, at: Millis, start_ran_at: Millis) {
+        let before = self.activity.map(|activity| activity.start_ran_at);
+        if before.is_none_or(|before| start_ran_at <= before) {
+            self.activity = Some(Activity { at, start_ran_at });
+        }
+    }
+
     /// Ends probes. The target holds the flow if it neither returned the data within the timeout
     /// nor answered it with a RST, and has sent something since. Other probes are discarded after
     /// a while.
     pub(super) fn end_probes(&mut self, now: Millis, out: &mut Vec<AgentAction<B>>) {
-        let last_activity = self.last_activity;
-        let is_kept = |probe: &Probe<B>| {
-            let returned_by = probe.returned_by();
-            returned_by.is_some_and(|returned_by| last_activity >= Some(returned_by))
-        };
+        let activity = self.activity.take();
+        let is_kept = |probe: &Probe<B>| activity.is_some_and(|activity| probe.is_kept(activity));
         let timeout = Millis(self.limits.heartbeat.0 * MISSED_HEARTBEATS);
-        let is_over = |probe: &Probe<B>| is_kept(probe) || now.since(probe.since) > timeout;
+        let is_over = |probe: &Probe<B>| {
+            let since = probe.data_since().unwrap_or(probe.since);
+            is_kept(probe) || now.since(since) > timeout
+        };
         let ended: Vec<_> = self
             .probes
             .extract_if(|_, probe| is_over(probe))
--- a/crates/core/tests/pass_through/agent.rs
+++ b/crates/core/tests/pass_through/agent.rs
@@ -750,6 +750,42 @@
         assert_eq!(replies(&tick(&mut agent, later)), []);
     };
 
+    // Guards against the claim of a flow that is open at another target: the target crashed with the
+    // probe, and its next start, not heard of yet, returned a packet and answered new flows.
+    probe_of_a_crashed_start_is_not_claimed_by_what_the_next_one_sends => {
+        let mut agent = restarted_agent(START);
+        from_caller(&mut agent, START, Offer::Probe, flow(1), request());
+        let next = START.after(Millis(100));
+        from_caller(&mut agent, next, Offer::Probe, flow(2), request());
+        returned(&mut agent, next, flow(2), request());
+        start_request(&mut agent, next, flow(3));
+        from_target(&mut agent, next, flow(3), response());
+        let actions = tick_until(&mut agent, next, next.after(Millis(200)));
+        assert_eq!(replies(&actions), []);
+        assert_eq!(holding(&mut agent, next.after(Millis(200)), flow(1)), Holding::Maybe);
+    };
+
+    probe_kept_until_the_next_heartbeat_finds_the_flow => {
+        let mut agent = restarted_agent(START);
+        from_caller(&mut agent, START, Offer::Probe, flow(1), request());
+        let next = START.after(HEARTBEAT);
+        assert_eq!(replies(&tick_until(&mut agent, START, next)), []);
+        beat(&mut agent, next, heartbeat(1, 41, TargetState::Ready));
+        assert_eq!(replies(&tick(&mut agent, next)), [Holding::Here]);
+    };
+
+    // An acknowledgment was delivered long before.
+    data_of_an_old_probe_has_the_whole_time_to_be_kept => {
+        let mut agent = restarted_agent(START);
+        from_caller(&mut agent, START, Offer::Probe, flow(1), ack(TARGET_ISN));
+        beat_until(&mut agent, START, START.after(HEARTBEAT));
+        let late = START.after(Millis(1_990));
+        from_caller(&mut agent, late, Offer::Probe, flow(1), request());
+        tick(&mut agent, late.after(Millis(50)));
+        from_target(&mut agent, late.after(Millis(70)), flow(2), response());
+        assert_eq!(replies(&tick(&mut agent, late.after(Millis(75)))), [Holding::Here]);
+    };
+
     probe_of_the_last_start_proves_nothing_about_the_next => {
         let mut agent = restarted_agent(START);
         from_caller(&mut agent, START, Offer::Probe, flow(1), request());
