Show when the callers of silent flows have sent

The known red test on a killed agent once reported a flow that was not reset in time, and why is not known. A flow is reset with its caller's next packet, so the outcome lists now when the callers of silent flows sent packets since their last progress.

--- a/crates/testkit/src/load.rs
+++ b/crates/testkit/src/load.rs
@@ -65,6 +65,8 @@
     nonces: Vec<u64>,
     target: Option<String>,
     was_established: bool,
+    /// When the caller sent packets, at least since the last progress.
+    sent: Vec<Millis>,
 }
 
 impl Load {
@@ -158,6 +160,7 @@
             self.outcome.count(FlowEnd::Broken);
             self.outcome.silent += 1;
             self.count_target(&active);
+            self.outcome.silent_sends.push(active.sent);
         }
         self.outcome.doubled = ran.values().filter(|times| **times > 1).count() as u64;
         self.outcome.refused_but_run = self
@@ -196,6 +199,7 @@
             nonces: Vec::new(),
             target: None,
             was_established: false,
+            sent: Vec::new(),
             session,
         };
         let local = active.caller.local();
@@ -232,6 +236,10 @@
         active.caller.poll(now, &mut out);
         let end = active.progress(now, &mut self.next_nonce, &mut self.outcome);
         active.caller.poll(now, &mut out);
+        active.sent.retain(|at| *at >= active.last_progress);
+        if !out.is_empty() {
+            active.sent.push(now);
+        }
         for packet in out {
             self.fabric.send(&packet);
         }
@@ -296,6 +304,7 @@
         }
         if now.since(self.last_progress) > PROGRESS_TIMEOUT.after(self.session.think) {
             outcome.silent += 1;
+            outcome.silent_sends.push(self.sent.clone());
             return Some(FlowEnd::Broken);
         }
         if self.was_established && self.pending.is_none() && now >= self.next_request {
