Ask a silent agent for a report before it counts as lost

What callers may see: three reports of an agent in a row are lost on their way to a balancer in another failure domain. The balancer takes the machine for lost and resets the flows of its target, which runs.

Cause: reports to other domains follow after 0.5 s and up to a tick more, so the fourth one comes after more than the 2 s after which an agent counts as lost. A hello to a silent agent got no answer if the balancer was known there.

Change: an agent that has missed a report is asked for one every 300 ms until it counts as lost, at most 32 agents at once, and answers at once.

--- a/crates/agent/src/pass_through/traffic.rs
+++ b/crates/agent/src/pass_through/traffic.rs
@@ -379,7 +379,7 @@
             is_later
         });
         let domain = DomainId(hello.domain);
-        if self.contacts.on_hello(now, balancer, domain) {
+        if self.contacts.on_hello(now, balancer, domain) || hello.wants_reports {
             self.send_first_report(now, balancer);
         }
         for other in pass_through::named_balancers(hello) {
--- a/crates/balancer/src/pass_through/traffic.rs
+++ b/crates/balancer/src/pass_through/traffic.rs
@@ -41,6 +41,13 @@
 /// Interval of hellos to agents, which drop a balancer that stays silent for too long.
 const AGENT_HELLO_INTERVAL: Millis = Millis::from_secs(4);
 
+/// Interval of hellos to agents that have fallen silent and do not count as lost yet, which they
+/// answer with a report.
+const DOUBT_HELLO_INTERVAL: Millis = Millis(300);
+
+/// Agents that get such a hello per interval. If more are silent, lost reports are not the reason.
+const DOUBT_HELLOS_MAX: usize = 32;
+
 /// Balancers that get a hello per interval. With 16, a revision reaches 1,800 balancers in three
 /// rounds.
 const HELLO_FANOUT: usize = 16;
@@ -74,6 +81,7 @@
     contacts: Contacts,
     next_balancer_hello: Millis,
     next_agent_hello: Millis,
+    next_doubt_hello: Millis,
     shared: Arc<Shared>,
     events: UnboundedSender<Event>,
     /// Time of the last request for the list of targets.
@@ -131,6 +139,7 @@
             contacts: Contacts::default(),
             next_balancer_hello: Millis::ZERO,
             next_agent_hello: Millis::ZERO,
+            next_doubt_hello: Millis::ZERO,
             shared,
             events,
             list_requests,
@@ -242,6 +251,10 @@
             self.send_balancer_hellos();
             self.send_hello_to_silent();
         }
+        if now >= self.next_doubt_hello {
+            self.next_doubt_hello = now.after(DOUBT_HELLO_INTERVAL);
+            self.ask_agents_in_doubt();
+        }
         if now >= self.next_agent_hello {
             self.next_agent_hello = now.after(AGENT_HELLO_INTERVAL);
             self.send_agent_hellos();
@@ -277,6 +290,20 @@
         }
     }
 
+    /// Asks agents whose reports are missing for another one, before they count as lost: their
+    /// reports may be lost on the way.
+    fn ask_agents_in_doubt(&mut self) {
+        let in_doubt = self.balancer.agents_in_doubt(self.now());
+        let in_doubt: Vec<_> = in_doubt.take(DOUBT_HELLOS_MAX).collect();
+        if in_doubt.is_empty() {
+            return;
+        }
+        let hello = self.hello(true);
+        for agent in in_doubt {
+            self.peers.send(&hello, agent);
+        }
+    }
+
     fn send_agent_hellos(&mut self) {
         let hello = self.hello(false);
         for agent in self.balancer.agents() {
--- a/crates/core/src/pass_through/balancer/ongoing.rs
+++ b/crates/core/src/pass_through/balancer/ongoing.rs
@@ -13,7 +13,7 @@
 
 /// A target whose agent is silent for this long, without having announced that it is being stopped,
 /// has lost its machine or the network path to it. Crashed agents are restarted sooner.
-const LOST_AFTER: Millis = Millis(2_000);
+pub(super) const LOST_AFTER: Millis = Millis(2_000);
 
 /// A target whose agent is silent for this long is gone, even if the agent announced that it was
 /// being stopped.
--- a/crates/core/src/pass_through/balancer/unclaimed.rs
+++ b/crates/core/src/pass_through/balancer/unclaimed.rs
@@ -12,9 +12,10 @@
 use crate::clock::Millis;
 use crate::flow::FlowId;
 use crate::id::TargetId;
+use crate::members::TargetState;
 
 use super::super::packet::{DropReason, Reset, ResetReason};
-use super::ongoing::GONE_AFTER;
+use super::ongoing::{GONE_AFTER, LOST_AFTER};
 use super::{Balancer, BalancerAction, SETTLE_TIME, SILENT_AFTER, drop_packet};
 
 /// Time to wait for a list after a search. The caller's next packet starts another search.
@@ -144,6 +145,16 @@
         silent.map(|(_, member)| member.report.agent)
     }
 
+    /// Agents that have fallen silent and do not count as lost yet. Their targets have not ended.
+    pub fn agents_in_doubt(&self, now: Millis) -> impl Iterator<Item = SocketAddr> {
+        let in_doubt = self.fleet.iter().filter(move |(_, member)| {
+            member.report.state != TargetState::Dead
+                && !member.is_seen_within_scaled(now, SILENT_AFTER)
+                && member.is_seen_within_scaled(now, LOST_AFTER)
+        });
+        in_doubt.map(|(_, member)| member.report.agent)
+    }
+
     /// Invalidates the lists that were read before, after the platform's store was restored from a
     /// backup: agents and balancers that started just before may be missing from them, so that they
     /// are no proof that all targets are known.
--- a/crates/core/tests/pass_through/balancer.rs
+++ b/crates/core/tests/pass_through/balancer.rs
@@ -832,6 +832,10 @@
         balancer.on_report(START.after(Millis(900)), report(1, 2));
         assert_eq!(silent(&balancer, 1_000), [agent_addr(2)]);
         assert_eq!(silent(&balancer, 10_000), []);
+        let in_doubt = |ms| balancer.agents_in_doubt(START.after(Millis(ms))).collect::<Vec<_>>();
+        assert_eq!(in_doubt(1_700), [], "the target of the silent one has ended");
+        assert_eq!(in_doubt(1_701), [agent_addr(1)]);
+        assert_eq!(in_doubt(2_901), [], "it counts as lost");
         assert_eq!(balancer.agents().count(), 2);
     };
 
--- a/crates/peer/src/message/pass_through.rs
+++ b/crates/peer/src/message/pass_through.rs
@@ -137,7 +137,7 @@
     /// Number of the revision in force on the sender, zero for none.
     #[prost(uint64, tag = "2")]
     pub revision: u64,
-    /// Whether the sender has just started and requests the receiver's reports.
+    /// Whether the sender requests the receiver's reports, since it has just started or misses them.
     #[prost(bool, tag = "3")]
     pub wants_reports: bool,
     /// Addresses of some of the balancers from which the sender receives messages.
