Give the soak's targets numbers of their own

Change: each start of such a target is at a distance of its own from the clock, within the window in which callers take a reset. The test of this commit fails on the targets before.

--- a/crates/soak/src/target.rs
+++ b/crates/soak/src/target.rs
@@ -34,6 +34,9 @@
 /// Ticks per millisecond of the clock that gives sequence numbers.
 const ISN_TICKS_PER_MS: u64 = 250;
 
+/// Number of different distances from that clock, less than the window in which callers take a RST.
+const CLOCK_OFFSETS: u32 = 60_000;
+
 /// A request, which a caller sends in a single packet.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Request {
@@ -125,8 +128,10 @@
     due: Vec<(Millis, FlowId, Bytes)>,
     busy_until: [Millis; SLOTS as usize],
     next_isn: u32,
-    /// Whether sequence numbers begin at those of a clock, which all such targets share.
-    has_isn_clock: bool,
+    /// Distance of first sequence numbers from those of a clock that all targets share, `None` if
+    /// they are not taken from it. It keeps two targets that answer copies of a SYN in the same
+    /// millisecond apart: a caller's acknowledgement must fit one of them only.
+    clock_offset: Option<u32>,
 }
 
 impl Target {
@@ -140,7 +145,7 @@
             due: Vec::new(),
             busy_until: [Millis::ZERO; SLOTS as usize],
             next_isn: seed,
-            has_isn_clock: seed % 2 == 1,
+            clock_offset: (seed % 2 == 1).then_some(seed / 2 % CLOCK_OFFSETS),
         }
     }
 
@@ -213,8 +218,9 @@
     fn on_syn(&mut self, now: Millis, flow: FlowId, segment: &Segment, out: &mut Vec<TargetEvent>) {
         let is_copy = |held: &HeldFlow| held.caller_isn == segment.seq;
         if !self.flows.get(&flow).is_some_and(is_copy) {
-            self.next_isn = if self.has_isn_clock {
-                u32::try_from(now.0 * ISN_TICKS_PER_MS % (1 << 32)).unwrap_or_default()
+            self.next_isn = if let Some(offset) = self.clock_offset {
+                let clock = u32::try_from(now.0 * ISN_TICKS_PER_MS % (1 << 32));
+                clock.unwrap_or_default().wrapping_add(offset)
             } else {
                 self.next_isn
                     .wrapping_mul(1_664_525)
--- a/crates/soak/tests/ends.rs
+++ b/crates/soak/tests/ends.rs
@@ -102,6 +102,19 @@
         assert!(segment_of(&rst[0]).rst, "data of a flow that was given up");
     };
 
+    // Guards against a request that runs at two targets: both had answered a copy of the SYN with the
+    // same number, in the same millisecond (seed 9044).
+    targets_that_share_a_clock_answer_a_syn_with_different_numbers => {
+        let syn = Exchange::new(START, flow(), 500).syn_packet();
+        let isns = [3, 5, 7, 70_001].map(|seed| {
+            seq_of(&sent(&to_target(&mut Target::new(seed), START, &syn))[0])
+        });
+        for (number, isn) in isns.iter().enumerate() {
+            assert!(!isns[..number].contains(isn), "{isns:?}");
+            assert!(isn.abs_diff(isns[0]) < 60_000, "{isns:?}");
+        }
+    };
+
     ended_flow_answers_data_with_a_rst_and_a_fin_with_an_acknowledgement => {
         let mut target = Target::new(1);
         let (mut exchange, request) = ask(&mut target);
