Await a stopped agent for two seconds, and only for a running target

Machines that are taken away stop agents that have been started again and have not heard of their target, so that these report no end of it. Balancers waited for them for 8 s and probed no targets.

Change: only an agent that knew its target to run is awaited, and for as long as a killed one, 2 s.

Test: the two new cases of targets_are_probed_while_a_lost_agent_does_not_answer failed before.

--- a/crates/core/src/pass_through/balancer/ongoing.rs
+++ b/crates/core/src/pass_through/balancer/ongoing.rs
@@ -183,7 +183,8 @@
             return;
         };
         let fleet = &self.fleet;
-        match search.progress(now, |key| fleet.get(key).is_restarting()) {
+        let is_restarting = |key| fleet.get(key).is_restarting(now, LOST_AFTER);
+        match search.progress(now, is_restarting) {
             Progress::Waiting => {}
             Progress::Probe => {
                 let packet = search.first.clone();
--- a/crates/core/src/pass_through/fleet.rs
+++ b/crates/core/src/pass_through/fleet.rs
@@ -289,9 +289,14 @@
         !self.is_removed && self.report.state != TargetState::Dead
     }
 
-    /// Whether the agent has announced that it stops, while its target goes on.
-    pub(super) fn is_restarting(&self) -> bool {
-        self.report.is_stopping && self.report.state != TargetState::Dead
+    /// Whether the agent has announced that it stops within `age`, while its target goes on. A
+    /// machine that is taken away may stop an agent that has not heard of its target.
+    pub(super) fn is_restarting(&self, now: Millis, age: Millis) -> bool {
+        let is_running = matches!(
+            self.report.state,
+            TargetState::Ready | TargetState::Draining
+        );
+        self.report.is_stopping && is_running && self.is_seen_within_scaled(now, age)
     }
 
     /// Usual time between two reports of the running incarnation at most.
--- a/crates/core/tests/pass_through/balancer.rs
+++ b/crates/core/tests/pass_through/balancer.rs
@@ -591,18 +591,29 @@
 
     // An agent whose target has ended, and one that was not stopped, do not keep others from it.
     targets_are_probed_while_a_lost_agent_does_not_answer => {
-        let lost = [report(1, 2), Report { is_stopping: true, ..ended(1, 2) }];
-        for lost in lost {
-            let mut balancer = with_targets(SETTLED);
-            for number in 3..=4 {
-                balancer.on_report(SETTLED, report(number, 1));
-            }
+        let stopping = Report { is_stopping: true, ..report(1, 2) };
+        let lost = [
+            (report(1, 2), 0),
+            (Report { is_stopping: true, ..ended(1, 2) }, 0),
+            // The machine was taken away before its next agent heard of the target.
+            (Report { state: TargetState::Starting, ..stopping }, 0),
+            (stopping, 2_001),
+        ];
+        for (lost, silent_for) in lost {
+            let mut balancer = balancer(SETTLED);
             balancer.on_report(SETTLED, lost);
-            let mut all = send(&mut balancer, SETTLED, 1, request());
+            for at in (0..=silent_for).step_by(500) {
+                tick(&mut balancer, SETTLED.after(Millis(at)));
+            }
+            let now = SETTLED.after(Millis(silent_for));
             for number in 2..=4 {
-                all.extend(reply(&mut balancer, SETTLED, number, Holding::Maybe));
+                balancer.on_report(now, report(number, 1));
             }
-            all.extend(time_out_answers(&mut balancer, SETTLED));
+            let mut all = send(&mut balancer, now, 1, request());
+            for number in 2..=4 {
+                all.extend(reply(&mut balancer, now, number, Holding::Maybe));
+            }
+            all.extend(time_out_answers(&mut balancer, now));
             assert_eq!(forwarded(&all).len(), 3, "{lost:?}");
         }
     };
