Await a stopped agent until it counts as gone

Change: it is awaited until it counts as gone.

Test: the case of a silent agent in targets_are_probed_while_a_lost_agent_does_not_answer asks for the 8 s.

--- a/crates/core/src/pass_through/balancer/ongoing.rs
+++ b/crates/core/src/pass_through/balancer/ongoing.rs
@@ -183,7 +183,7 @@
             return;
         };
         let fleet = &self.fleet;
-        let is_restarting = |key| fleet.get(key).is_restarting(now, LOST_AFTER);
+        let is_restarting = |key| fleet.get(key).is_restarting(now, GONE_AFTER);
         match search.progress(now, is_restarting) {
             Progress::Waiting => {}
             Progress::Probe => {
--- a/crates/core/tests/pass_through/balancer.rs
+++ b/crates/core/tests/pass_through/balancer.rs
@@ -597,7 +597,7 @@
             (Report { is_stopping: true, ..ended(1, 2) }, 0),
             // The machine was taken away before its next agent heard of the target.
             (Report { state: TargetState::Starting, ..stopping }, 0),
-            (stopping, 2_001),
+            (stopping, 8_001),
         ];
         for (lost, silent_for) in lost {
             let mut balancer = balancer(SETTLED);
