--- a/crates/core/tests/pass_through/balancer.rs
+++ b/crates/core/tests/pass_through/balancer.rs
@@ -551,8 +551,14 @@
             balancer.on_report(SETTLED, report(number, 1));
         }
         balancer.on_report(SETTLED, Report { is_stopping: true, ..report(1, 2) });
-        for copy in [0, 200, 600, 1_400] {
-            let now = SETTLED.after(Millis(copy));
+        let copies = [0, 200, 600, 1_400, 3_000, 4_600, 6_200];
+        for at in (0..=6_200).step_by(100) {
+            let now = SETTLED.after(Millis(at));
+            tick(&mut balancer, now);
+            if !copies.contains(&at) {
+                continue;
+            }
+            let copy = at;
             let mut all = send(&mut balancer, now, 1, request());
             for number in 2..=4 {
                 balancer.on_report(now, report(number, 2 + copy));
@@ -562,9 +568,9 @@
             assert_eq!(forwarded(&all), [], "copy after {copy} ms");
             assert_eq!(resets(&all), []);
         }
-        let back = SETTLED.after(Millis(1_800));
+        let back = SETTLED.after(Millis(6_600));
         balancer.on_report(back, Report { incarnation: 2, ..report(1, 1) });
-        let later = SETTLED.after(Millis(3_000));
+        let later = SETTLED.after(Millis(7_800));
         send(&mut balancer, later, 1, request());
         let found = reply(&mut balancer, later, 1, Holding::Here);
         assert_eq!(forwarded(&found), [(agent_addr(1), Offer::Held)]);
