--- a/crates/core/tests/pass_through/balancer.rs
+++ b/crates/core/tests/pass_through/balancer.rs
@@ -558,14 +558,13 @@
             if !copies.contains(&at) {
                 continue;
             }
-            let copy = at;
             let mut all = send(&mut balancer, now, 1, request());
             for number in 2..=4 {
-                balancer.on_report(now, report(number, 2 + copy));
+                balancer.on_report(now, report(number, 2 + at));
                 all.extend(reply(&mut balancer, now, number, Holding::Maybe));
             }
             all.extend(time_out_answers(&mut balancer, now));
-            assert_eq!(forwarded(&all), [], "copy after {copy} ms");
+            assert_eq!(forwarded(&all), [], "copy after {at} ms");
             assert_eq!(resets(&all), []);
         }
         let back = SETTLED.after(Millis(6_600));
