Count the probes of all searches while a stopped agent is awaited

Cause: two targets may be probed while an agent that has announced its stop is awaited, but each search counted for itself. The copies of a packet start new searches, which found other agents back.

Change: a search that ends without a result passes its number of probes on to the next one for the flow.

Test: probes_of_all_searches_count_while_a_stopping_agent_is_awaited failed before, with four probes.

--- a/crates/core/src/pass_through/balancer.rs
+++ b/crates/core/src/pass_through/balancer.rs
@@ -130,6 +130,16 @@
     tried: [Option<TargetKey>; MAX_OFFERS],
 }
 
+/// What a search has shown that ended without a result.
+#[derive(Debug)]
+struct Inconclusive {
+    ended_at: Millis,
+    /// Targets that gave a negative answer.
+    not_held: Vec<TargetKey>,
+    /// Number of probes in this search and those before it.
+    probes: usize,
+}
+
 /// The balancer's tables. `B` is a packet's bytes, opaque here.
 #[derive(Debug)]
 pub struct Balancer<B> {
@@ -145,9 +155,8 @@
     fleet: Fleet,
     flows: LruMap<FlowId, Entry>,
     searches: HashMap<FlowId, Search<B>>,
-    /// Targets that gave a negative answer about a flow in a search that ended without a result,
-    /// and the end time of that search.
-    negative_answers: HashMap<FlowId, (Millis, Vec<TargetKey>)>,
+    /// Searches that ended without a result, for the next one for the flow.
+    inconclusive: HashMap<FlowId, Inconclusive>,
     /// SYNs that arrived before a revision or a target was known, with their time of arrival.
     waiting_syns: Vec<(Millis, Packet<B>)>,
     listing: Listing,
@@ -170,7 +179,7 @@
             fleet: Fleet::new(domain),
             flows: LruMap::new(limits.flows),
             searches: HashMap::new(),
-            negative_answers: HashMap::new(),
+            inconclusive: HashMap::new(),
             waiting_syns: Vec::new(),
             listing: Listing::new(now),
             rng: SmallRng::seed_from_u64(seed),
@@ -389,8 +398,8 @@
             self.advance_search(now, flow, out);
         }
         let is_kept = |since: Millis| now.since(since) < NEGATIVE_ANSWER_TTL;
-        self.negative_answers
-            .retain(|_, (since, _)| is_kept(*since));
+        self.inconclusive
+            .retain(|_, search| is_kept(search.ended_at));
         self.end_unclaimed(now, out);
         self.reset_lost_flows(now, out);
         self.offer_waiting(now, out);
--- a/crates/core/src/pass_through/balancer/new_flow.rs
+++ b/crates/core/src/pass_through/balancer/new_flow.rs
@@ -66,7 +66,7 @@
         repeats: u32,
         out: &mut Vec<BalancerAction<B>>,
     ) {
-        self.negative_answers.remove(&packet.flow);
+        self.inconclusive.remove(&packet.flow);
         self.listing.on_claimed(&packet.flow);
         let known = self.flows.get(&packet.flow).copied();
         let known = known.filter(|entry| entry.caller_isn == Some(packet.segment.seq));
--- a/crates/core/src/pass_through/balancer/ongoing.rs
+++ b/crates/core/src/pass_through/balancer/ongoing.rs
@@ -9,7 +9,7 @@
 use super::super::fleet::TargetKey;
 use super::super::packet::{DropReason, Offer, Packet, Reset, ResetReason};
 use super::super::search::{Progress, Search};
-use super::{Balancer, BalancerAction, Entry, HELD, drop_packet};
+use super::{Balancer, BalancerAction, Entry, HELD, Inconclusive, drop_packet};
 
 /// A target whose agent is silent for this long, without having announced that it is being stopped,
 /// has lost its machine or the network path to it. Crashed agents are restarted sooner.
@@ -137,21 +137,21 @@
             return;
         }
         let flow = packet.flow;
-        let mut negative_answers = self
-            .negative_answers
-            .remove(&flow)
-            .map_or_else(Vec::new, |kept| kept.1);
+        let earlier = self.inconclusive.remove(&flow);
+        let (mut negative_answers, probes) =
+            earlier.map_or((Vec::new(), 0), |search| (search.not_held, search.probes));
         negative_answers.extend(not_held);
         let mut local = self.possible_holders(now);
         local.retain(|(key, _)| self.is_local(*key) && !negative_answers.contains(key));
         let keys = local.iter().map(|(key, _)| *key);
-        let search = Search::new(
+        let mut search = Search::new(
             now,
             packet.segment,
             keys,
             negative_answers.into_iter(),
             packet.bytes,
         );
+        search.probes = probes;
         ask(flow, local, out);
         self.searches.insert(flow, search);
         self.advance_search(now, flow, out);
@@ -189,6 +189,7 @@
             Progress::Probe => {
                 let packet = search.first.clone();
                 let candidates: Vec<_> = search.candidates().collect();
+                search.probes += candidates.len();
                 for target in candidates {
                     let entry = Entry::found(now, target);
                     let probe = (Offer::Probe, Millis::ZERO);
@@ -218,9 +219,14 @@
             }
             Progress::Inconclusive => {
                 let not_held = search.not_held().take(NEGATIVE_ANSWERS_MAX).collect();
+                let inconclusive = Inconclusive {
+                    ended_at: now,
+                    not_held,
+                    probes: search.probes,
+                };
                 self.searches.remove(&flow);
-                if self.negative_answers.len() < self.limits.searches {
-                    self.negative_answers.insert(flow, (now, not_held));
+                if self.inconclusive.len() < self.limits.searches {
+                    self.inconclusive.insert(flow, inconclusive);
                 }
                 drop_packet(flow, DropReason::Unclaimed, out);
             }
--- a/crates/core/src/pass_through/search.rs
+++ b/crates/core/src/pass_through/search.rs
@@ -32,8 +32,7 @@
 /// crossed the flow's SYN has arrived by then.
 const ASK_AGAIN_DELAY: Millis = Millis(100);
 
-/// Maximum number of targets that are probed while an agent is being restarted. More packets at other
-/// targets would count as a flow that is kept from its own one.
+/// Maximum number of probes for a flow while an agent is being restarted, over all of its searches.
 const PROBES_DURING_RESTART_MAX: usize = 2;
 
 /// State of a search, and the next action that it requires.
@@ -77,6 +76,8 @@
     phase: Phase,
     since: Millis,
     was_unclaimed: bool,
+    /// Number of probes, also in earlier searches for the flow that ended without a result.
+    pub(super) probes: usize,
 }
 
 impl<B> Search<B> {
@@ -101,6 +102,7 @@
             phase: Phase::AskingLocal,
             since: now,
             was_unclaimed: false,
+            probes: 0,
         }
     }
 
@@ -142,7 +144,8 @@
         }
         let candidates = self.candidates().count();
         let awaits_restart = self.unanswered().any(is_restarting);
-        let may_probe = !awaits_restart || candidates <= PROBES_DURING_RESTART_MAX;
+        let probes = self.probes + candidates;
+        let may_probe = !awaits_restart || probes <= PROBES_DURING_RESTART_MAX;
         if self.phase == Phase::Asking && candidates > 0 && may_probe {
             self.enter(now, Phase::Probing);
             return Progress::Probe;
--- a/crates/core/tests/pass_through/balancer.rs
+++ b/crates/core/tests/pass_through/balancer.rs
@@ -594,6 +594,34 @@
         }
     };
 
+    // The copies of a packet find other agents, as these are restarted in turn.
+    probes_of_all_searches_count_while_a_stopping_agent_is_awaited => {
+        let mut balancer = with_targets(SETTLED);
+        for number in 3..=4 {
+            balancer.on_report(SETTLED, report(number, 1));
+        }
+        balancer.on_report(SETTLED, Report { is_stopping: true, ..report(1, 2) });
+        let mut probed = 0;
+        for (copy, candidates) in [(0, [2, 3]), (600, [4, 4]), (1_400, [4, 4])] {
+            let now = SETTLED.after(Millis(copy));
+            tick(&mut balancer, now);
+            let mut all = send(&mut balancer, now, 1, request());
+            for number in 2..=4 {
+                balancer.on_report(now, report(number, 2 + copy));
+                if candidates.contains(&number) {
+                    all.extend(reply(&mut balancer, now, number, Holding::Maybe));
+                }
+            }
+            all.extend(time_out_answers(&mut balancer, now));
+            for number in 2..=3 {
+                all.extend(reject(&mut balancer, now.after(Millis(95)), number, request()));
+            }
+            probed += forwarded(&all).len();
+            tick(&mut balancer, now.after(Millis(260)));
+        }
+        assert_eq!(probed, 2);
+    };
+
     // An agent whose target has ended, and one that was not stopped, do not keep others from it.
     targets_are_probed_while_a_lost_agent_does_not_answer => {
         let stopping = Report { is_stopping: true, ..report(1, 2) };
