Reset listed flows when the target leaves an agent that has just started

What callers saw: an idle flow that only the list of an earlier agent names ended in silence when its target left within the first moments of the new agent. The caller waited for its own time limit.

Cause: a leave resets the flows that began before the last certain sign of the target's start. A new agent has none yet, so that time is zero, and listed flows, of which the start is not known, carry zero too: none of them counted as older. They are, as an earlier agent tracked them.

Evidence: inherited_flows_are_reset_when_the_target_leaves_an_agent_that_has_ just_started, for a leave with and without the stop of the machine. On the code before: no flow is reset (left: [], right: [flow 1]). A flow that was opened at the new agent in the same moments may be of the next start and is still kept.

Change: Conn::is_opened_before, used by the resets at a leave and by the next list, which asked the same question.

--- a/crates/core/src/pass_through/agent/list.rs
+++ b/crates/core/src/pass_through/agent/list.rs
@@ -78,7 +78,8 @@
         // A younger flow may be of the next start.
         let ran_until = self.starts.ran_until();
         let is_listed = |conn: &Conn| {
-            let is_old = conn.since < ran_until && now.since(conn.since) >= LISTED_AGE_MIN;
+            let is_old =
+                conn.is_opened_before(ran_until) && now.since(conn.since) >= LISTED_AGE_MIN;
             conn.stage == Stage::Open && is_old
         };
         let flows = self
--- a/crates/core/src/pass_through/agent/target.rs
+++ b/crates/core/src/pass_through/agent/target.rs
@@ -252,7 +252,7 @@
 
     /// Resets the callers of all flows that began before `end`.
     pub(super) fn reset_flows(&mut self, now: Millis, end: Millis, out: &mut Vec<AgentAction<B>>) {
-        self.reset_flows_if(now, |_, conn| conn.since < end, out);
+        self.reset_flows_if(now, |_, conn| conn.is_opened_before(end), out);
     }
 
     /// Resets the callers of a target that is silent and may have ended.
--- a/crates/core/src/pass_through/conn.rs
+++ b/crates/core/src/pass_through/conn.rs
@@ -103,6 +103,11 @@
         matches!(self.stage, Stage::Open | Stage::Presumed)
     }
 
+    /// Whether the flow was opened before `end`. One that an earlier agent tracked was.
+    pub(super) fn is_opened_before(&self, end: Millis) -> bool {
+        self.since == Millis::ZERO || self.since < end
+    }
+
     /// Whether the caller's packet acknowledges another target's answer to the same SYN.
     pub(super) fn acks_other_target(&self, segment: &Segment) -> bool {
         let own = self.target_isn.map(|isn| isn.wrapping_add(1));
--- a/crates/core/tests/pass_through/ends.rs
+++ b/crates/core/tests/pass_through/ends.rs
@@ -11,8 +11,8 @@
     instance, request, response, restarted_agent, syn, syn_ack, tick_until,
 };
 use crate::steps::{
-    ENDS, SOON, START, answer_syn, end_target, from_caller, from_target, holding, open, rejected,
-    resets, run_start, run_until, tick,
+    ENDS, End, SOON, START, answer_syn, end_target, from_caller, from_target, holding, open,
+    rejected, resets, run_start, run_until, tick,
 };
 
 cases! {
@@ -178,6 +178,20 @@
         }
     };
 
+    // Guards against callers that hear nothing of the end of their flow's target, because its agent
+    // had just been started and had no certain sign of the target's start yet.
+    inherited_flows_are_reset_when_the_target_leaves_an_agent_that_has_just_started => {
+        for end in [End::Leave, End::LeaveOfTheMachine] {
+            let mut agent = restarted_agent(START);
+            let list = FlowList { started_at: 1, flows: vec![ListedFlow { flow: flow(1), seq: 9 }] };
+            agent.inherit(START, list, &mut Vec::new());
+            open(&mut agent, SOON, flow(2));
+            let ended = end_target(&mut agent, SOON, end, 1_000);
+            let reset: Vec<_> = resets(&ended).iter().map(|reset| reset.flow).collect();
+            assert_eq!(reset, [flow(1)], "{end:?}, the next start may have opened the other one");
+        }
+    };
+
     // Guards against a list that loses its idle flows at each restart of the agent.
     inherited_flows_are_listed_again => {
         let mut agent = restarted_agent(START);
