--- a/crates/agent/src/pass_through/traffic.rs
+++ b/crates/agent/src/pass_through/traffic.rs
@@ -222,12 +222,12 @@
     /// Handles a balancer address from another party. A new balancer gets a report at once.
     fn on_advertised(&mut self, now: Millis, balancer: SocketAddr) {
         if self.contacts.on_advertised(now, balancer) {
-            self.send_first_report(now, balancer);
+            self.send_report(now, balancer);
         }
     }
 
-    /// Sends a report to a balancer that has just become known.
-    fn send_first_report(&mut self, now: Millis, balancer: SocketAddr) {
+    /// Sends a report to a balancer that is new or asks for one.
+    fn send_report(&mut self, now: Millis, balancer: SocketAddr) {
         let report = self.report_message(now);
         self.peers.send(&report, balancer);
     }
@@ -380,7 +380,7 @@
         });
         let domain = DomainId(hello.domain);
         if self.contacts.on_hello(now, balancer, domain) || hello.wants_reports {
-            self.send_first_report(now, balancer);
+            self.send_report(now, balancer);
         }
         for other in pass_through::named_balancers(hello) {
             match other {
@@ -424,7 +424,7 @@
         packet: citronhollow_core::pass_through::Packet<Bytes>,
     ) {
         if self.contacts.on_message(now, from) {
-            self.send_first_report(now, from);
+            self.send_report(now, from);
         }
         self.update(|agent, out| agent.on_packet(now, from, offer, group, packet, out));
     }
--- a/crates/core/tests/pass_through/simulation.rs
+++ b/crates/core/tests/pass_through/simulation.rs
@@ -177,24 +177,14 @@
 
     /// Opens a flow through a balancer.
     pub fn open(&mut self, number: u16, via: u16) {
-        let caller = Caller {
-            via,
-            acked_isn: None,
-            are_answers_lost: false,
-        };
-        self.callers.insert(flow(number), caller);
+        self.add_caller(number, via, false);
         self.send(flow(number), syn(), 0, via);
     }
 
     /// Opens a flow whose first SYN goes through balancer `first` and gets a lost answer. The copy
     /// of the SYN goes through balancer `via`.
     pub fn open_after_a_loss(&mut self, number: u16, first: u16, via: u16) {
-        let caller = Caller {
-            via,
-            acked_isn: None,
-            are_answers_lost: true,
-        };
-        self.callers.insert(flow(number), caller);
+        self.add_caller(number, via, true);
         self.send(flow(number), syn(), 0, first);
         self.advance(SYN_COPY_AFTER);
         let caller = self.callers.get_mut(&flow(number));
@@ -202,6 +192,15 @@
         self.send(flow(number), syn(), 1, via);
     }
 
+    fn add_caller(&mut self, number: u16, via: u16, are_answers_lost: bool) {
+        let caller = Caller {
+            via,
+            acked_isn: None,
+            are_answers_lost,
+        };
+        self.callers.insert(flow(number), caller);
+    }
+
     /// Sends a request on an open flow through a balancer.
     pub fn request(&mut self, number: u16, via: u16) {
         let flow = flow(number);
