--- a/crates/core/src/pass_through/agent/list.rs
+++ b/crates/core/src/pass_through/agent/list.rs
@@ -121,13 +121,11 @@
             }
         } else if is_confirmed {
             let reason = ResetReason::TargetEnded;
-            let lost = list.flows.drain(..);
-            let lost = lost.filter(|listed| !self.conns.contains(&listed.flow));
-            out.extend(
-                lost.map(|ListedFlow { flow, seq }| {
-                    AgentAction::Reset(Reset { flow, seq, reason })
-                }),
-            );
+            for ListedFlow { flow, seq } in list.flows.drain(..) {
+                if !self.conns.contains(&flow) {
+                    out.push(AgentAction::Reset(Reset { flow, seq, reason }));
+                }
+            }
             // Those that are tracked, because the listed start was heard before this one.
             self.reset_listed_flows(now, out);
         }
