--- a/crates/testkit/src/outcome.rs
+++ b/crates/testkit/src/outcome.rs
@@ -30,10 +30,10 @@
     /// Broken flows that timed out without a reset.
     #[serde(default)]
     pub silent: u64,
-    /// For each silent flow, when its caller sent packets since the flow's last progress, which
-    /// shows whether a reset was possible.
+    /// For each broken flow, when its caller sent packets since the flow's last progress. A caller
+    /// can only be reset when it sends.
     #[serde(default)]
-    pub silent_sends: Vec<Vec<Millis>>,
+    pub broken_sends: Vec<Vec<Millis>>,
     /// Flows refused before any of their requests ran.
     pub refused: u64,
     /// Answers from another service or target than expected, or to another request.
