Ask an agent again that was started after it was asked

Cause: a copy of the packet came to a balancer 10 ms before the flow's agent was back, so that the agent did not get the question. Its first report says that it runs, and an agent that runs and does not answer is not waited for: 85 ms later the other targets were probed. The next copy met the planned restart of another agent.

The test agent_that_is_back_is_asked_ before_other_targets_are_probed fails on the code before (left: three probes, right: the packet at its own target).

Change: a search remembers when it asked whom, and asks an agent again whose present start reported first after that. The wait for answers is extended for these, to twice its length at most, so that agents that come back one after the other after a power loss do not keep packets (questions_to_agents_that_are_back_end).

--- a/crates/core/src/pass_through/balancer/ongoing.rs
+++ b/crates/core/src/pass_through/balancer/ongoing.rs
@@ -183,6 +183,9 @@
             return;
         };
         let fleet = &self.fleet;
+        let restarted = search.ask_restarted(now, |key| fleet.get(key).agent_started);
+        let restarted = restarted.into_iter().map(|key| (key, fleet.agent(key)));
+        ask(flow, restarted.collect(), out);
         let is_restarting = |key| fleet.get(key).is_restarting(now, GONE_AFTER);
         match search.progress(now, is_restarting) {
             Progress::Waiting => {}
--- a/crates/core/src/pass_through/fleet.rs
+++ b/crates/core/src/pass_through/fleet.rs
@@ -69,6 +69,8 @@
     pub(super) last_seen: Millis,
     /// When the last report arrived.
     pub(super) last_report: Millis,
+    /// When the running incarnation of the agent reported first.
+    pub(super) agent_started: Millis,
     /// Factor by which the timeouts of this target are extended, in thousandths. An agent with many
     /// balancers in other failure domains reports to them less often.
     timeout_factor_milli: u64,
@@ -138,6 +140,11 @@
         } else {
             Some((member.report.incarnation, member.report.sequence))
         };
+        let agent_started = if member.report.incarnation == report.incarnation {
+            member.agent_started
+        } else {
+            now
+        };
         let mut report = report;
         // Only the agent was restarted, and its target keeps running. A changed address belongs to
         // another machine with the same name.
@@ -149,6 +156,7 @@
         }
         let domain = self.domain;
         *self.member_mut(key) = Member {
+            agent_started,
             other_incarnation,
             ..Member::new(now, report, domain)
         };
@@ -262,6 +270,7 @@
             report,
             last_seen,
             last_report: last_seen,
+            agent_started: last_seen,
             assigned: 0,
             capacity_at: None,
             other_incarnation: None,
--- a/crates/core/src/pass_through/search.rs
+++ b/crates/core/src/pass_through/search.rs
@@ -5,7 +5,8 @@
 //! none is certain to hold the flow but some may hold it, as after the restart of many agents, the
 //! flow's packet is sent to the targets of those as a probe. An agent that has announced that it
 //! stops, and does not answer, is probably being restarted: its target may be the holder, and is
-//! waited for unless only few others are to be probed. If no target claims the flow either
+//! waited for unless only few others are to be probed. An agent that was started after the question
+//! was sent to it may not have received it, and is asked again. If no target claims the flow either
 //! way, the balancer decides whether to reset it. If some agents did not answer, the caller
 //! retransmits its packet, and the next search starts with the negative answers of this one. They
 //! stay valid, because a target can get a flow that it does not hold only by a new SYN.
@@ -63,6 +64,22 @@
     Pausing,
 }
 
+/// A question to a target's agent.
+#[derive(Clone, Copy, Debug)]
+struct Question {
+    asked_at: Millis,
+    answer: Option<Holding>,
+}
+
+impl Question {
+    const fn new(asked_at: Millis) -> Self {
+        Self {
+            asked_at,
+            answer: None,
+        }
+    }
+}
+
 /// A search for the target of one flow.
 #[derive(Debug)]
 pub(super) struct Search<B> {
@@ -72,7 +89,7 @@
     pub(super) later: Vec<B>,
     /// Header of the last packet.
     pub(super) segment: Segment,
-    answers: HashMap<TargetKey, Option<Holding>>,
+    questions: HashMap<TargetKey, Question>,
     phase: Phase,
     since: Millis,
     was_unclaimed: bool,
@@ -90,13 +107,17 @@
         not_held: impl Iterator<Item = TargetKey>,
         first: B,
     ) -> Self {
-        let negative_answers = not_held.map(|key| (key, Some(Holding::No)));
+        let negative_answer = Question {
+            asked_at: now,
+            answer: Some(Holding::No),
+        };
+        let negative_answers = not_held.map(|key| (key, negative_answer));
         Self {
             first,
             later: Vec::new(),
             segment,
-            answers: local
-                .map(|key| (key, None))
+            questions: local
+                .map(|key| (key, Question::new(now)))
                 .chain(negative_answers)
                 .collect(),
             phase: Phase::AskingLocal,
@@ -107,11 +128,31 @@
     }
 
     pub(super) fn on_answer(&mut self, target: TargetKey, holding: Holding) {
-        if let Some(answer) = self.answers.get_mut(&target) {
-            *answer = Some(holding);
+        if let Some(question) = self.questions.get_mut(&target) {
+            question.answer = Some(holding);
         }
     }
 
+    /// Returns the targets whose agents were started after they were asked, and have not answered.
+    /// They count as asked now. `started_at` tells when an agent was started.
+    pub(super) fn ask_restarted(
+        &mut self,
+        now: Millis,
+        started_at: impl Fn(TargetKey) -> Millis,
+    ) -> Vec<TargetKey> {
+        let unanswered = self
+            .questions
+            .iter_mut()
+            .filter(|(_, question)| question.answer.is_none());
+        let restarted = unanswered.filter(|(key, question)| started_at(**key) > question.asked_at);
+        restarted
+            .map(|(key, question)| {
+                question.asked_at = now;
+                *key
+            })
+            .collect()
+    }
+
     /// Advances the search and returns the next action. `is_restarting` tells for a target whether
     /// its agent has announced that it stops, while the target goes on.
     pub(super) fn progress(
@@ -120,13 +161,13 @@
         is_restarting: impl Fn(TargetKey) -> bool,
     ) -> Progress {
         let age = now.since(self.since);
-        let is_no = |answer: &Option<Holding>| *answer == Some(Holding::No);
+        let is_no = |question: &Question| question.answer == Some(Holding::No);
         let is_waiting = match self.phase {
             Phase::Pausing if age >= ASK_AGAIN_DELAY => return Progress::AskAgain,
             Phase::Pausing => true,
             Phase::AskingLocal => age < LOCAL_ANSWER_TIMEOUT && self.is_unanswered(),
-            Phase::Asking => age < ANSWER_TIMEOUT && self.is_unanswered(),
-            Phase::Probing => age < PROBE_TIMEOUT && !self.answers.values().all(is_no),
+            Phase::Asking => self.awaits_answer(now),
+            Phase::Probing => age < PROBE_TIMEOUT && !self.questions.values().all(is_no),
         };
         if is_waiting {
             return Progress::Waiting;
@@ -134,7 +175,7 @@
         if self.phase == Phase::AskingLocal {
             return Progress::AskRemote;
         }
-        if self.answers.values().all(is_no) {
+        if self.questions.values().all(is_no) {
             if self.was_unclaimed {
                 return Progress::NotHeld;
             }
@@ -155,36 +196,46 @@
 
     /// Whether the target was asked, or is known not to hold the flow.
     pub(super) fn includes(&self, target: TargetKey) -> bool {
-        self.answers.contains_key(&target)
+        self.questions.contains_key(&target)
     }
 
     /// Targets that do not hold the flow.
     pub(super) fn not_held(&self) -> impl Iterator<Item = TargetKey> {
-        let is_negative = |answer: &Option<Holding>| *answer == Some(Holding::No);
-        let negative_answers = self.answers.iter();
-        let negative_answers = negative_answers.filter(move |(_, answer)| is_negative(answer));
-        negative_answers.map(|(key, _)| *key)
+        self.answered(Holding::No)
     }
 
     /// Extends the search to targets in other failure domains.
     pub(super) fn ask_remote(&mut self, now: Millis, remote: impl Iterator<Item = TargetKey>) {
-        self.answers.extend(remote.map(|key| (key, None)));
+        self.questions
+            .extend(remote.map(|key| (key, Question::new(now))));
         self.enter(now, Phase::Asking);
     }
 
     /// Starts a second round in which all targets are asked.
     pub(super) fn ask_again(&mut self, now: Millis, asked: impl Iterator<Item = TargetKey>) {
-        self.answers = asked.map(|key| (key, None)).collect();
+        self.questions = asked.map(|key| (key, Question::new(now))).collect();
         self.enter(now, Phase::Asking);
     }
 
     /// Targets that may hold the flow.
     pub(super) fn candidates(&self) -> impl Iterator<Item = TargetKey> {
-        let may_hold = |answer: &Option<Holding>| *answer == Some(Holding::Maybe);
-        self.answers
-            .iter()
-            .filter(move |(_, answer)| may_hold(answer))
-            .map(|(key, _)| *key)
+        self.answered(Holding::Maybe)
+    }
+
+    /// Targets whose agents have given this answer.
+    fn answered(&self, holding: Holding) -> impl Iterator<Item = TargetKey> {
+        let questions = self.questions.iter();
+        let answered = questions.filter(move |(_, question)| question.answer == Some(holding));
+        answered.map(|(key, _)| *key)
+    }
+
+    /// Whether an answer to the questions of this phase may still arrive. Agents that were asked
+    /// again extend it, once by its length at most.
+    fn awaits_answer(&self, now: Millis) -> bool {
+        let is_timely = |since| now.since(since) < ANSWER_TIMEOUT;
+        let mut unanswered = self.questions.values().filter(|it| it.answer.is_none());
+        let is_extended = now.since(self.since).0 < 2 * ANSWER_TIMEOUT.0;
+        unanswered.any(|it| is_timely(self.since) || (is_extended && is_timely(it.asked_at)))
     }
 
     fn is_unanswered(&self) -> bool {
@@ -192,7 +243,8 @@
     }
 
     fn unanswered(&self) -> impl Iterator<Item = TargetKey> {
-        let unanswered = self.answers.iter().filter(|(_, answer)| answer.is_none());
+        let questions = self.questions.iter();
+        let unanswered = questions.filter(|(_, question)| question.answer.is_none());
         unanswered.map(|(key, _)| *key)
     }
 
--- a/crates/core/tests/pass_through/balancer.rs
+++ b/crates/core/tests/pass_through/balancer.rs
@@ -622,6 +622,54 @@
         assert_eq!(probed, 2);
     };
 
+    // The agent of the flow's target comes back during a search, and has not received the question.
+    agent_that_is_back_is_asked_before_other_targets_are_probed => {
+        for back_after in [10, 40, 85] {
+            let mut balancer = with_targets(SETTLED);
+            for number in 3..=4 {
+                balancer.on_report(SETTLED, report(number, 1));
+            }
+            balancer.on_report(SETTLED, Report { is_stopping: true, ..report(1, 2) });
+            send(&mut balancer, SETTLED, 1, request());
+            for number in 2..=4 {
+                reply(&mut balancer, SETTLED, number, Holding::Maybe);
+            }
+            let mut all = Actions::new();
+            for at in (5..=90).step_by(5) {
+                let now = SETTLED.after(Millis(at));
+                if at == back_after {
+                    balancer.on_report(now, Report { incarnation: 2, ..report(1, 1) });
+                }
+                if at % 25 != 15 {
+                    continue;
+                }
+                let ticked = tick(&mut balancer, now);
+                let answers = question_count(&ticked);
+                all.extend(ticked);
+                for _ in 0..answers {
+                    all.extend(reply(&mut balancer, now, 1, Holding::Here));
+                }
+            }
+            assert_eq!(forwarded(&all), [(agent_addr(1), Offer::Held)], "{back_after}");
+        }
+    };
+
+    // A chain of agents that come back and do not answer must not keep a packet for long.
+    questions_to_agents_that_are_back_end => {
+        let mut balancer = with_targets(SETTLED);
+        for number in 3..=8 {
+            balancer.on_report(SETTLED, report(number, 1));
+        }
+        let mut all = send(&mut balancer, SETTLED, 1, request());
+        all.extend(reply(&mut balancer, SETTLED, 8, Holding::Maybe));
+        for number in 1..=7 {
+            let now = SETTLED.after(Millis(u64::from(number) * 25));
+            balancer.on_report(now, Report { incarnation: 2, ..report(number, 1) });
+            all.extend(tick(&mut balancer, now));
+        }
+        assert_eq!(forwarded(&all), [(agent_addr(8), Offer::Probe)]);
+    };
+
     // An agent whose target has ended, and one that was not stopped, do not keep others from it.
     targets_are_probed_while_a_lost_agent_does_not_answer => {
         let stopping = Report { is_stopping: true, ..report(1, 2) };
