--- a/crates/testkit/tests/failures.rs
+++ b/crates/testkit/tests/failures.rs
@@ -36,8 +36,9 @@
     .after(DEAD_AFTER)
     .after(VERDICT_TICKS);
 
-/// Time within which every caller repeats a packet after the detection. Pauses between repetitions
-/// double, so that one in which a target is detected ends by twice that time and one timeout.
+/// Time after its request by which every caller has repeated a packet after the detection. Pauses
+/// between repetitions double, so that the one in which the detection falls ends at twice its time
+/// and one timeout.
 const LAST_REPETITION: Millis = Millis::from_secs(50);
 
 #[derive(Clone, Copy)]
