--- a/crates/core/tests/pass_through/balancer.rs
+++ b/crates/core/tests/pass_through/balancer.rs
@@ -31,6 +31,20 @@
     balancer
 }
 
+/// A balancer to which targets 1 to 4 have reported. The agent of target 1 is stopping.
+fn with_a_stopping_agent() -> Balancer<Bytes> {
+    let mut balancer = with_targets(SETTLED);
+    for number in 3..=4 {
+        balancer.on_report(SETTLED, report(number, 1));
+    }
+    let stopping = Report {
+        is_stopping: true,
+        ..report(1, 2)
+    };
+    balancer.on_report(SETTLED, stopping);
+    balancer
+}
+
 fn send(balancer: &mut Balancer<Bytes>, now: Millis, number: u16, segment: Segment) -> Actions {
     repeat(balancer, now, number, segment, 0)
 }
@@ -546,11 +560,7 @@
     // Guards against packets that reach all other targets while the agent of the flow's own one is
     // away for a planned restart, of which the balancer knows.
     no_targets_are_probed_while_a_stopping_agent_is_awaited => {
-        let mut balancer = with_targets(SETTLED);
-        for number in 3..=4 {
-            balancer.on_report(SETTLED, report(number, 1));
-        }
-        balancer.on_report(SETTLED, Report { is_stopping: true, ..report(1, 2) });
+        let mut balancer = with_a_stopping_agent();
         let copies = [0, 200, 600, 1_400, 3_000, 4_600, 6_200];
         for at in (0..=6_200).step_by(100) {
             let now = SETTLED.after(Millis(at));
@@ -578,11 +588,7 @@
     // Two packets at other targets at most do not keep the flow from its own one.
     few_targets_are_probed_while_a_stopping_agent_is_awaited => {
         for candidates in [1, 2, 3] {
-            let mut balancer = with_targets(SETTLED);
-            for number in 3..=4 {
-                balancer.on_report(SETTLED, report(number, 1));
-            }
-            balancer.on_report(SETTLED, Report { is_stopping: true, ..report(1, 2) });
+            let mut balancer = with_a_stopping_agent();
             let mut all = send(&mut balancer, SETTLED, 1, request());
             for number in 2..=4 {
                 let holding = if number <= candidates + 1 { Holding::Maybe } else { Holding::No };
@@ -596,11 +602,7 @@
 
     // The copies of a packet find other agents, as these are restarted in turn.
     probes_of_all_searches_count_while_a_stopping_agent_is_awaited => {
-        let mut balancer = with_targets(SETTLED);
-        for number in 3..=4 {
-            balancer.on_report(SETTLED, report(number, 1));
-        }
-        balancer.on_report(SETTLED, Report { is_stopping: true, ..report(1, 2) });
+        let mut balancer = with_a_stopping_agent();
         let mut probed = 0;
         for (copy, candidates) in [(0, [2, 3]), (600, [4, 4]), (1_400, [4, 4])] {
             let now = SETTLED.after(Millis(copy));
@@ -625,11 +627,7 @@
     // The agent of the flow's target comes back during a search, and has not received the question.
     agent_that_is_back_is_asked_before_other_targets_are_probed => {
         for back_after in [10, 40, 85] {
-            let mut balancer = with_targets(SETTLED);
-            for number in 3..=4 {
-                balancer.on_report(SETTLED, report(number, 1));
-            }
-            balancer.on_report(SETTLED, Report { is_stopping: true, ..report(1, 2) });
+            let mut balancer = with_a_stopping_agent();
             send(&mut balancer, SETTLED, 1, request());
             for number in 2..=4 {
                 reply(&mut balancer, SETTLED, number, Holding::Maybe);
