--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -21,6 +21,7 @@
 
 use client::Report;
 use deployment::Deployment;
+use server::Seen;
 
 /// Lines of the record, also shown as they come.
 struct Record {
@@ -54,6 +55,7 @@
     record.line(&format!("case {case}, disruption {}", if has_trouble { "on" } else { "off" }));
     let play = || match case.as_str() {
         "unlisted-server" => unlisted_server(&dir, has_trouble, &mut record),
+        "rolling-machines" => rolling_machines(&dir, has_trouble, &mut record),
         "front-restart" => front_restart(&dir, has_trouble, &mut record),
         _ => 2,
     };
@@ -134,7 +136,15 @@
     report.wrong_resets.len()
 }
 
+/// Part (a) or (b) of the rule FLOW.
+#[derive(Clone, Copy, PartialEq)]
+enum Part {
+    Resets,
+    Strayed,
+}
+
 fn judge(
+    part: Part,
     mut deployment: Deployment,
     report: &Mutex<Report>,
     clients: JoinHandle<()>,
@@ -144,9 +154,21 @@
     let _ = clients.join();
     let report = report.lock().unwrap();
     let seen = deployment.seen.lock().unwrap();
-    for reset in &report.wrong_resets {
-        record.line(&format!("FLOW: {reset}"));
+    let strayed = strayed_flows(&seen);
+    let broken = match part {
+        Part::Resets => &report.wrong_resets,
+        Part::Strayed => &strayed,
+    };
+    for line in broken.iter().take(40) {
+        record.line(&format!("FLOW: {line}"));
     }
+    record.line(&format!(
+        "part (a), open flows reset: {}; part (b), open flows whose packets went to other servers only \
+         for 2 s: {}; this case judges ({})",
+        report.wrong_resets.len(),
+        strayed.len(),
+        if part == Part::Resets { "a" } else { "b" }
+    ));
     let twice = seen.runs.values().filter(|runs| runs.len() > 1).count();
     record.line(&format!(
         "requests run {}, run twice {twice}, packets changed on the way {}",
@@ -157,7 +179,38 @@
         record.line("too few requests were answered to judge");
         return 2;
     }
-    u8::from(!report.wrong_resets.is_empty())
+    u8::from(!broken.is_empty())
+}
+
+/// Open flows of which, for `reorderMs`, three or more packets reached other servers and none its own.
+fn strayed_flows(seen: &Seen) -> Vec<String> {
+    const REORDER: Duration = Duration::from_secs(2);
+    let mut found = Vec::new();
+    for (key, strayed) in &seen.strayed {
+        let no_arrivals = Vec::new();
+        let arrived = seen.arrived.get(key).unwrap_or(&no_arrivals);
+        // The flow is open from the first arrival at its server, and is still in use at the last.
+        let (Some(first), Some(last)) = (arrived.first(), arrived.last()) else { continue };
+        for (_, since) in strayed {
+            let until = *since + REORDER;
+            let is_within = |at: &Instant| *at >= *since && *at <= until;
+            let others = strayed.iter().filter(|(_, at)| is_within(at)).count();
+            let is_open = first < since && *last >= until;
+            if is_open && others >= 3 && !arrived.iter().any(is_within) {
+                let before = arrived.iter().rev().find(|at| *at < since).unwrap_or(first);
+                let after = arrived.iter().find(|at| **at > until).unwrap_or(last);
+                found.push(format!(
+                    "{} -> {}: {others} packets reached other servers in 2 s and none its own; \
+                     its own server had none for {:.2} s, and then had the flow on",
+                    key.0,
+                    key.1,
+                    after.duration_since(*before).as_secs_f64()
+                ));
+                break;
+            }
+        }
+    }
+    found
 }
 
 /// A deployment with one front whose process is stopped and started, again and again, while clients
@@ -180,7 +233,7 @@
             break;
         }
     }
-    judge(deployment, &report, clients, record)
+    judge(Part::Resets, deployment, &report, clients, record)
 }
 
 /// A server is added while the store turns its machine away, and takes flows. Meanwhile the only
@@ -228,5 +281,79 @@
             break;
         }
     }
-    judge(deployment, &report, clients, record)
+    judge(Part::Resets, deployment, &report, clients, record)
+}
+
+/// A process that is stopped and started again, in turn with others.
+enum Turn {
+    Running { until: Instant },
+    Stopping { since: Instant },
+    Down { until: Instant },
+}
+
+/// Fronts and side machines are stopped and started in turn, each kind one machine at a time: SIGTERM,
+/// the next start soon after the process has ended, and a pause before the next machine's turn.
+fn rolling_machines(dir: &Path, has_trouble: bool, record: &mut Record) -> u8 {
+    const PAUSE: Duration = Duration::from_secs(2);
+    const GRACE: Duration = Duration::from_secs(6);
+    let down = [Duration::from_millis(500), Duration::from_millis(1_500)];
+    let sides = [("north", "desk"), ("north", "desk"), ("south", "desk"), ("south", "desk"), ("south", "desk")];
+    let Some(started) = start(dir, &sides, sides.len(), (35, 45), record) else {
+        return 2;
+    };
+    let (mut deployment, report, clients) = started;
+    let end = Instant::now() + Duration::from_secs(92);
+    let mut noted = Instant::now();
+    // The front's turn and the side machines'.
+    let mut turns = [
+        Turn::Running { until: Instant::now() },
+        Turn::Running { until: Instant::now() + Duration::from_secs(1) },
+    ];
+    let mut side = 0;
+    while Instant::now() < end {
+        sleep(Duration::from_millis(10));
+        let now = Instant::now();
+        for (n, turn) in turns.iter_mut().enumerate().filter(|_| has_trouble) {
+            let child = match n {
+                0 => &mut deployment.front,
+                _ => &mut deployment.agents[side],
+            };
+            match *turn {
+                Turn::Running { until } if now >= until => {
+                    if let Some(child) = child {
+                        deployment::signal(child, "TERM");
+                    }
+                    *turn = Turn::Stopping { since: now };
+                }
+                Turn::Stopping { since } => {
+                    let Some(process) = child else { continue };
+                    if now.duration_since(since) >= GRACE {
+                        let _ = process.kill();
+                    }
+                    if matches!(process.try_wait(), Ok(Some(_))) {
+                        *child = None;
+                        *turn = Turn::Down { until: now + down[n] };
+                    }
+                }
+                Turn::Down { until } if now >= until => {
+                    if n == 0 {
+                        deployment.start_front();
+                        record.line("the front is started again");
+                    } else {
+                        deployment.start_agent(side);
+                        let name = &deployment.sides[side].name;
+                        record.line(&format!("the agent of {name} is started again"));
+                        side = (side + 1) % sides.len();
+                    }
+                    *turn = Turn::Running { until: now + PAUSE };
+                }
+                _ => {}
+            }
+        }
+        if noted.elapsed() >= Duration::from_secs(15) {
+            noted = Instant::now();
+            note(&report, record);
+        }
+    }
+    judge(Part::Strayed, deployment, &report, clients, record)
 }
